--- a/include/snipeferry/core/error.h
+++ b/include/snipeferry/core/error.h
@@ -32,6 +32,7 @@
     PlatformUnavailable,
     PeerUnavailable,
     BackendFailed,
+    BackendTimeout,
     StreamInterrupted,
     CallerGone,
     ConfigurationInvalid,
--- /dev/null
+++ b/include/snipeferry/gateway/allowancebook.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "snipeferry/core/error.h"
+#include "snipeferry/core/timerservice.h"
+#include "snipeferry/gateway/model.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <vector>
+
+namespace snipeferry::gateway {
+
+/** What an instance tells the others of one customer's tokens. */
+struct AllowanceReport
+{
+    core::CustomerId customer;
+    double balance = 0;
+    /** Tokens asked for in a second, smoothed. */
+    double demand = 0;
+
+    SNIPEFERRY_VALUE(AllowanceReport, customer, balance, demand)
+};
+
+/** Tokens that one instance gives to another; the giver has debited them. */
+struct AllowanceGrant
+{
+    core::CustomerId customer;
+    double tokens = 0;
+
+    SNIPEFERRY_VALUE(AllowanceGrant, customer, tokens)
+};
+
+/**
+ * This instance's part of the customers' fleet-wide allowances.
+ *
+ * Each instance refills an equal part of the rate. Rates never move; tokens do, from instances with little demand to those
+ * with much, and a giver debits before it sends. So the sum over all instances holds however messages are lost, and an
+ * instance that is cut off goes on with its own part.
+ */
+class AllowanceBook
+{
+public:
+    explicit AllowanceBook(core::TimerService &timers);
+
+    void configure(const std::vector<Customer> &customers);
+
+    /**
+     * @brief States among how many instances the rates are split.
+     *
+     * A smaller number takes effect only after the instance that left has surely stopped spending; see SHRINK_DELAY.
+     */
+    void setInstanceCount(int count);
+
+    /** @brief Takes tokens; or RateExceeded with the time until they have refilled. */
+    core::Expected<void> reserve(const core::CustomerId &customer, double cost);
+
+    /** @brief Gives tokens of a request back that certainly did not run. */
+    void refund(const core::CustomerId &customer, double cost);
+
+    /** @brief States of all customers with a limit. */
+    std::vector<AllowanceReport> reports();
+
+    /** @brief Debits and returns what a peer with these reports should get. */
+    std::vector<AllowanceGrant> grantsFor(const core::InstanceId &peer, const std::vector<AllowanceReport> &peerReports);
+
+    void receive(const std::vector<AllowanceGrant> &grants);
+
+private:
+    struct Bucket
+    {
+        double rate = 0;
+        double burst = 0;
+        double balance = 0;
+        double demand = 0;
+        double askedSinceUpdate = 0;
+        absl::Time updatedAt;
+        absl::Time demandUpdatedAt;
+    };
+
+    /** An instance that lost the store stops spending on keys within this time. */
+    static constexpr absl::Duration SHRINK_DELAY = absl::Seconds(6);
+
+    void refill(Bucket &bucket);
+    void updateDemand(Bucket &bucket);
+    int instanceCount();
+
+    core::TimerService &m_timers;
+    absl::flat_hash_map<core::CustomerId, Bucket> m_buckets;
+    int m_count = 1;
+    int m_pendingCount = 1;
+    absl::Time m_shrinkAt = absl::InfiniteFuture();
+};
+
+} // namespace snipeferry::gateway
--- /dev/null
+++ b/include/snipeferry/net/eventloop.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "snipeferry/core/timerservice.h"
+
+#include <boost/asio/io_context.hpp>
+
+/**
+ * The transport of the gateway: everything runs on one thread and one io_context.
+ */
+namespace snipeferry::net {
+
+/** Runs sockets and timers of one process on the calling thread. */
+class EventLoop
+{
+public:
+    boost::asio::io_context &context();
+    core::TimerService &timers();
+
+    /** @brief Runs until stop(). */
+    void run();
+    void stop();
+
+private:
+    boost::asio::io_context m_context{1};
+    core::SteadyTimerService m_timers;
+    bool m_isStopped = false;
+};
+
+} // namespace snipeferry::net
--- /dev/null
+++ b/include/snipeferry/net/gatewayprocess.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "snipeferry/net/backendpool.h"
+#include "snipeferry/net/directorycodec.h"
+#include "snipeferry/net/gatewaysettings.h"
+#include "snipeferry/net/httpserver.h"
+#include "snipeferry/net/peerlinks.h"
+#include "snipeferry/net/stdoutjournal.h"
+#include "snipeferry/net/storeclient.h"
+
+#include <boost/asio/signal_set.hpp>
+
+#include <memory>
+#include <string>
+
+namespace snipeferry::net {
+
+/** How one deployment's callers, backend servers, records and store speak. */
+struct Adapter
+{
+    const gateway::HeaderCodec &headers;
+    const gateway::RecordCodec &records;
+    const StoreFormat &store;
+    const DirectoryCodec &directory;
+};
+
+/** One gateway process: supervises the transport and the decision parts from start to stop. */
+class GatewayProcess
+{
+public:
+    GatewayProcess(GatewayProcessSettings settings, std::string settingsFile, Adapter adapter);
+    ~GatewayProcess();
+
+    /** @brief Listens and runs until it is told to stop. @return the error that prevented the start */
+    core::Expected<void> run();
+
+private:
+    core::Expected<void> listen();
+    void awaitSignals();
+    void reload();
+    void startStop();
+    void checkStopped();
+    void answerCaller(gateway::HttpRequest request, const std::shared_ptr<HttpExchange> &exchange);
+    void answerReadiness(const gateway::HttpRequest &request, HttpExchange &exchange) const;
+    void answerDirectory(const gateway::HttpRequest &request, HttpExchange &exchange) const;
+
+    GatewayProcessSettings m_settings;
+    std::string m_settingsFile;
+    Adapter m_adapter;
+    EventLoop m_loop;
+    StdoutJournal m_journal;
+    BackendPool m_pool;
+    std::unique_ptr<PeerLinks> m_links;
+    std::unique_ptr<gateway::Gateway> m_gateway;
+    std::unique_ptr<StoreClient> m_store;
+    HttpServer m_callers;
+    HttpServer m_directory;
+    HttpServer m_readiness;
+    HttpServer m_metrics;
+    boost::asio::signal_set m_signals;
+    absl::Time m_stopAt = absl::InfiniteFuture();
+    absl::Time m_stopEarliest = absl::InfiniteFuture();
+    core::Subscription m_stopTimer;
+};
+
+} // namespace snipeferry::net
--- /dev/null
+++ b/include/snipeferry/net/gatewaysettings.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "snipeferry/core/error.h"
+#include "snipeferry/gateway/gateway.h"
+#include "snipeferry/net/backendpool.h"
+#include "snipeferry/net/stdoutjournal.h"
+#include "snipeferry/net/storeclient.h"
+
+#include <string>
+
+namespace snipeferry::net {
+
+/** Settings of one gateway process. */
+struct GatewayProcessSettings
+{
+    gateway::GatewaySettings gateway;
+    /** "a.b.c.d:port" for callers, for the directory, for readiness, and for metrics; the last may be empty. */
+    std::string directoryAddress;
+    std::string readinessAddress;
+    std::string metricsAddress;
+    StoreClientSettings store;
+    BackendPoolSettings backends;
+    JournalSettings journal;
+    /** How long callers may keep a directory answer. */
+    absl::Duration directoryTimeToLive = absl::Seconds(2);
+    /** Time between the order to stop and the end that the supervisor forces. */
+    absl::Duration stopGrace = absl::Seconds(8);
+};
+
+/** @brief Reads and checks a settings file; the error names every fault with file, line, key, found and allowed. */
+core::Expected<GatewayProcessSettings> loadGatewaySettings(const std::string &file);
+
+/** @brief The same for text; the file name is used in faults only. */
+core::Expected<GatewayProcessSettings> parseGatewaySettings(const std::string &file, const std::string &text);
+
+} // namespace snipeferry::net
--- /dev/null
+++ b/include/snipeferry/net/stdoutjournal.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "snipeferry/gateway/ports.h"
+#include "snipeferry/net/eventloop.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+
+#include <string>
+
+namespace snipeferry::net {
+
+struct JournalSettings
+{
+    /** Lines of one kind of event written in one second; further ones are counted in a line of their own. */
+    int linesPerSecond = 20;
+    /** Bytes kept for a reader that does not read; further lines are counted as left out. */
+    std::size_t bufferBytes = 65536;
+};
+
+/** Writes log lines to standard output, without ever waiting for its reader, and keeps the counters of the metrics page. */
+class StdoutJournal : public gateway::Journal
+{
+public:
+    StdoutJournal(EventLoop &loop, JournalSettings settings, int descriptor);
+
+    void log(const core::LogEvent &event) override;
+    void count(const std::string &name, const std::string &label, double amount) override;
+
+    /** @brief Sets a value of the metrics page. */
+    void gauge(const std::string &name, double value);
+
+    /** @brief The metrics page in the text format of Prometheus. */
+    std::string metricsPage() const;
+
+    /** @brief Writes what is buffered, as far as the reader takes it. */
+    void flush();
+
+private:
+    struct Kind
+    {
+        int writtenThisSecond = 0;
+        int leftOut = 0;
+    };
+
+    void startSecond();
+    void append(const core::LogEvent &event);
+
+    EventLoop &m_loop;
+    JournalSettings m_settings;
+    int m_descriptor;
+    std::string m_buffer;
+    std::uint64_t m_droppedLines = 0;
+    absl::flat_hash_map<std::string, Kind> m_kinds;
+    prometheus::Registry m_registry;
+    absl::flat_hash_map<std::string, prometheus::Family<prometheus::Counter> *> m_counters;
+    absl::flat_hash_map<std::string, prometheus::Family<prometheus::Gauge> *> m_gauges;
+    core::Subscription m_flushTimer;
+    core::Subscription m_secondTimer;
+};
+
+} // namespace snipeferry::net
--- /dev/null
+++ b/include/snipeferry/net/storeformat.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "snipeferry/gateway/message.h"
+#include "snipeferry/gateway/records.h"
+
+#include <absl/time/time.h>
+
+#include <string>
+#include <vector>
+
+namespace snipeferry::net {
+
+/** One page of a topic's records. */
+struct RecordPage
+{
+    std::vector<gateway::Record> records;
+    /** Revision of the store at the time of the answer. */
+    core::Revision revision = 0;
+    bool hasMore = false;
+};
+
+/** Changes of a topic up to a revision. */
+struct ChangePage
+{
+    std::vector<gateway::RecordChange> changes;
+    core::Revision revision = 0;
+};
+
+/** A lease that the store holds for this process. */
+struct Lease
+{
+    std::string id;
+    absl::Duration timeToLive;
+};
+
+/** Strategy that writes calls to one kind of key-value store as HTTP requests and reads its answers. */
+class StoreFormat
+{
+public:
+    virtual ~StoreFormat() = default;
+
+    /** @brief Reads records of a topic behind a key; empty from the first one. */
+    virtual gateway::HttpRequest readPage(gateway::Topic topic, const std::string &afterKey) const = 0;
+    virtual core::Expected<RecordPage> decodePage(const std::string &body) const = 0;
+
+    /** @brief Waits for changes of a topic behind a revision. */
+    virtual gateway::HttpRequest awaitChanges(gateway::Topic topic, core::Revision after, absl::Duration wait) const = 0;
+    virtual core::Expected<ChangePage> decodeChanges(const std::string &body) const = 0;
+
+    virtual gateway::HttpRequest openLease(absl::Duration timeToLive) const = 0;
+    virtual core::Expected<Lease> decodeLease(const std::string &body) const = 0;
+    virtual gateway::HttpRequest renewLease(const Lease &lease) const = 0;
+    virtual gateway::HttpRequest endLease(const Lease &lease) const = 0;
+
+    /** @brief Writes a record that goes with the lease. */
+    virtual gateway::HttpRequest writeRecord(const gateway::Record &record, const Lease &lease) const = 0;
+};
+
+} // namespace snipeferry::net
--- a/source/core/error.cpp
+++ b/source/core/error.cpp
@@ -30,6 +30,7 @@
     {ErrorKind::PlatformUnavailable, "platform_unavailable", 503, RanState::NotRun, true},
     {ErrorKind::PeerUnavailable, "peer_unavailable", 503, RanState::NotRun, true},
     {ErrorKind::BackendFailed, "backend_failed", 502, RanState::Unknown, false},
+    {ErrorKind::BackendTimeout, "backend_timeout", 504, RanState::Unknown, false},
     {ErrorKind::StreamInterrupted, "stream_interrupted", 502, RanState::Ran, false},
     {ErrorKind::CallerGone, "caller_gone", 499, RanState::Unknown, false},
     {ErrorKind::ConfigurationInvalid, "configuration_invalid", 400, RanState::NotRun, false},
--- a/source/core/timerservice.cpp
+++ b/source/core/timerservice.cpp
@@ -3,6 +3,7 @@
 #include <absl/time/clock.h>
 
 #include <chrono>
+#include <ctime>
 #include <utility>
 
 namespace snipeferry::core {
@@ -133,7 +134,12 @@
 
 absl::Time SteadyTimerService::now() const
 {
-    return absl::UnixEpoch() + absl::FromChrono(std::chrono::steady_clock::now().time_since_epoch());
+    // Boot time goes on while the machine is suspended; ages that promise something (leases, key freshness) must not stand still.
+    timespec time{};
+    if (clock_gettime(CLOCK_BOOTTIME, &time) != 0) {
+        return absl::UnixEpoch() + absl::FromChrono(std::chrono::steady_clock::now().time_since_epoch());
+    }
+    return absl::TimeFromTimespec(time);
 }
 
 absl::Time SteadyTimerService::wallNow() const
--- /dev/null
+++ b/source/gateway/allowancebook.cpp
@@ -0,0 +1,175 @@
+#include "snipeferry/gateway/allowancebook.h"
+
+#include <algorithm>
+
+namespace snipeferry::gateway {
+
+namespace {
+
+/** Part of a full bucket that a started process has: it cannot know what the process before it spent. */
+constexpr double START_FILL = 0.5;
+/** Demand is averaged over about this time. */
+constexpr absl::Duration DEMAND_PERIOD = absl::Seconds(1);
+/** Part of the tokens above the fair part that is given away at once. */
+constexpr double GIVE_SHARE = 0.8;
+/** Smallest grant as a part of the burst; smaller ones are not worth a message. */
+constexpr double MIN_GRANT_SHARE = 0.01;
+/** Fair parts count this share of the rate as demand of an idle instance, so that it keeps tokens for a start. */
+constexpr double IDLE_DEMAND_SHARE = 0.01;
+constexpr absl::Duration LONGEST_RETRY = absl::Seconds(10);
+
+} // namespace
+
+AllowanceBook::AllowanceBook(core::TimerService &timers)
+    : m_timers(timers)
+{
+}
+
+void AllowanceBook::configure(const std::vector<Customer> &customers)
+{
+    absl::flat_hash_map<core::CustomerId, Bucket> buckets;
+    const int count = instanceCount();
+    for (const Customer &customer : customers) {
+        if (customer.ratePerSecond <= 0) {
+            continue;
+        }
+        Bucket bucket;
+        const auto before = m_buckets.find(customer.id);
+        if (before != m_buckets.end()) {
+            refill(before->second);
+            bucket = before->second;
+            bucket.balance = std::min(bucket.balance, customer.burst);
+        } else {
+            bucket.balance = START_FILL * customer.burst / count;
+            bucket.updatedAt = m_timers.now();
+            bucket.demandUpdatedAt = m_timers.now();
+        }
+        bucket.rate = customer.ratePerSecond;
+        bucket.burst = customer.burst;
+        buckets.emplace(customer.id, bucket);
+    }
+    m_buckets = std::move(buckets);
+}
+
+void AllowanceBook::setInstanceCount(int count)
+{
+    m_pendingCount = std::max(1, count);
+    if (m_pendingCount >= m_count) {
+        m_count = m_pendingCount;
+        m_shrinkAt = absl::InfiniteFuture();
+    } else if (m_shrinkAt == absl::InfiniteFuture()) {
+        m_shrinkAt = m_timers.now() + SHRINK_DELAY;
+    }
+}
+
+int AllowanceBook::instanceCount()
+{
+    if (m_timers.now() >= m_shrinkAt) {
+        m_count = m_pendingCount;
+        m_shrinkAt = absl::InfiniteFuture();
+    }
+    return m_count;
+}
+
+void AllowanceBook::refill(Bucket &bucket)
+{
+    const absl::Time now = m_timers.now();
+    const double seconds = absl::ToDoubleSeconds(now - bucket.updatedAt);
+    bucket.updatedAt = now;
+    const int count = instanceCount();
+    // Received tokens may lie above this instance's own part; they stay, but nothing is added to them.
+    const double cap = bucket.burst / count;
+    if (bucket.balance < cap) {
+        bucket.balance = std::min(cap, bucket.balance + seconds * bucket.rate / count);
+    }
+}
+
+void AllowanceBook::updateDemand(Bucket &bucket)
+{
+    const absl::Time now = m_timers.now();
+    const absl::Duration passed = now - bucket.demandUpdatedAt;
+    if (passed < absl::Milliseconds(50)) {
+        return;
+    }
+    const double weight = std::min(1.0, absl::FDivDuration(passed, DEMAND_PERIOD));
+    bucket.demand += weight * (bucket.askedSinceUpdate / absl::ToDoubleSeconds(passed) - bucket.demand);
+    bucket.askedSinceUpdate = 0;
+    bucket.demandUpdatedAt = now;
+}
+
+core::Expected<void> AllowanceBook::reserve(const core::CustomerId &customer, double cost)
+{
+    const auto it = m_buckets.find(customer);
+    if (it == m_buckets.end()) {
+        return {};
+    }
+    Bucket &bucket = it->second;
+    refill(bucket);
+    bucket.askedSinceUpdate += cost;
+    // A request that is larger than this instance's bucket can hold passes once the bucket is full, and leaves a debt.
+    const double needed = std::min(cost, bucket.burst / instanceCount());
+    if (bucket.balance >= needed) {
+        bucket.balance -= cost;
+        return {};
+    }
+    const double refillRate = bucket.rate / instanceCount();
+    const absl::Duration wait = std::min(LONGEST_RETRY, absl::Seconds((needed - bucket.balance) / std::max(1.0, refillRate)));
+    return tl::make_unexpected(core::makeError(core::ErrorKind::RateExceeded, "The customer's rate is used up.", wait));
+}
+
+void AllowanceBook::refund(const core::CustomerId &customer, double cost)
+{
+    const auto it = m_buckets.find(customer);
+    if (it != m_buckets.end()) {
+        it->second.balance = std::min(it->second.burst, it->second.balance + cost);
+    }
+}
+
+std::vector<AllowanceReport> AllowanceBook::reports()
+{
+    std::vector<AllowanceReport> all;
+    all.reserve(m_buckets.size());
+    for (auto &entry : m_buckets) {
+        refill(entry.second);
+        updateDemand(entry.second);
+        all.push_back({entry.first, entry.second.balance, entry.second.demand});
+    }
+    return all;
+}
+
+std::vector<AllowanceGrant> AllowanceBook::grantsFor(const core::InstanceId & /*peer*/, const std::vector<AllowanceReport> &peerReports)
+{
+    std::vector<AllowanceGrant> grants;
+    for (const AllowanceReport &report : peerReports) {
+        const auto it = m_buckets.find(report.customer);
+        if (it == m_buckets.end()) {
+            continue;
+        }
+        Bucket &bucket = it->second;
+        refill(bucket);
+        // Both together share their tokens in proportion to demand.
+        const double idle = IDLE_DEMAND_SHARE * bucket.rate;
+        const double total = std::max(0.0, bucket.balance) + std::max(0.0, report.balance);
+        const double ownPart = total * (bucket.demand + idle) / (bucket.demand + report.demand + 2 * idle);
+        const double room = bucket.burst - std::max(0.0, report.balance);
+        const double tokens = std::min(GIVE_SHARE * (bucket.balance - ownPart), room);
+        if (tokens > MIN_GRANT_SHARE * bucket.burst / instanceCount()) {
+            bucket.balance -= tokens;
+            grants.push_back({report.customer, tokens});
+        }
+    }
+    return grants;
+}
+
+void AllowanceBook::receive(const std::vector<AllowanceGrant> &grants)
+{
+    for (const AllowanceGrant &grant : grants) {
+        const auto it = m_buckets.find(grant.customer);
+        if (it != m_buckets.end() && grant.tokens > 0) {
+            refill(it->second);
+            it->second.balance = std::min(it->second.burst, it->second.balance + grant.tokens);
+        }
+    }
+}
+
+} // namespace snipeferry::gateway
--- /dev/null
+++ b/source/gateway/backendtable.cpp
@@ -0,0 +1,422 @@
+#include "snipeferry/gateway/backendtable.h"
+
+#include "snipeferry/gateway/rendezvous.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace snipeferry::gateway {
+
+namespace {
+
+/** Reading a shared prompt part again takes a backend server from others; the wait that one token of it is worth. */
+constexpr double REREAD_PENALTY_MS_PER_TOKEN = 0.05;
+/** Part of an answer's time that does not depend on the prompt: connection, scheduling, one decoding step. */
+constexpr double BASE_MS = 15.0;
+/** A backend server forgets parts that others displaced; parts last used longer ago count as gone. */
+constexpr absl::Duration PART_LIFETIME = absl::Seconds(30);
+/** Bound of remembered parts of one backend server. */
+constexpr std::size_t MAX_READ_PARTS = 512;
+/** Reports of other instances count for this long; they are sent several times a second. */
+constexpr absl::Duration PEER_WORK_LIFETIME = absl::Seconds(1);
+/** Failures in a row after which a backend server gets no work for a while. */
+constexpr int FAILURES_TO_EJECT = 4;
+constexpr absl::Duration FIRST_EJECTION = absl::Milliseconds(800);
+constexpr absl::Duration LONGEST_EJECTION = absl::Seconds(6);
+constexpr double SMOOTHING = 0.1;
+/** Weight of the failure share in the expected time. */
+constexpr double FAILURE_WEIGHT = 6.0;
+
+} // namespace
+
+int urgencyOf(int priority)
+{
+    return std::clamp(priority, 0, URGENCY_LEVELS - 1);
+}
+
+BackendTable::BackendTable(core::InstanceId self, core::TimerService &timers)
+    : m_self(std::move(self)),
+      m_timers(timers)
+{
+}
+
+void BackendTable::announce(const BackendServer &server)
+{
+    const absl::Time now = m_timers.now();
+    State &entry = m_servers[server.id];
+    const bool isNew = entry.server.id.isEmpty();
+    const bool isRestarted = !isNew && entry.server.startedAtMs != server.startedAtMs;
+    const bool isMoved = !isNew && entry.server.service != server.service;
+    if (isRestarted || isMoved) {
+        entry.readParts.clear();
+        entry.failuresInRow = 0;
+        entry.failureShare = 0;
+        entry.ejectedUntil = absl::InfinitePast();
+    }
+    if (isMoved) {
+        std::vector<core::BackendServerId> &old = m_services[entry.server.service].servers;
+        old.erase(std::remove(old.begin(), old.end(), server.id), old.end());
+    }
+    if (isNew || isMoved) {
+        m_services[server.service].servers.push_back(server.id);
+    }
+    if (server.coldLeft > absl::ZeroDuration()) {
+        entry.coldUntil = std::max(entry.coldUntil, now + server.coldLeft);
+    }
+    entry.server = server;
+}
+
+void BackendTable::remove(const core::BackendServerId &id)
+{
+    const auto it = m_servers.find(id);
+    if (it == m_servers.end()) {
+        return;
+    }
+    std::vector<core::BackendServerId> &servers = m_services[it->second.server.service].servers;
+    servers.erase(std::remove(servers.begin(), servers.end(), id), servers.end());
+    m_servers.erase(it);
+}
+
+void BackendTable::configure(const std::vector<Service> &services)
+{
+    m_rules.clear();
+    for (const Service &service : services) {
+        m_rules[service.id] = service;
+    }
+}
+
+void BackendTable::setRegionInstances(std::vector<core::InstanceId> instances)
+{
+    m_instances = std::move(instances);
+}
+
+void BackendTable::setEvacuated(const core::DataCentreId &dataCentre, bool isEvacuated)
+{
+    if (isEvacuated) {
+        m_evacuated.insert(dataCentre);
+        return;
+    }
+    if (m_evacuated.erase(dataCentre) == 0) {
+        return;
+    }
+    // Announcements lag; until one says otherwise, a backend server without recent work is taken for cold.
+    for (auto &entry : m_servers) {
+        State &state = entry.second;
+        const auto rules = m_rules.find(state.server.service);
+        if (state.server.dataCentre == dataCentre && rules != m_rules.end()) {
+            state.coldUntil = std::max(state.coldUntil, m_timers.now() + rules->second.coldTime);
+        }
+    }
+}
+
+void BackendTable::setPeerWork(const core::InstanceId &instance, const std::vector<ServerWork> &work)
+{
+    m_peerReports[instance] = PeerReport{work, m_timers.now()};
+    rebuildPeerWork();
+}
+
+void BackendTable::rebuildPeerWork()
+{
+    const absl::Time now = m_timers.now();
+    for (auto &entry : m_servers) {
+        entry.second.peerRunning = 0;
+        entry.second.peerUnread.fill(0);
+    }
+    for (auto it = m_peerReports.begin(); it != m_peerReports.end();) {
+        if (now - it->second.receivedAt > PEER_WORK_LIFETIME) {
+            m_peerReports.erase(it++);
+            continue;
+        }
+        for (const ServerWork &work : it->second.work) {
+            State *target = state(work.server);
+            if (target == nullptr) {
+                continue;
+            }
+            target->peerRunning += work.running;
+            for (std::size_t level = 0; level < URGENCY_LEVELS && level < work.unreadTokens.size(); ++level) {
+                target->peerUnread[level] += work.unreadTokens[level];
+            }
+        }
+        ++it;
+    }
+}
+
+std::vector<ServerWork> BackendTable::ownWork() const
+{
+    std::vector<ServerWork> all;
+    for (const auto &entry : m_servers) {
+        const State &state = entry.second;
+        if (state.running == 0) {
+            continue;
+        }
+        ServerWork work;
+        work.server = entry.first;
+        work.running = state.running;
+        work.unreadTokens.assign(state.unread.begin(), state.unread.end());
+        all.push_back(std::move(work));
+    }
+    return all;
+}
+
+bool BackendTable::takesWork(const State &state) const
+{
+    return !state.server.isDraining && !m_evacuated.contains(state.server.dataCentre);
+}
+
+bool BackendTable::mayStartCold(State &state, absl::Time now)
+{
+    if (state.coldUntil <= now) {
+        return true;
+    }
+    const auto rules = m_rules.find(state.server.service);
+    if (rules == m_rules.end() || rules->second.coldRate <= 0) {
+        return true;
+    }
+    // One instance gives a cold backend server its work, so that the bound holds for all of them together.
+    if (!m_instances.empty() && rendezvousFirst(state.server.id.value(), m_instances) != m_self) {
+        return false;
+    }
+    return state.nextColdStart <= now;
+}
+
+std::int64_t BackendTable::unreadAhead(const State &state, int level) const
+{
+    std::int64_t sum = 0;
+    for (int urgency = 0; urgency <= level; ++urgency) {
+        sum += state.unread[urgency] + state.peerUnread[urgency];
+    }
+    return sum;
+}
+
+std::int64_t BackendTable::cachedTokens(const State &state, const ServerQuery &query) const
+{
+    // The last part belongs to the request itself; those before it may be cached, each only behind all before it.
+    std::int64_t cached = 0;
+    std::int64_t before = 0;
+    for (std::size_t index = 0; index + 1 < query.promptParts.size(); ++index) {
+        before += query.promptParts[index].tokens;
+        const auto it = state.readParts.find(query.promptParts[index].id);
+        if (it != state.readParts.end() && m_timers.now() - it->second < PART_LIFETIME) {
+            cached = before;
+        }
+    }
+    return cached;
+}
+
+absl::Duration BackendTable::estimate(const State &state, const ServiceState &service, int level, std::int64_t unreadTokens) const
+{
+    const auto rules = m_rules.find(state.server.service);
+    const bool isEngine = rules != m_rules.end() && rules->second.isModelEngine;
+    const int running = state.running + state.peerRunning;
+    double ms = 0;
+    if (isEngine) {
+        ms = BASE_MS + static_cast<double>(unreadAhead(state, level) + unreadTokens) / service.tokensPerMs;
+        // Requests beyond the batch wait for one that ends.
+        ms += running >= state.server.slots ? service.runMs * (1.0 + running - state.server.slots) / state.server.slots : 0.0;
+    } else {
+        const double waves = std::max(1.0, (running + 1.0) / std::max(1, state.server.slots));
+        ms = service.runMs * waves;
+    }
+    return absl::Milliseconds(ms * state.slowness * (1.0 + FAILURE_WEIGHT * state.failureShare));
+}
+
+core::Expected<ServerChoice> BackendTable::choose(const ServerQuery &query)
+{
+    const absl::Time now = m_timers.now();
+    const auto service = m_services.find(query.service);
+    if (service == m_services.end()) {
+        return tl::make_unexpected(core::makeError(core::ErrorKind::NoBackendServer, "No backend server of the service is known.", absl::Seconds(1)));
+    }
+    const int level = urgencyOf(query.priority);
+    // Parts shared by some, not all, requests decide the place; they lie just before the request's own part.
+    const std::size_t sharedParts = query.promptParts.empty() ? 0 : query.promptParts.size() - 1;
+    const std::string affinity = sharedParts == 0 ? std::string() : query.promptParts[sharedParts - 1].id;
+    std::int64_t sharedTokens = 0;
+    for (std::size_t index = 0; index < sharedParts; ++index) {
+        sharedTokens += query.promptParts[index].tokens;
+    }
+
+    ServerChoice best;
+    double bestCost = 0;
+    double bestWeight = 0;
+    ServerChoice ejected;
+    for (const core::BackendServerId &id : service->second.servers) {
+        State &candidate = m_servers.at(id);
+        if (!takesWork(candidate) || (!query.version.isEmpty() && candidate.server.version != query.version)) {
+            continue;
+        }
+        if (std::find(query.excluded.begin(), query.excluded.end(), id) != query.excluded.end() || !mayStartCold(candidate, now)) {
+            continue;
+        }
+        const std::int64_t unread = std::max<std::int64_t>(0, query.promptTokens - cachedTokens(candidate, query));
+        const absl::Duration time = estimate(candidate, service->second, level, unread);
+        if (candidate.ejectedUntil > now) {
+            if (time < ejected.estimate) {
+                ejected = ServerChoice{id, time, unread};
+            }
+            continue;
+        }
+        const std::int64_t reread = std::max<std::int64_t>(0, unread - (query.promptTokens - sharedTokens));
+        const double weight = affinity.empty() ? 0.0 : rendezvousWeight(affinity, id.value());
+        const double cost = absl::ToDoubleMilliseconds(time) + REREAD_PENALTY_MS_PER_TOKEN * static_cast<double>(reread);
+        // Equal costs go to the first place of the rendezvous order, so that all instances agree.
+        const bool isBetter = best.server.isEmpty() || cost < bestCost - 1.0 || (cost < bestCost + 1.0 && weight > bestWeight);
+        if (isBetter) {
+            best = ServerChoice{id, time, unread};
+            bestCost = cost;
+            bestWeight = weight;
+        }
+    }
+    if (best.server.isEmpty()) {
+        best = ejected;
+    }
+    if (best.server.isEmpty()) {
+        return tl::make_unexpected(core::makeError(core::ErrorKind::NoBackendServer, "No backend server takes work now.", absl::Milliseconds(500)));
+    }
+    return best;
+}
+
+bool BackendTable::hasServers(const core::ServiceId &service) const
+{
+    const auto it = m_services.find(service);
+    if (it == m_services.end()) {
+        return false;
+    }
+    return std::any_of(
+        it->second.servers.begin(), it->second.servers.end(), [this](const core::BackendServerId &id) { return takesWork(m_servers.at(id)); });
+}
+
+const BackendServer *BackendTable::find(const core::BackendServerId &id) const
+{
+    const auto it = m_servers.find(id);
+    return it == m_servers.end() ? nullptr : &it->second.server;
+}
+
+std::vector<core::VersionId> BackendTable::versions(const core::ServiceId &service) const
+{
+    std::vector<core::VersionId> all;
+    const auto it = m_services.find(service);
+    if (it == m_services.end()) {
+        return all;
+    }
+    for (const core::BackendServerId &id : it->second.servers) {
+        const State &state = m_servers.at(id);
+        if (takesWork(state) && std::find(all.begin(), all.end(), state.server.version) == all.end()) {
+            all.push_back(state.server.version);
+        }
+    }
+    return all;
+}
+
+std::vector<core::ServiceId> BackendTable::services() const
+{
+    std::vector<core::ServiceId> all;
+    for (const auto &entry : m_services) {
+        if (hasServers(entry.first)) {
+            all.push_back(entry.first);
+        }
+    }
+    return all;
+}
+
+absl::Duration BackendTable::leastWait(const core::ServiceId &service)
+{
+    const auto it = m_services.find(service);
+    absl::Duration least = absl::InfiniteDuration();
+    if (it == m_services.end()) {
+        return least;
+    }
+    const absl::Time now = m_timers.now();
+    for (const core::BackendServerId &id : it->second.servers) {
+        const State &state = m_servers.at(id);
+        if (takesWork(state) && state.ejectedUntil <= now && state.coldUntil <= now) {
+            least = std::min(least, estimate(state, it->second, URGENCY_LEVELS - 1, 0));
+        }
+    }
+    return least;
+}
+
+void BackendTable::started(const core::BackendServerId &id, int priority, std::int64_t unreadTokens, const std::vector<PromptPart> &parts)
+{
+    State *target = state(id);
+    if (target == nullptr) {
+        return;
+    }
+    const absl::Time now = m_timers.now();
+    const ServiceState &service = m_services[target->server.service];
+    const int level = urgencyOf(priority);
+    target->lastEstimate = estimate(*target, service, level, unreadTokens);
+    ++target->running;
+    target->unread[level] += unreadTokens;
+    const auto rules = m_rules.find(target->server.service);
+    if (target->coldUntil > now && rules != m_rules.end() && rules->second.coldRate > 0) {
+        target->nextColdStart = now + absl::Seconds(1.0 / rules->second.coldRate);
+    }
+    if (target->readParts.size() > MAX_READ_PARTS) {
+        target->readParts.clear();
+    }
+    for (std::size_t index = 0; index + 1 < parts.size(); ++index) {
+        target->readParts[parts[index].id] = now;
+    }
+}
+
+void BackendTable::answered(const core::BackendServerId &id, int priority, std::int64_t unreadTokens, absl::Duration latency)
+{
+    State *target = state(id);
+    if (target == nullptr) {
+        return;
+    }
+    std::int64_t &unread = target->unread[urgencyOf(priority)];
+    unread = std::max<std::int64_t>(0, unread - unreadTokens);
+    const double expected = std::max(5.0, absl::ToDoubleMilliseconds(target->lastEstimate) / std::max(0.5, target->slowness));
+    const double ratio = std::clamp(absl::ToDoubleMilliseconds(latency) / expected, 0.3, 6.0);
+    target->slowness = std::clamp(target->slowness + SMOOTHING * (ratio - target->slowness), 0.5, 6.0);
+}
+
+void BackendTable::finished(const core::BackendServerId &id, int priority, std::int64_t unreadTokens, RunEnd end)
+{
+    State *target = state(id);
+    if (target == nullptr) {
+        return;
+    }
+    target->running = std::max(0, target->running - 1);
+    std::int64_t &unread = target->unread[urgencyOf(priority)];
+    unread = std::max<std::int64_t>(0, unread - unreadTokens);
+    if (end == RunEnd::Cancelled) {
+        return;
+    }
+    const bool hasFailed = end == RunEnd::ServerError || end == RunEnd::Unreachable;
+    target->failureShare += SMOOTHING * ((hasFailed ? 1.0 : 0.0) - target->failureShare);
+    if (!hasFailed) {
+        if (end == RunEnd::Success) {
+            target->failuresInRow = 0;
+            target->ejectionTime = absl::ZeroDuration();
+        }
+        return;
+    }
+    ++target->failuresInRow;
+    // A backend server that cannot be reached is left alone at once; failures of single requests need a series.
+    if (target->failuresInRow >= FAILURES_TO_EJECT || (end == RunEnd::Unreachable && target->failuresInRow >= 2)) {
+        target->ejectionTime = std::clamp(target->ejectionTime * 2, FIRST_EJECTION, LONGEST_EJECTION);
+        target->ejectedUntil = m_timers.now() + target->ejectionTime;
+        target->failuresInRow = 0;
+    }
+}
+
+void BackendTable::reportLoad(const core::BackendServerId &id, int running, int waiting)
+{
+    State *target = state(id);
+    if (target == nullptr || running < 0 || waiting < 0) {
+        return;
+    }
+    // What the backend server counts beyond this instance's own runs belongs to others, also those whose reports are lost.
+    target->peerRunning = std::max(0, running + waiting - target->running);
+}
+
+BackendTable::State *BackendTable::state(const core::BackendServerId &id)
+{
+    const auto it = m_servers.find(id);
+    return it == m_servers.end() ? nullptr : &it->second;
+}
+
+} // namespace snipeferry::gateway
--- /dev/null
+++ b/source/gateway/rendezvous.cpp
@@ -0,0 +1,29 @@
+#include "snipeferry/gateway/rendezvous.h"
+
+#include <xxhash.h>
+
+#include <cmath>
+
+namespace snipeferry::gateway {
+
+double rendezvousWeight(const std::string &key, const std::string &place)
+{
+    const XXH64_hash_t seed = XXH64(place.data(), place.size(), 0);
+    return std::ldexp(static_cast<double>(XXH64(key.data(), key.size(), seed)), -64);
+}
+
+core::InstanceId rendezvousFirst(const std::string &key, const std::vector<core::InstanceId> &instances)
+{
+    core::InstanceId first;
+    double highest = -1;
+    for (const core::InstanceId &instance : instances) {
+        const double weight = rendezvousWeight(key, instance.value());
+        if (weight > highest) {
+            highest = weight;
+            first = instance;
+        }
+    }
+    return first;
+}
+
+} // namespace snipeferry::gateway
--- /dev/null
+++ b/source/net/backendpool.cpp
@@ -0,0 +1,428 @@
+#include "snipeferry/net/backendpool.h"
+
+#include "httpbytes.h"
+#include "socketoptions.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace snipeferry::net {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using Tcp = asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+constexpr std::uint32_t MAX_ANSWER_HEADER_BYTES = 65536;
+constexpr std::uint64_t MAX_ANSWER_BODY_BYTES = 256U << 20U;
+constexpr absl::Duration IDLE_CHECK_PERIOD = absl::Milliseconds(500);
+/** Part of a server's idle timeout for which a connection is used again. */
+constexpr double IDLE_TIMEOUT_SHARE = 0.6;
+/** Answers to earlier requests that are skipped before the connection is given up. */
+constexpr int MAX_SKIPPED_ANSWERS = 3;
+
+} // namespace
+
+class BackendConnection;
+
+class BackendPool::Impl : public std::enable_shared_from_this<BackendPool::Impl>
+{
+public:
+    Impl(EventLoop &eventLoop, BackendPoolSettings poolSettings, AnsweredRequest answered)
+        : loop(eventLoop),
+          settings(poolSettings),
+          answeredRequest(std::move(answered))
+    {
+    }
+
+    void dropOldIdle();
+
+    EventLoop &loop;
+    BackendPoolSettings settings;
+    AnsweredRequest answeredRequest;
+    gateway::RunEvents *events = nullptr;
+    std::map<gateway::Number, std::shared_ptr<BackendConnection>> runs;
+    /** Idle connections of each backend server, the one used last at the end. */
+    std::map<core::BackendServerId, std::vector<std::shared_ptr<BackendConnection>>> idle;
+    std::map<core::BackendServerId, int> open;
+    std::uint64_t opened = 0;
+    core::Subscription idleTimer;
+};
+
+/** One connection to a backend server. */
+class BackendConnection : public std::enable_shared_from_this<BackendConnection>
+{
+public:
+    BackendConnection(const std::shared_ptr<BackendPool::Impl> &pool, core::BackendServerId server)
+        : m_pool(pool),
+          m_loop(pool->loop),
+          m_server(std::move(server)),
+          m_socket(pool->loop.context())
+    {
+        ++pool->open[m_server];
+    }
+
+    ~BackendConnection()
+    {
+        const std::shared_ptr<BackendPool::Impl> pool = m_pool.lock();
+        if (pool != nullptr) {
+            --pool->open[m_server];
+        }
+    }
+
+    void connect(const Tcp::endpoint &endpoint, gateway::Number run, core::RequestId id, std::string bytes, bool isHead)
+    {
+        prepare(run, std::move(id), std::move(bytes), isHead);
+        const std::shared_ptr<BackendPool::Impl> pool = m_pool.lock();
+        m_timer = m_loop.timers().after(pool->settings.connectTimeout, [self = shared_from_this()] { self->fail(false, "connect_timeout"); });
+        m_socket.async_connect(endpoint, [self = shared_from_this()](ErrorCode error) {
+            if (self->m_isClosed) {
+                return;
+            }
+            self->m_timer.cancel();
+            if (error) {
+                self->fail(false, "connect_failed");
+                return;
+            }
+            const std::shared_ptr<BackendPool::Impl> owner = self->m_pool.lock();
+            if (owner != nullptr) {
+                setLinkOptions(self->m_socket, owner->settings.lossTimeout);
+            }
+            self->send();
+        });
+    }
+
+    void reuse(gateway::Number run, core::RequestId id, std::string bytes, bool isHead)
+    {
+        prepare(run, std::move(id), std::move(bytes), isHead);
+        send();
+    }
+
+    bool isUsable(absl::Time now, absl::Duration maxIdle) const
+    {
+        return !m_isClosed && now - m_idleSince < std::min(maxIdle, m_idleLimit);
+    }
+
+    void close()
+    {
+        if (m_isClosed) {
+            return;
+        }
+        m_isClosed = true;
+        m_timer.cancel();
+        ErrorCode ignored;
+        m_socket.close(ignored);
+        const std::shared_ptr<BackendPool::Impl> pool = m_pool.lock();
+        if (pool == nullptr) {
+            return;
+        }
+        if (m_run != 0) {
+            pool->runs.erase(m_run);
+            m_run = 0;
+        }
+        const auto list = pool->idle.find(m_server);
+        if (list != pool->idle.end()) {
+            list->second.erase(std::remove(list->second.begin(), list->second.end(), shared_from_this()), list->second.end());
+        }
+    }
+
+private:
+    void prepare(gateway::Number run, core::RequestId id, std::string bytes, bool isHead)
+    {
+        m_run = run;
+        m_request = std::move(id);
+        m_bytes = std::move(bytes);
+        m_isHead = isHead;
+        m_isWritten = false;
+        m_skipped = 0;
+    }
+
+    void send()
+    {
+        m_hasSent = true;
+        asio::async_write(m_socket, asio::buffer(m_bytes), [self = shared_from_this()](ErrorCode error, std::size_t /*bytes*/) {
+            // A server may answer and close before it has read everything; reading tells.
+            if (!self->m_isClosed && !error) {
+                self->m_isWritten = true;
+                self->m_bytes = std::string();
+            }
+        });
+        readHead();
+    }
+
+    void readHead()
+    {
+        m_parser.emplace();
+        m_parser->header_limit(MAX_ANSWER_HEADER_BYTES);
+        m_parser->body_limit(MAX_ANSWER_BODY_BYTES);
+        m_parser->skip(m_isHead);
+        http::async_read_header(m_socket, m_buffer, *m_parser, [self = shared_from_this()](ErrorCode error, std::size_t /*bytes*/) {
+            if (self->m_isClosed) {
+                return;
+            }
+            if (error) {
+                self->fail(true, "no_answer");
+                return;
+            }
+            self->headRead();
+        });
+    }
+
+    void headRead()
+    {
+        const std::shared_ptr<BackendPool::Impl> pool = m_pool.lock();
+        if (pool == nullptr) {
+            close();
+            return;
+        }
+        const auto &message = m_parser->get();
+        // An interim answer announces nothing.
+        if (message.result_int() >= 100 && message.result_int() < 200) {
+            readHead();
+            return;
+        }
+        gateway::HttpHead head;
+        head.status = static_cast<int>(message.result_int());
+        head.headers = passedHeaders(message);
+        readIdleLimit(std::string(message[http::field::keep_alive]));
+
+        // An answer to an earlier request may come where this one's is due.
+        const core::RequestId answered = pool->answeredRequest(head);
+        m_isSkipping = !answered.isEmpty() && answered != m_request;
+        if (m_isSkipping && ++m_skipped > MAX_SKIPPED_ANSWERS) {
+            fail(true, "foreign_answers");
+            return;
+        }
+        if (!m_isSkipping) {
+            const gateway::Number run = m_run;
+            pool->events->runHead(run, head);
+            if (m_isClosed || m_run != run) {
+                return;
+            }
+        }
+        readBody();
+    }
+
+    void readIdleLimit(const std::string &keepAlive)
+    {
+        for (const absl::string_view part : absl::StrSplit(keepAlive, ',')) {
+            const absl::string_view word = absl::StripAsciiWhitespace(part);
+            double seconds = 0;
+            if (absl::StartsWithIgnoreCase(word, "timeout=") && absl::SimpleAtod(word.substr(8), &seconds)) {
+                m_idleLimit = absl::Seconds(seconds * IDLE_TIMEOUT_SHARE);
+            }
+        }
+    }
+
+    void readBody()
+    {
+        if (!passBody()) {
+            return;
+        }
+        if (m_parser->is_done()) {
+            answerRead();
+            return;
+        }
+        http::async_read_some(m_socket, m_buffer, *m_parser, [self = shared_from_this()](ErrorCode error, std::size_t /*bytes*/) {
+            if (self->m_isClosed) {
+                return;
+            }
+            if (error) {
+                // What came before the break is still the server's.
+                if (self->passBody()) {
+                    self->fail(true, "answer_broken_off");
+                }
+                return;
+            }
+            self->readBody();
+        });
+    }
+
+    /** Hands new bytes of the body over; false if the run ended by that. */
+    bool passBody()
+    {
+        std::string &body = m_parser->get().body();
+        if (body.empty()) {
+            return true;
+        }
+        const std::string data = std::move(body);
+        body = std::string();
+        const std::shared_ptr<BackendPool::Impl> pool = m_pool.lock();
+        if (pool == nullptr) {
+            close();
+            return false;
+        }
+        if (m_isSkipping) {
+            return true;
+        }
+        const gateway::Number run = m_run;
+        pool->events->runData(run, data);
+        return !m_isClosed && m_run == run;
+    }
+
+    void answerRead()
+    {
+        if (m_isSkipping) {
+            readHead();
+            return;
+        }
+        const std::shared_ptr<BackendPool::Impl> pool = m_pool.lock();
+        const gateway::Number run = m_run;
+        // Bytes behind the answer belong to no request, and a request that was not read whole would be read on later.
+        const bool isReusable = m_parser->keep_alive() && m_isWritten && m_buffer.size() == 0 && !m_parser->need_eof();
+        m_parser.reset();
+        if (pool == nullptr) {
+            close();
+            return;
+        }
+        pool->runs.erase(run);
+        m_run = 0;
+        if (isReusable) {
+            m_buffer = beast::flat_buffer();
+            m_idleSince = m_loop.timers().now();
+            pool->idle[m_server].push_back(shared_from_this());
+            watchIdle();
+        } else {
+            close();
+        }
+        pool->events->runEnd(run);
+    }
+
+    void watchIdle()
+    {
+        if (m_isWatching) {
+            return;
+        }
+        m_isWatching = true;
+        m_socket.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](ErrorCode /*error*/) {
+            self->m_isWatching = false;
+            // Bytes or an end on an idle connection: nothing that came here can be trusted.
+            if (!self->m_isClosed && self->m_run == 0) {
+                self->close();
+            }
+        });
+    }
+
+    void fail(bool mayHaveRun, const std::string &reason)
+    {
+        const std::shared_ptr<BackendPool::Impl> pool = m_pool.lock();
+        const gateway::Number run = m_run;
+        const bool wasSkipping = m_isSkipping;
+        close();
+        if (pool != nullptr && run != 0) {
+            pool->events->runFailed(run, mayHaveRun || wasSkipping, reason);
+        }
+    }
+
+    std::weak_ptr<BackendPool::Impl> m_pool;
+    EventLoop &m_loop;
+    core::BackendServerId m_server;
+    Tcp::socket m_socket;
+    beast::flat_buffer m_buffer;
+    std::optional<http::response_parser<http::string_body>> m_parser;
+    gateway::Number m_run = 0;
+    core::RequestId m_request;
+    std::string m_bytes;
+    bool m_hasSent = false;
+    bool m_isWritten = false;
+    bool m_isHead = false;
+    bool m_isSkipping = false;
+    bool m_isWatching = false;
+    bool m_isClosed = false;
+    int m_skipped = 0;
+    absl::Time m_idleSince = absl::InfinitePast();
+    absl::Duration m_idleLimit = absl::Seconds(5);
+    core::Subscription m_timer;
+};
+
+void BackendPool::Impl::dropOldIdle()
+{
+    const absl::Time now = loop.timers().now();
+    std::vector<std::shared_ptr<BackendConnection>> old;
+    for (const auto &entry : idle) {
+        for (const std::shared_ptr<BackendConnection> &connection : entry.second) {
+            if (!connection->isUsable(now, settings.maxIdle)) {
+                old.push_back(connection);
+            }
+        }
+    }
+    for (const std::shared_ptr<BackendConnection> &connection : old) {
+        connection->close();
+    }
+}
+
+BackendPool::BackendPool(EventLoop &loop, BackendPoolSettings settings, AnsweredRequest answeredRequest)
+    : m_impl(std::make_shared<Impl>(loop, settings, std::move(answeredRequest)))
+{
+    m_impl->idleTimer = loop.timers().every(IDLE_CHECK_PERIOD, [impl = m_impl.get()] { impl->dropOldIdle(); });
+}
+
+BackendPool::~BackendPool() = default;
+
+void BackendPool::setEvents(gateway::RunEvents &events)
+{
+    m_impl->events = &events;
+}
+
+std::uint64_t BackendPool::openedCount() const
+{
+    return m_impl->opened;
+}
+
+void BackendPool::start(
+    gateway::Number run, const gateway::BackendServer &server, const gateway::HttpRequest &request, const core::RequestId &id, bool mayReuseConnection)
+{
+    std::string bytes = requestBytes(request, server.address);
+    const bool isHead = request.method == "HEAD";
+
+    // Use the connection again that was used last.
+    const absl::Time now = m_impl->loop.timers().now();
+    const absl::Duration maxIdle = mayReuseConnection ? m_impl->settings.maxIdle : m_impl->settings.maxIdleUnrepeatable;
+    std::vector<std::shared_ptr<BackendConnection>> &idle = m_impl->idle[server.id];
+    if (!idle.empty() && idle.back()->isUsable(now, maxIdle)) {
+        const std::shared_ptr<BackendConnection> connection = idle.back();
+        idle.pop_back();
+        m_impl->runs[run] = connection;
+        connection->reuse(run, id, std::move(bytes), isHead);
+        return;
+    }
+
+    // Otherwise open one. Failures are told later, never from within this call.
+    const core::Expected<std::pair<std::string, int>> parts = splitAddress(server.address);
+    ErrorCode error;
+    const asio::ip::address ip = parts ? asio::ip::make_address(parts->first, error) : asio::ip::address();
+    const bool isFull = m_impl->open[server.id] >= m_impl->settings.maxConnectionsPerServer;
+    if (!parts || error || isFull) {
+        const std::string reason = isFull ? "too_many_connections" : "bad_address";
+        asio::post(m_impl->loop.context(), [impl = m_impl, run, reason] { impl->events->runFailed(run, false, reason); });
+        return;
+    }
+    ++m_impl->opened;
+    const std::shared_ptr<BackendConnection> connection = std::make_shared<BackendConnection>(m_impl, server.id);
+    m_impl->runs[run] = connection;
+    connection->connect(Tcp::endpoint(ip, static_cast<unsigned short>(parts->second)), run, id, std::move(bytes), isHead);
+}
+
+void BackendPool::cancel(gateway::Number run)
+{
+    const auto it = m_impl->runs.find(run);
+    if (it != m_impl->runs.end()) {
+        const std::shared_ptr<BackendConnection> connection = it->second;
+        connection->close();
+    }
+}
+
+} // namespace snipeferry::net
--- /dev/null
+++ b/source/net/eventloop.cpp
@@ -0,0 +1,43 @@
+#include "snipeferry/net/eventloop.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace snipeferry::net {
+
+namespace {
+
+/** Longest sleep; a stopped loop is noticed by the event that stopped it. */
+constexpr absl::Duration LONGEST_WAIT = absl::Seconds(1);
+/** Events handled before timers are looked at again. */
+constexpr int EVENTS_BETWEEN_TIMERS = 64;
+
+} // namespace
+
+boost::asio::io_context &EventLoop::context()
+{
+    return m_context;
+}
+
+core::TimerService &EventLoop::timers()
+{
+    return m_timers;
+}
+
+void EventLoop::run()
+{
+    while (!m_isStopped) {
+        m_timers.run();
+        const absl::Duration wait = std::clamp(m_timers.nextDue() - m_timers.now(), absl::ZeroDuration(), LONGEST_WAIT);
+        m_context.restart();
+        m_context.run_one_for(absl::ToChronoNanoseconds(wait));
+        for (int handled = 0; handled < EVENTS_BETWEEN_TIMERS && m_context.poll_one() > 0; ++handled) { }
+    }
+}
+
+void EventLoop::stop()
+{
+    m_isStopped = true;
+}
+
+} // namespace snipeferry::net
--- /dev/null
+++ b/source/net/gatewayprocess.cpp
@@ -0,0 +1,236 @@
+#include "snipeferry/net/gatewayprocess.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <csignal>
+#include <unistd.h>
+
+namespace snipeferry::net {
+
+namespace {
+
+/** Callers keep a directory answer for some seconds; until then they still come. */
+constexpr absl::Duration SHORTEST_STOP = absl::Milliseconds(2500);
+/** Part of the grace time that is left to the supervisor. */
+constexpr absl::Duration STOP_MARGIN = absl::Milliseconds(500);
+constexpr absl::Duration STOP_CHECK_PERIOD = absl::Milliseconds(50);
+constexpr int HTTP_OK = 200;
+constexpr int HTTP_NOT_FOUND = 404;
+constexpr int HTTP_UNAVAILABLE = 503;
+
+/** Passes the answers of the decision parts to a caller's connection. */
+class CallerSink : public gateway::AnswerSink
+{
+public:
+    CallerSink(std::shared_ptr<HttpExchange> exchange, const gateway::HeaderCodec &headers, core::RequestId request)
+        : m_exchange(std::move(exchange)),
+          m_headers(headers),
+          m_request(std::move(request))
+    {
+    }
+
+    void answer(const gateway::HttpHead &head, std::string body) override
+    {
+        m_exchange->answer(head, body);
+    }
+
+    void begin(const gateway::HttpHead &head) override
+    {
+        m_exchange->begin(head);
+    }
+
+    void data(std::string data) override
+    {
+        m_exchange->data(data);
+    }
+
+    void finish() override
+    {
+        m_exchange->finish();
+    }
+
+    void breakOff() override
+    {
+        m_exchange->breakOff();
+    }
+
+    void refuse(const core::Error &error) override
+    {
+        m_exchange->answer({core::errorAnswer(error.kind).httpStatus, m_headers.answerHeaders(m_request, error)}, error.message + "\n");
+    }
+
+private:
+    std::shared_ptr<HttpExchange> m_exchange;
+    const gateway::HeaderCodec &m_headers;
+    core::RequestId m_request;
+};
+
+gateway::Member withIncarnation(gateway::Member member, core::TimerService &timers)
+{
+    member.incarnation = static_cast<core::Incarnation>(absl::ToUnixMillis(timers.wallNow()));
+    return member;
+}
+
+} // namespace
+
+GatewayProcess::GatewayProcess(GatewayProcessSettings settings, std::string settingsFile, Adapter adapter)
+    : m_settings(std::move(settings)),
+      m_settingsFile(std::move(settingsFile)),
+      m_adapter(adapter),
+      m_journal(m_loop, m_settings.journal, STDOUT_FILENO),
+      m_pool(m_loop, m_settings.backends, [this](const gateway::HttpHead &head) { return m_adapter.headers.decodeAnswer(head).request; }),
+      m_callers(m_loop, [this](gateway::HttpRequest request, const std::shared_ptr<HttpExchange> &exchange) { answerCaller(std::move(request), exchange); }),
+      m_directory(m_loop, [this](const gateway::HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) { answerDirectory(request, *exchange); }),
+      m_readiness(m_loop, [this](const gateway::HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) { answerReadiness(request, *exchange); }),
+      m_metrics(m_loop,
+          [this](const gateway::HttpRequest & /*request*/, const std::shared_ptr<HttpExchange> &exchange) {
+              exchange->answer({HTTP_OK, {{"Content-Type", "text/plain; version=0.0.4"}}}, m_journal.metricsPage());
+          }),
+      m_signals(m_loop.context(), SIGTERM, SIGINT, SIGHUP)
+{
+    m_settings.gateway.self = withIncarnation(m_settings.gateway.self, m_loop.timers());
+    m_settings.gateway.flow.seed = m_settings.gateway.self.incarnation;
+    const gateway::Member &self = m_settings.gateway.self;
+    LinkEvents events;
+    events.up = [this](const gateway::Member &peer) { m_gateway->linkUp(peer); };
+    events.down = [this](const core::InstanceId &peer) { m_gateway->linkDown(peer); };
+    events.received = [this](const core::InstanceId &from, const gateway::FleetMessage &message) { m_gateway->received(from, message); };
+    m_links = std::make_unique<PeerLinks>(m_loop, self, std::move(events), m_journal);
+    m_gateway = std::make_unique<gateway::Gateway>(
+        m_settings.gateway, gateway::GatewayPorts{m_loop.timers(), m_adapter.headers, m_adapter.records, m_pool, *m_links, m_journal});
+    m_pool.setEvents(*m_gateway);
+    m_gateway->membersChanged().subscribe([this](const gateway::MembersChanged &change) { m_links->keep(change.members); });
+    m_gateway->limitsChanged().subscribe([this](const gateway::LimitsChanged &change) { m_callers.setLimits(change.limits); });
+    m_store = std::make_unique<StoreClient>(m_loop, m_settings.store, m_adapter.store, *m_gateway, m_journal);
+}
+
+GatewayProcess::~GatewayProcess() = default;
+
+core::Expected<void> GatewayProcess::listen()
+{
+    const std::pair<HttpServer *, const std::string *> servers[] = {{&m_callers, &m_settings.gateway.self.callerAddress},
+        {&m_directory, &m_settings.directoryAddress},
+        {&m_readiness, &m_settings.readinessAddress},
+        {&m_metrics, &m_settings.metricsAddress}};
+    for (const std::pair<HttpServer *, const std::string *> &server : servers) {
+        if (server.second->empty()) {
+            continue;
+        }
+        const core::Expected<int> port = server.first->listen(*server.second);
+        if (!port) {
+            return tl::make_unexpected(port.error());
+        }
+    }
+    return m_links->start();
+}
+
+core::Expected<void> GatewayProcess::run()
+{
+    const core::Expected<void> listening = listen();
+    if (!listening) {
+        return listening;
+    }
+    const gateway::Member &self = m_settings.gateway.self;
+    m_journal.log(core::LogEvent{"started", {}}
+                      .with("instance", self.id.value())
+                      .with("incarnation", absl::StrCat(self.incarnation))
+                      .with("data_centre", self.dataCentre.value())
+                      .with("callers", self.callerAddress)
+                      .with("peers", self.peerAddress)
+                      .with("store", m_settings.store.address)
+                      .with("key_withdrawal_ms", absl::StrCat(absl::ToInt64Milliseconds(m_settings.gateway.flow.keyWithdrawalTime))));
+    gateway::Record announcement;
+    announcement.key = m_adapter.records.memberKey(self.id);
+    announcement.value = m_adapter.records.encodeMember(self);
+    m_store->start(announcement);
+    awaitSignals();
+    m_loop.run();
+    m_journal.flush();
+    return {};
+}
+
+void GatewayProcess::awaitSignals()
+{
+    m_signals.async_wait([this](boost::system::error_code error, int signal) {
+        if (error) {
+            return;
+        }
+        if (signal == SIGHUP) {
+            reload();
+        } else {
+            startStop();
+        }
+        awaitSignals();
+    });
+}
+
+void GatewayProcess::reload()
+{
+    const core::Expected<GatewayProcessSettings> fresh = loadGatewaySettings(m_settingsFile);
+    if (!fresh) {
+        m_journal.log(core::LogEvent{"reload_refused", {}}.with("error", fresh.error().message));
+        return;
+    }
+    m_journal.log(core::LogEvent{"reloaded", {}}.with("changed", "none").with("note", "all settings take effect at the next start"));
+}
+
+void GatewayProcess::startStop()
+{
+    if (m_gateway->isDraining()) {
+        return;
+    }
+    const absl::Time now = m_loop.timers().now();
+    m_journal.log(core::LogEvent{"stopping", {}}.with("open_requests", absl::StrCat(m_gateway->openCount())));
+    m_gateway->drain();
+    m_store->withdraw();
+    m_callers.closeAfterAnswers();
+    m_stopEarliest = now + SHORTEST_STOP;
+    m_stopAt = now + m_settings.stopGrace - STOP_MARGIN;
+    m_stopTimer = m_loop.timers().every(STOP_CHECK_PERIOD, [this] { checkStopped(); });
+}
+
+void GatewayProcess::checkStopped()
+{
+    const absl::Time now = m_loop.timers().now();
+    const bool isDone = now >= m_stopEarliest && m_gateway->openCount() == 0;
+    if (!isDone && now < m_stopAt) {
+        return;
+    }
+    m_journal.log(core::LogEvent{"stopped", {}}.with("open_requests", absl::StrCat(m_gateway->openCount())));
+    m_callers.stop();
+    m_links->stop();
+    m_loop.stop();
+}
+
+void GatewayProcess::answerCaller(gateway::HttpRequest request, const std::shared_ptr<HttpExchange> &exchange)
+{
+    const core::RequestId id = m_adapter.headers.requestId(request);
+    const gateway::Number number = m_gateway->requests().arrived(std::move(request), std::make_shared<CallerSink>(exchange, m_adapter.headers, id));
+    exchange->onClosed([this, number] { m_gateway->requests().callerLeft(number); });
+}
+
+void GatewayProcess::answerReadiness(const gateway::HttpRequest &request, HttpExchange &exchange) const
+{
+    if (!m_adapter.directory.isReadinessCall(request)) {
+        exchange.answer({HTTP_NOT_FOUND, {}}, {});
+        return;
+    }
+    exchange.answer({m_gateway->isReady() ? HTTP_OK : HTTP_UNAVAILABLE, {}}, {});
+}
+
+void GatewayProcess::answerDirectory(const gateway::HttpRequest &request, HttpExchange &exchange) const
+{
+    const std::optional<PlaceQuery> query = m_adapter.directory.decodePlaceQuery(request);
+    if (!query.has_value()) {
+        exchange.answer({HTTP_NOT_FOUND, {}}, {});
+        return;
+    }
+    const std::vector<std::string> addresses = m_gateway->callerAddresses(query->region, query->dataCentre);
+    if (addresses.empty()) {
+        exchange.answer({HTTP_UNAVAILABLE, {}}, {});
+        return;
+    }
+    exchange.answer({HTTP_OK, {{"Content-Type", "application/json"}}}, m_adapter.directory.encodeAddresses(addresses, m_settings.directoryTimeToLive));
+}
+
+} // namespace snipeferry::net
--- /dev/null
+++ b/source/net/httpcaller.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "snipeferry/core/error.h"
+#include "snipeferry/gateway/message.h"
+#include "snipeferry/net/eventloop.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace snipeferry::net {
+
+/** Answer of one call. */
+struct CallAnswer
+{
+    int status = 0;
+    std::string body;
+};
+
+/**
+ * One kept connection for calls one after the other.
+ *
+ * A call that is not answered in time closes the connection, since nothing that follows on it can be trusted.
+ */
+class HttpCaller : public std::enable_shared_from_this<HttpCaller>
+{
+public:
+    using Callback = std::function<void(const core::Expected<CallAnswer> &)>;
+
+    HttpCaller(EventLoop &loop, std::string address);
+
+    /** @brief Makes a call; only one at a time. The callback gets PlatformUnavailable without an answer in time. */
+    void call(const gateway::HttpRequest &request, absl::Duration timeout, Callback callback);
+
+    void close();
+
+private:
+    void send();
+    void finish(const core::Expected<CallAnswer> &answer);
+    void fail(const std::string &reason);
+
+    EventLoop &m_loop;
+    std::string m_address;
+    std::optional<boost::asio::ip::tcp::socket> m_socket;
+    bool m_isConnected = false;
+    /** Tells callbacks of earlier connections and calls apart. */
+    std::uint64_t m_generation = 0;
+    std::string m_bytes;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> m_parser;
+    Callback m_callback;
+    core::Subscription m_timer;
+};
+
+} // namespace snipeferry::net
--- /dev/null
+++ b/source/net/stdoutjournal.cpp
@@ -0,0 +1,104 @@
+#include "snipeferry/net/stdoutjournal.h"
+
+#include <absl/strings/str_cat.h>
+#include <prometheus/text_serializer.h>
+
+#include <fcntl.h>
+#include <poll.h>
+#include <unistd.h>
+
+namespace snipeferry::net {
+
+namespace {
+
+constexpr absl::Duration FLUSH_PERIOD = absl::Milliseconds(200);
+/** Prefix of all names on the metrics page. */
+constexpr const char *METRIC_PREFIX = "snipeferry_";
+
+} // namespace
+
+StdoutJournal::StdoutJournal(EventLoop &loop, JournalSettings settings, int descriptor)
+    : m_loop(loop),
+      m_settings(settings),
+      m_descriptor(descriptor),
+      m_flushTimer(loop.timers().every(FLUSH_PERIOD, [this] { flush(); })),
+      m_secondTimer(loop.timers().every(absl::Seconds(1), [this] { startSecond(); }))
+{
+}
+
+void StdoutJournal::log(const core::LogEvent &event)
+{
+    Kind &kind = m_kinds[event.name];
+    if (kind.writtenThisSecond >= m_settings.linesPerSecond) {
+        ++kind.leftOut;
+        return;
+    }
+    ++kind.writtenThisSecond;
+    append(event);
+}
+
+void StdoutJournal::append(const core::LogEvent &event)
+{
+    if (m_buffer.size() > m_settings.bufferBytes) {
+        ++m_droppedLines;
+        return;
+    }
+    absl::StrAppend(&m_buffer, "time_ms=", absl::ToUnixMillis(m_loop.timers().wallNow()), " ", core::formatLogLine(event), "\n");
+}
+
+void StdoutJournal::startSecond()
+{
+    for (auto &entry : m_kinds) {
+        if (entry.second.leftOut > 0) {
+            append(core::LogEvent{"lines_left_out", {}}.with("kind", entry.first).with("lines", absl::StrCat(entry.second.leftOut)));
+            count("log_lines_left_out_total", entry.first, entry.second.leftOut);
+        }
+        entry.second = Kind();
+    }
+    if (m_droppedLines > 0 && m_buffer.size() <= m_settings.bufferBytes) {
+        append(core::LogEvent{"lines_dropped", {}}.with("lines", absl::StrCat(m_droppedLines)));
+        m_droppedLines = 0;
+    }
+}
+
+void StdoutJournal::flush()
+{
+    // A pipe takes at least this much at once when it is writable, so the write cannot wait.
+    constexpr std::size_t PIPE_BYTES = 4096;
+    while (!m_buffer.empty()) {
+        pollfd state{m_descriptor, POLLOUT, 0};
+        if (::poll(&state, 1, 0) != 1 || (state.revents & POLLOUT) == 0) {
+            return;
+        }
+        const ssize_t written = ::write(m_descriptor, m_buffer.data(), std::min(m_buffer.size(), PIPE_BYTES));
+        if (written <= 0) {
+            return;
+        }
+        m_buffer.erase(0, static_cast<std::size_t>(written));
+    }
+}
+
+void StdoutJournal::count(const std::string &name, const std::string &label, double amount)
+{
+    prometheus::Family<prometheus::Counter> *&family = m_counters[name];
+    if (family == nullptr) {
+        family = &prometheus::BuildCounter().Name(METRIC_PREFIX + name).Register(m_registry);
+    }
+    family->Add({{"label", label}}).Increment(amount);
+}
+
+void StdoutJournal::gauge(const std::string &name, double value)
+{
+    prometheus::Family<prometheus::Gauge> *&family = m_gauges[name];
+    if (family == nullptr) {
+        family = &prometheus::BuildGauge().Name(METRIC_PREFIX + name).Register(m_registry);
+    }
+    family->Add({}).Set(value);
+}
+
+std::string StdoutJournal::metricsPage() const
+{
+    return prometheus::TextSerializer().Serialize(m_registry.Collect());
+}
+
+} // namespace snipeferry::net
--- /dev/null
+++ b/source/net/storeclient.cpp
@@ -0,0 +1,326 @@
+#include "snipeferry/net/storeclient.h"
+
+#include "httpcaller.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <random>
+
+namespace snipeferry::net {
+
+namespace {
+
+constexpr absl::Duration FIRST_PAUSE = absl::Milliseconds(100);
+constexpr absl::Duration LONGEST_PAUSE = absl::Milliseconds(800);
+constexpr absl::Duration READ_TIMEOUT = absl::Milliseconds(2500);
+constexpr int HTTP_OK = 200;
+constexpr int HTTP_NOT_FOUND = 404;
+constexpr int HTTP_GONE = 410;
+
+/** Pauses between failed calls; they grow, and differ between instances. */
+class Backoff
+{
+public:
+    explicit Backoff(std::uint64_t seed)
+        : m_random(seed)
+    {
+    }
+
+    absl::Duration next()
+    {
+        m_pause = std::clamp(m_pause * 2, FIRST_PAUSE, LONGEST_PAUSE);
+        return m_pause * std::uniform_real_distribution<double>(0.5, 1.0)(m_random);
+    }
+
+    void reset()
+    {
+        m_pause = absl::ZeroDuration();
+    }
+
+private:
+    absl::Duration m_pause;
+    std::mt19937_64 m_random;
+};
+
+} // namespace
+
+/** Follows one topic: reads all of it once, then waits for changes. */
+class StoreClient::Follower : public std::enable_shared_from_this<StoreClient::Follower>
+{
+public:
+    Follower(EventLoop &loop, const StoreClientSettings &settings, gateway::Topic topic, absl::Duration wait, const StoreFormat &format,
+        gateway::Gateway &gateway, gateway::Journal &journal)
+        : m_loop(loop),
+          m_answerTimeout(settings.answerTimeout),
+          m_topic(topic),
+          m_wait(wait),
+          m_format(format),
+          m_gateway(gateway),
+          m_journal(journal),
+          m_caller(std::make_shared<HttpCaller>(loop, settings.address)),
+          m_backoff(std::random_device()())
+    {
+    }
+
+    void start()
+    {
+        readAll();
+    }
+
+private:
+    void readAll()
+    {
+        m_records.clear();
+        m_revision = 0;
+        m_startedAt = m_loop.timers().now();
+        readPage({});
+    }
+
+    void readPage(const std::string &afterKey)
+    {
+        m_journal.count("store_calls_total", "read", 1);
+        m_caller->call(m_format.readPage(m_topic, afterKey), READ_TIMEOUT,
+            [self = shared_from_this()](const core::Expected<CallAnswer> &answer) { self->pageRead(answer); });
+    }
+
+    void pageRead(const core::Expected<CallAnswer> &answer)
+    {
+        if (!answer || answer->status != HTTP_OK) {
+            failed(answer, [self = shared_from_this()] { self->readAll(); });
+            return;
+        }
+        const core::Expected<RecordPage> page = m_format.decodePage(answer->body);
+        if (!page) {
+            unreadable(page.error(), [self = shared_from_this()] { self->readAll(); });
+            return;
+        }
+        m_backoff.reset();
+        m_records.insert(m_records.end(), page->records.begin(), page->records.end());
+        // Pages are no snapshot; changes since the first page are watched.
+        m_revision = m_revision == 0 ? page->revision : std::min(m_revision, page->revision);
+        if (page->hasMore && !page->records.empty()) {
+            readPage(page->records.back().key);
+            return;
+        }
+        m_gateway.topicRead(m_topic, m_records, m_revision, m_startedAt);
+        m_records.clear();
+        m_records.shrink_to_fit();
+        watch();
+    }
+
+    void watch()
+    {
+        m_journal.count("store_calls_total", "watch", 1);
+        m_startedAt = m_loop.timers().now();
+        m_caller->call(m_format.awaitChanges(m_topic, m_gateway.revision(m_topic), m_wait), m_wait + m_answerTimeout,
+            [self = shared_from_this()](const core::Expected<CallAnswer> &answer) { self->watched(answer); });
+    }
+
+    void watched(const core::Expected<CallAnswer> &answer)
+    {
+        if (answer && answer->status == HTTP_GONE) {
+            m_journal.log(core::LogEvent{"store_history_gone", {}}.with("topic", absl::StrCat(static_cast<int>(m_topic))));
+            readAll();
+            return;
+        }
+        if (!answer || answer->status != HTTP_OK) {
+            failed(answer, [self = shared_from_this()] { self->watch(); });
+            return;
+        }
+        const core::Expected<ChangePage> page = m_format.decodeChanges(answer->body);
+        if (!page) {
+            unreadable(page.error(), [self = shared_from_this()] { self->readAll(); });
+            return;
+        }
+        m_backoff.reset();
+        // The store answered after the call arrived there, so what it says held when the call was made or later.
+        m_gateway.topicChanged(m_topic, page->changes, page->revision, m_startedAt);
+        watch();
+    }
+
+    void failed(const core::Expected<CallAnswer> &answer, std::function<void()> again)
+    {
+        const std::string reason = answer ? absl::StrCat("status_", answer->status) : answer.error().message;
+        m_journal.count("store_failures_total", reason, 1);
+        m_journal.log(core::LogEvent{"store_call_failed", {}}.with("topic", absl::StrCat(static_cast<int>(m_topic))).with("reason", reason));
+        m_gateway.storeFailed();
+        m_pause = m_loop.timers().after(m_backoff.next(), std::move(again));
+    }
+
+    void unreadable(const core::Error &error, std::function<void()> again)
+    {
+        m_journal.log(core::LogEvent{"store_answer_unreadable", {}}.with("error", error.message));
+        m_caller->close();
+        m_pause = m_loop.timers().after(m_backoff.next(), std::move(again));
+    }
+
+    EventLoop &m_loop;
+    absl::Duration m_answerTimeout;
+    gateway::Topic m_topic;
+    absl::Duration m_wait;
+    const StoreFormat &m_format;
+    gateway::Gateway &m_gateway;
+    gateway::Journal &m_journal;
+    std::shared_ptr<HttpCaller> m_caller;
+    Backoff m_backoff;
+    std::vector<gateway::Record> m_records;
+    core::Revision m_revision = 0;
+    absl::Time m_startedAt;
+    core::Subscription m_pause;
+};
+
+/** Keeps one record in the store for as long as this process lives. */
+class StoreClient::Announcer : public std::enable_shared_from_this<StoreClient::Announcer>
+{
+public:
+    Announcer(EventLoop &loop, const StoreClientSettings &settings, const StoreFormat &format, gateway::Gateway &gateway, gateway::Journal &journal)
+        : m_loop(loop),
+          m_settings(settings),
+          m_format(format),
+          m_gateway(gateway),
+          m_journal(journal),
+          m_caller(std::make_shared<HttpCaller>(loop, settings.address)),
+          m_backoff(std::random_device()())
+    {
+    }
+
+    void start(gateway::Record record)
+    {
+        m_record = std::move(record);
+        openLease();
+    }
+
+    void withdraw()
+    {
+        m_isWithdrawn = true;
+        if (m_lease.id.empty()) {
+            return;
+        }
+        m_caller->close();
+        m_caller->call(m_format.endLease(m_lease), READ_TIMEOUT, [self = shared_from_this()](const core::Expected<CallAnswer> &answer) {
+            self->m_journal.log(core::LogEvent{"announcement_withdrawn", {}}.with("is_confirmed", answer && answer->status == HTTP_OK ? "true" : "false"));
+        });
+    }
+
+private:
+    using Step = void (Announcer::*)();
+
+    void call(const gateway::HttpRequest &request, const std::string &name, std::function<void(const CallAnswer &)> done, Step again)
+    {
+        m_journal.count("store_calls_total", name, 1);
+        m_caller->call(request, READ_TIMEOUT, [self = shared_from_this(), done = std::move(done), again, name](const core::Expected<CallAnswer> &answer) {
+            if (self->m_isWithdrawn) {
+                return;
+            }
+            if (answer && (answer->status == HTTP_OK || answer->status == HTTP_NOT_FOUND)) {
+                self->m_backoff.reset();
+                done(*answer);
+                return;
+            }
+            self->m_journal.log(core::LogEvent{"store_call_failed", {}}.with("call", name).with(
+                "reason", answer ? absl::StrCat("status_", answer->status) : answer.error().message));
+            self->after(self->m_backoff.next(), again);
+        });
+    }
+
+    void after(absl::Duration pause, Step step)
+    {
+        m_pause = m_loop.timers().after(pause, [self = shared_from_this(), step] {
+            if (!self->m_isWithdrawn) {
+                (self.get()->*step)();
+            }
+        });
+    }
+
+    void openLease()
+    {
+        call(
+            m_format.openLease(m_settings.leaseTime), "lease_open",
+            [this](const CallAnswer &answer) {
+                const core::Expected<Lease> lease = m_format.decodeLease(answer.body);
+                if (answer.status != HTTP_OK || !lease) {
+                    after(m_backoff.next(), &Announcer::openLease);
+                    return;
+                }
+                m_lease = *lease;
+                write();
+            },
+            &Announcer::openLease);
+    }
+
+    void write()
+    {
+        call(
+            m_format.writeRecord(m_record, m_lease), "announce",
+            [this](const CallAnswer &answer) {
+                if (answer.status == HTTP_NOT_FOUND) {
+                    openLease();
+                    return;
+                }
+                m_journal.log(core::LogEvent{"announced", {}}.with("lease", m_lease.id));
+                m_writtenAt = m_loop.timers().now();
+                after(m_settings.renewPeriod, &Announcer::renew);
+            },
+            &Announcer::write);
+    }
+
+    void renew()
+    {
+        // A record that another process of this instance left may have gone with its old lease.
+        const bool isMissing = m_loop.timers().now() - m_writtenAt > m_settings.renewPeriod && !m_gateway.hasRecord(gateway::Topic::Members, m_record.key);
+        if (isMissing) {
+            write();
+            return;
+        }
+        call(
+            m_format.renewLease(m_lease), "lease_renew",
+            [this](const CallAnswer &answer) {
+                if (answer.status == HTTP_NOT_FOUND) {
+                    openLease();
+                    return;
+                }
+                after(m_settings.renewPeriod, &Announcer::renew);
+            },
+            &Announcer::renew);
+    }
+
+    EventLoop &m_loop;
+    StoreClientSettings m_settings;
+    const StoreFormat &m_format;
+    gateway::Gateway &m_gateway;
+    gateway::Journal &m_journal;
+    std::shared_ptr<HttpCaller> m_caller;
+    Backoff m_backoff;
+    gateway::Record m_record;
+    Lease m_lease;
+    absl::Time m_writtenAt = absl::InfinitePast();
+    bool m_isWithdrawn = false;
+    core::Subscription m_pause;
+};
+
+StoreClient::StoreClient(EventLoop &loop, StoreClientSettings settings, const StoreFormat &format, gateway::Gateway &gateway, gateway::Journal &journal)
+{
+    const std::array<absl::Duration, gateway::TOPIC_COUNT> waits = {settings.operatorWait, settings.backendServerWait, settings.memberWait};
+    for (int index = 0; index < gateway::TOPIC_COUNT; ++index) {
+        m_followers[index] = std::make_shared<Follower>(loop, settings, static_cast<gateway::Topic>(index), waits[index], format, gateway, journal);
+    }
+    m_announcer = std::make_shared<Announcer>(loop, settings, format, gateway, journal);
+}
+
+StoreClient::~StoreClient() = default;
+
+void StoreClient::start(gateway::Record announcement)
+{
+    for (const std::shared_ptr<Follower> &follower : m_followers) {
+        follower->start();
+    }
+    m_announcer->start(std::move(announcement));
+}
+
+void StoreClient::withdraw()
+{
+    m_announcer->withdraw();
+}
+
+} // namespace snipeferry::net
