Gateway: leave faster, use the tolerance of allowances, tell read prompt parts to the region

Refusals within small customers' rates: an eighth of a burst does not hold one plan. Shared parts were read again where another instance had read them. Ruled out: longer drains (the next instance stops meanwhile). Change: a leaving instance refuses after the directory's time to live unless it is the region's last; allowances use 0.7 of the tolerated excess; pulses in a region carry read parts; similar costs go by rendezvous order.

--- a/include/snipeferry/gateway/allowancebook.h
+++ b/include/snipeferry/gateway/allowancebook.h
@@ -30,6 +30,15 @@
     SNIPEFERRY_VALUE(AllowanceGrant, customer, tokens)
 };
 
+/** How far the fleet together may go beyond a customer's rate and burst before a limit counts as broken. */
+struct AllowanceSettings
+{
+    /** Tokens or requests beyond the burst, of all instances together. */
+    double slack = 0;
+    /** Part of the rate beyond it. */
+    double excess = 0;
+};
+
 /**
  * This instance's part of the customers' fleet-wide allowances.
  *
@@ -40,7 +49,7 @@
 class AllowanceBook
 {
 public:
-    explicit AllowanceBook(core::TimerService &timers);
+    AllowanceBook(AllowanceSettings settings, core::TimerService &timers);
 
     void configure(const std::vector<Customer> &customers);
 
@@ -84,6 +93,7 @@
     void updateDemand(Bucket &bucket);
     int instanceCount();
 
+    AllowanceSettings m_settings;
     core::TimerService &m_timers;
     absl::flat_hash_map<core::CustomerId, Bucket> m_buckets;
     int m_count = 1;
--- a/include/snipeferry/gateway/backendtable.h
+++ b/include/snipeferry/gateway/backendtable.h
@@ -30,6 +30,15 @@
     SNIPEFERRY_VALUE(ServerWork, server, running, unreadTokens)
 };
 
+/** A shared prompt part that a backend server has read, and keeps until others displace it. */
+struct ReadPart
+{
+    core::BackendServerId server;
+    std::string part;
+
+    SNIPEFERRY_VALUE(ReadPart, server, part)
+};
+
 /** What a choice of a backend server has to fit. */
 struct ServerQuery
 {
@@ -95,6 +104,12 @@
     /** @brief Work of this instance, for the others. */
     std::vector<ServerWork> ownWork() const;
 
+    /** @brief Parts that this instance's requests had read since the last call, for the others of the region. */
+    std::vector<ReadPart> takeReadParts();
+
+    /** @brief Parts that another instance's requests had read. */
+    void notePeerParts(const std::vector<ReadPart> &parts);
+
     /** @brief The best backend server; NoBackendServer when none takes work now. */
     core::Expected<ServerChoice> choose(const ServerQuery &query);
 
@@ -156,6 +171,7 @@
     std::int64_t cachedTokens(const State &state, const ServerQuery &query) const;
     absl::Duration estimate(const State &state, const ServiceState &service, int level, std::int64_t unreadTokens) const;
     State *state(const core::BackendServerId &id);
+    void noteRead(State &state, const std::string &part);
     void rebuildPeerWork();
 
     core::InstanceId m_self;
@@ -165,6 +181,7 @@
     absl::flat_hash_map<core::ServiceId, Service> m_rules;
     absl::flat_hash_set<core::DataCentreId> m_evacuated;
     std::vector<core::InstanceId> m_instances;
+    std::vector<ReadPart> m_freshParts;
     struct PeerReport
     {
         std::vector<ServerWork> work;
--- a/include/snipeferry/gateway/fleetmessages.h
+++ b/include/snipeferry/gateway/fleetmessages.h
@@ -57,9 +57,10 @@
     std::vector<ServiceRoom> rooms;
     /** Only between instances of one region. */
     std::vector<ServerWork> work;
+    std::vector<ReadPart> readParts;
     std::vector<AllowanceReport> allowances;
 
-    SNIPEFERRY_VALUE(Pulse, sentAt, echo, isReady, topics, rooms, work, allowances)
+    SNIPEFERRY_VALUE(Pulse, sentAt, echo, isReady, topics, rooms, work, readParts, allowances)
 };
 
 struct AllowanceTransfer
--- a/include/snipeferry/gateway/fleetview.h
+++ b/include/snipeferry/gateway/fleetview.h
@@ -52,10 +52,17 @@
     /** @brief Live instances of this region, this one included. */
     std::vector<core::InstanceId> regionInstances() const;
 
+    /** @brief Whether another instance of a region takes callers. */
+    bool hasReadyInstance(const core::RegionId &region) const;
+
     /** @brief Number of instances that may spend shared allowances. */
     int instanceCount() const;
 
-    /** @brief Addresses for callers of a place, nearest live instances only; the own one only if it is ready. */
+    /**
+     * @brief Addresses for callers of a place: the nearest live instances.
+     *
+     * Where no instance of the callers' region takes callers, those that are leaving still serve better than another region.
+     */
     std::vector<std::string> callerAddresses(const core::RegionId &region, const core::DataCentreId &dataCentre, bool isSelfReady) const;
 
     /** @brief The best instance of another region for a request. */
--- a/include/snipeferry/gateway/gateway.h
+++ b/include/snipeferry/gateway/gateway.h
@@ -18,6 +18,7 @@
     Member self;
     FlowSettings flow;
     RepeatBudgetSettings repeats;
+    AllowanceSettings allowances;
     /** Region of each data centre. */
     std::map<core::DataCentreId, core::RegionId> regions;
     /** Time between pulses to instances of the same region. */
@@ -85,8 +86,8 @@
     /** @brief Takes callers: knows a deployment that is confirmed and is not draining. */
     bool isReady() const;
 
-    /** @brief Leaves: not ready any more; open requests go on. */
-    void drain();
+    /** @brief Leaves: not ready any more; open requests go on for the time left. */
+    void drain(absl::Duration timeLeft);
     bool isDraining() const;
     std::size_t openCount() const;
 
--- a/include/snipeferry/gateway/requestflow.h
+++ b/include/snipeferry/gateway/requestflow.h
@@ -78,6 +78,9 @@
     void handle(const core::InstanceId &from, const ForwardFailed &message);
     void linkDown(const core::InstanceId &peer);
 
+    /** @brief Leaves: new requests are served for a short while, and then only what no other instance of the region could serve. */
+    void beginDrain(absl::Time stopAt);
+
     std::size_t openCount() const;
     bool ownsRun(Number run) const;
 
@@ -123,6 +126,7 @@
     using OpenPointer = std::unique_ptr<Open>;
 
     core::Expected<void> admit(Open &open);
+    core::Expected<void> checkDrain(const Open &open) const;
     core::Expected<void> identify(Open &open) const;
     bool isDeploymentFresh() const;
     std::vector<core::RegionId> homesOf(const Open &open) const;
@@ -149,6 +153,8 @@
     FlowParts m_parts;
     std::shared_ptr<const RouteTable> m_routes;
     absl::Time m_confirmedAt = absl::InfinitePast();
+    absl::Time m_drainFrom = absl::InfiniteFuture();
+    absl::Time m_stopAt = absl::InfiniteFuture();
     absl::flat_hash_map<Number, OpenPointer> m_open;
     absl::flat_hash_map<Number, Number> m_requestOfRun;
     Number m_lastNumber = 0;
--- a/include/snipeferry/settings/yamlreader.h
+++ b/include/snipeferry/settings/yamlreader.h
@@ -74,6 +74,9 @@
     std::int64_t integer(const std::string &key, std::int64_t minimum, std::int64_t maximum);
     std::int64_t integer(const std::string &key, std::int64_t minimum, std::int64_t maximum, std::int64_t defaultValue);
 
+    /** @brief Reads a number within bounds, both included. */
+    double fraction(const std::string &key, double minimum, double maximum, double defaultValue);
+
     /** @brief Reads true or false. */
     bool flag(const std::string &key, bool defaultValue);
 
--- a/source/gateway/allowancebook.cpp
+++ b/source/gateway/allowancebook.cpp
@@ -16,12 +16,15 @@
 constexpr double MIN_GRANT_SHARE = 0.01;
 /** Fair parts count this share of the rate as demand of an idle instance, so that it keeps tokens for a start. */
 constexpr double IDLE_DEMAND_SHARE = 0.01;
+/** Part of the tolerated excess that is used; the rest covers changes of the number of instances. */
+constexpr double USED_TOLERANCE = 0.7;
 constexpr absl::Duration LONGEST_RETRY = absl::Seconds(10);
 
 } // namespace
 
-AllowanceBook::AllowanceBook(core::TimerService &timers)
-    : m_timers(timers)
+AllowanceBook::AllowanceBook(AllowanceSettings settings, core::TimerService &timers)
+    : m_settings(settings),
+      m_timers(timers)
 {
 }
 
@@ -33,19 +36,22 @@
         if (customer.ratePerSecond <= 0) {
             continue;
         }
+        // The tolerance is what a limit kept by several instances needs, so that no request within it is refused.
+        const double rate = customer.ratePerSecond * (1.0 + USED_TOLERANCE * m_settings.excess);
+        const double burst = customer.burst + USED_TOLERANCE * m_settings.slack;
         Bucket bucket;
         const auto before = m_buckets.find(customer.id);
         if (before != m_buckets.end()) {
             refill(before->second);
             bucket = before->second;
-            bucket.balance = std::min(bucket.balance, customer.burst);
+            bucket.balance = std::min(bucket.balance, burst);
         } else {
-            bucket.balance = START_FILL * customer.burst / count;
+            bucket.balance = START_FILL * burst / count;
             bucket.updatedAt = m_timers.now();
             bucket.demandUpdatedAt = m_timers.now();
         }
-        bucket.rate = customer.ratePerSecond;
-        bucket.burst = customer.burst;
+        bucket.rate = rate;
+        bucket.burst = burst;
         buckets.emplace(customer.id, bucket);
     }
     m_buckets = std::move(buckets);
@@ -149,9 +155,9 @@
         refill(bucket);
         // Both together share their tokens in proportion to demand.
         const double idle = IDLE_DEMAND_SHARE * bucket.rate;
-        const double total = std::max(0.0, bucket.balance) + std::max(0.0, report.balance);
+        const double total = bucket.balance + report.balance;
         const double ownPart = total * (bucket.demand + idle) / (bucket.demand + report.demand + 2 * idle);
-        const double room = bucket.burst - std::max(0.0, report.balance);
+        const double room = bucket.burst - report.balance;
         const double tokens = std::min(GIVE_SHARE * (bucket.balance - ownPart), room);
         if (tokens > MIN_GRANT_SHARE * bucket.burst / instanceCount()) {
             bucket.balance -= tokens;
--- a/source/gateway/backendtable.cpp
+++ b/source/gateway/backendtable.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace snipeferry::gateway {
 
@@ -24,6 +25,8 @@
 constexpr absl::Duration FIRST_EJECTION = absl::Milliseconds(800);
 constexpr absl::Duration LONGEST_EJECTION = absl::Seconds(6);
 constexpr double SMOOTHING = 0.1;
+/** Expected times within this much of each other count as equal. */
+constexpr double SIMILAR_MS = 40.0;
 /** Weight of the failure share in the expected time. */
 constexpr double FAILURE_WEIGHT = 6.0;
 
@@ -259,8 +262,8 @@
         const std::int64_t reread = std::max<std::int64_t>(0, unread - (query.promptTokens - sharedTokens));
         const double weight = affinity.empty() ? 0.0 : rendezvousWeight(affinity, id.value());
         const double cost = absl::ToDoubleMilliseconds(time) + REREAD_PENALTY_MS_PER_TOKEN * static_cast<double>(reread);
-        // Equal costs go to the first place of the rendezvous order, so that all instances agree.
-        const bool isBetter = best.server.isEmpty() || cost < bestCost - 1.0 || (cost < bestCost + 1.0 && weight > bestWeight);
+        // Among similar costs the first place of the rendezvous order wins, so that all instances agree.
+        const bool isBetter = best.server.isEmpty() || cost < bestCost - SIMILAR_MS || (cost < bestCost + SIMILAR_MS && weight > bestWeight);
         if (isBetter) {
             best = ServerChoice{id, time, unread};
             bestCost = cost;
@@ -352,11 +355,33 @@
     if (target->coldUntil > now && rules != m_rules.end() && rules->second.coldRate > 0) {
         target->nextColdStart = now + absl::Seconds(1.0 / rules->second.coldRate);
     }
-    if (target->readParts.size() > MAX_READ_PARTS) {
-        target->readParts.clear();
-    }
     for (std::size_t index = 0; index + 1 < parts.size(); ++index) {
-        target->readParts[parts[index].id] = now;
+        noteRead(*target, parts[index].id);
+        m_freshParts.push_back({id, parts[index].id});
+    }
+}
+
+void BackendTable::noteRead(State &state, const std::string &part)
+{
+    if (state.readParts.size() > MAX_READ_PARTS) {
+        const absl::Time limit = m_timers.now() - PART_LIFETIME / 2;
+        absl::erase_if(state.readParts, [limit](const auto &entry) { return entry.second < limit; });
+    }
+    state.readParts[part] = m_timers.now();
+}
+
+std::vector<ReadPart> BackendTable::takeReadParts()
+{
+    return std::exchange(m_freshParts, {});
+}
+
+void BackendTable::notePeerParts(const std::vector<ReadPart> &parts)
+{
+    for (const ReadPart &read : parts) {
+        State *target = state(read.server);
+        if (target != nullptr) {
+            noteRead(*target, read.part);
+        }
     }
 }
 
--- a/source/gateway/fleetview.cpp
+++ b/source/gateway/fleetview.cpp
@@ -158,6 +158,16 @@
     return all;
 }
 
+bool FleetView::hasReadyInstance(const core::RegionId &region) const
+{
+    for (const auto &entry : m_peers) {
+        if (entry.second.member.region == region && entry.second.isReady && isHeard(entry.second)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 int FleetView::instanceCount() const
 {
     // Announced instances count even when they are not heard: they may be cut off and still spend their part.
@@ -169,6 +179,7 @@
     std::vector<std::string> near;
     std::vector<std::string> sameRegion;
     std::vector<std::string> far;
+    std::vector<std::string> leaving;
     const auto add = [&](const Member &member) {
         if (member.dataCentre == dataCentre) {
             near.push_back(member.callerAddress);
@@ -180,14 +191,18 @@
     };
     if (isSelfReady) {
         add(m_self);
+    } else if (m_self.region == region) {
+        leaving.push_back(m_self.callerAddress);
     }
     for (const auto &entry : m_peers) {
         const bool isOffered = entry.second.isLinked ? entry.second.isReady && isHeard(entry.second) : mayBeAlive(entry.second);
         if (isOffered) {
             add(entry.second.member);
+        } else if (isHeard(entry.second) && entry.second.member.region == region) {
+            leaving.push_back(entry.second.member.callerAddress);
         }
     }
-    std::vector<std::string> &best = !near.empty() ? near : !sameRegion.empty() ? sameRegion : far;
+    std::vector<std::string> &best = !near.empty() ? near : !sameRegion.empty() ? sameRegion : !leaving.empty() ? leaving : far;
     if (best.size() > MAX_DIRECTORY_ENTRIES) {
         best.resize(MAX_DIRECTORY_ENTRIES);
     }
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -27,7 +27,7 @@
       m_mirrors(TOPIC_COUNT, RecordMirror(ports.timers)),
       m_backends(m_settings.self.id, ports.timers),
       m_fleet(m_settings.self, ports.timers),
-      m_allowances(ports.timers),
+      m_allowances(m_settings.allowances, ports.timers),
       m_repeats(m_settings.repeats, ports.timers),
       m_flow(m_settings.flow, FlowParts{ports.timers, m_backends, m_fleet, m_allowances, m_repeats, ports.headers, ports.runs, ports.links, ports.journal}),
       m_desk(ports.timers, m_backends, m_fleet, ports.headers, ports.runs, ports.links, ports.journal),
@@ -286,9 +286,12 @@
 
 void Gateway::sendPulses(bool isToRegion)
 {
+    const std::vector<ReadPart> readParts = isToRegion ? m_backends.takeReadParts() : std::vector<ReadPart>();
     for (const core::InstanceId &peer : m_fleet.linked()) {
         if (m_fleet.isInOwnRegion(peer) == isToRegion) {
-            m_ports.links.send(peer, pulseFor(peer, isToRegion));
+            Pulse pulse = pulseFor(peer, isToRegion);
+            pulse.readParts = readParts;
+            m_ports.links.send(peer, pulse);
         }
     }
 }
@@ -308,6 +311,7 @@
     const absl::Time sentAfter = m_fleet.receive(from, message);
     if (m_fleet.isInOwnRegion(from)) {
         m_backends.setPeerWork(from, message.work);
+        m_backends.notePeerParts(message.readParts);
     }
     // What a peer heard from the store counts here too, from the moment at which it surely held.
     for (const TopicState &state : message.topics) {
@@ -408,9 +412,10 @@
     return m_routes != nullptr && mirror(Topic::BackendServers).isLoaded() && isConfirmed && !m_isDraining;
 }
 
-void Gateway::drain()
+void Gateway::drain(absl::Duration timeLeft)
 {
     m_isDraining = true;
+    m_flow.beginDrain(m_ports.timers.now() + timeLeft);
     sendPulses(true);
     sendPulses(false);
 }
--- a/source/gateway/requestflow.cpp
+++ b/source/gateway/requestflow.cpp
@@ -22,6 +22,8 @@
 constexpr absl::Duration KEY_MARGIN = absl::Milliseconds(300);
 /** Age of the deployment up to which unknown routes and keys are refused for good. */
 constexpr absl::Duration FRESH_DEPLOYMENT = absl::Milliseconds(2500);
+/** Callers keep a directory answer this long; until then a leaving instance serves them like any other. */
+constexpr absl::Duration DRAIN_COURTESY = absl::Milliseconds(2200);
 constexpr absl::Duration SOON = absl::Milliseconds(300);
 
 } // namespace
@@ -99,6 +101,24 @@
     return number;
 }
 
+void RequestFlow::beginDrain(absl::Time stopAt)
+{
+    m_drainFrom = m_parts.timers.now() + DRAIN_COURTESY;
+    m_stopAt = stopAt;
+}
+
+core::Expected<void> RequestFlow::checkDrain(const Open &open) const
+{
+    if (m_parts.timers.now() < m_drainFrom) {
+        return {};
+    }
+    // With others of the region leaving too, what can still be answered in time is better served here than far away.
+    if (!m_parts.fleet.hasReadyInstance(m_parts.fleet.self().region) && open.deadline <= m_stopAt) {
+        return {};
+    }
+    return tl::make_unexpected(core::makeError(core::ErrorKind::InstanceDraining, "This instance is leaving.", absl::Milliseconds(50)));
+}
+
 bool RequestFlow::isDeploymentFresh() const
 {
     return m_parts.timers.now() - m_confirmedAt < FRESH_DEPLOYMENT;
@@ -152,6 +172,10 @@
     if (!identified) {
         return identified;
     }
+    const core::Expected<void> stays = checkDrain(open);
+    if (!stays) {
+        return stays;
+    }
 
     // Choose the service by weight.
     int total = 0;
--- a/source/net/gatewayprocess.cpp
+++ b/source/net/gatewayprocess.cpp
@@ -12,7 +12,7 @@
 /** Callers keep a directory answer for some seconds; until then they still come. */
 constexpr absl::Duration SHORTEST_STOP = absl::Milliseconds(2500);
 /** Part of the grace time that is left to the supervisor. */
-constexpr absl::Duration STOP_MARGIN = absl::Milliseconds(500);
+constexpr absl::Duration STOP_MARGIN = absl::Milliseconds(300);
 constexpr absl::Duration STOP_CHECK_PERIOD = absl::Milliseconds(50);
 constexpr int HTTP_OK = 200;
 constexpr int HTTP_NOT_FOUND = 404;
@@ -181,7 +181,7 @@
     }
     const absl::Time now = m_loop.timers().now();
     m_journal.log(core::LogEvent{"stopping", {}}.with("open_requests", absl::StrCat(m_gateway->openCount())));
-    m_gateway->drain();
+    m_gateway->drain(m_settings.stopGrace - STOP_MARGIN);
     m_store->withdraw();
     m_callers.closeAfterAnswers();
     m_stopEarliest = now + SHORTEST_STOP;
--- a/source/net/gatewaysettings.cpp
+++ b/source/net/gatewaysettings.cpp
@@ -50,9 +50,11 @@
 
     YamlMap promises = root.map("promises");
     settings.gateway.flow.keyWithdrawalTime = promises.duration("key_withdrawal", absl::Milliseconds(500), LONGEST, settings.gateway.flow.keyWithdrawalTime);
-    settings.gateway.repeats.share = static_cast<double>(promises.integer("repeat_share_permille", 0, 1000, 200)) / 1000.0;
+    settings.gateway.repeats.share = promises.fraction("repeat_share", 0.0, 1.0, settings.gateway.repeats.share);
     settings.gateway.repeats.slack = static_cast<double>(promises.integer("repeat_slack", 0, MAX_SLACK, 0));
     settings.gateway.repeats.window = promises.duration("repeat_window", SHORTEST, LONGEST, settings.gateway.repeats.window);
+    settings.gateway.allowances.slack = static_cast<double>(promises.integer("allowance_slack", 0, MAX_SLACK, 0));
+    settings.gateway.allowances.excess = promises.fraction("allowance_excess", 0.0, 1.0, 0.0);
     settings.directoryTimeToLive = promises.duration("directory_time_to_live", SHORTEST, LONGEST, settings.directoryTimeToLive);
     settings.stopGrace = promises.duration("stop_grace", SHORTEST, LONGEST, settings.stopGrace);
     promises.finish();
--- a/source/settings/yamlreader.cpp
+++ b/source/settings/yamlreader.cpp
@@ -173,6 +173,22 @@
     return readInteger(key, minimum, maximum, false).value_or(defaultValue);
 }
 
+double YamlMap::fraction(const std::string &key, double minimum, double maximum, double defaultValue)
+{
+    const std::string allowed = absl::StrCat("a number from ", minimum, " to ", maximum);
+    const std::optional<std::string> value = scalar(key, allowed, false);
+    if (!value.has_value()) {
+        return defaultValue;
+    }
+    double number = 0;
+    // The comparison is written so that "nan" fails it.
+    if (!absl::SimpleAtod(*value, &number) || !(number >= minimum && number <= maximum)) {
+        problem(key, describe(m_impl->child(key)), allowed);
+        return defaultValue;
+    }
+    return number;
+}
+
 bool YamlMap::flag(const std::string &key, bool defaultValue)
 {
     const std::string allowed = "true or false";
