Gateway: refuse by the wait before a request's own prompt; plain services learn their run time

Cause: large prompts were refused for their own length (largest plans earned least), and plain calls with free servers: their expected time carried the service's ordinary share of failures and a slowness learned from another estimate. Change: the wait before the own prompt decides about refusal, from 1.0 objectives; run times of plain services are learned; failures count beyond the service's own share.

--- a/include/snipeferry/gateway/backendtable.h
+++ b/include/snipeferry/gateway/backendtable.h
@@ -59,6 +59,8 @@
     absl::Duration estimate = absl::InfiniteDuration();
     /** Prompt tokens that are expected to be read there. */
     std::int64_t unreadTokens = 0;
+    /** The part of the estimate that goes by before the request's own prompt is read. */
+    absl::Duration wait = absl::InfiniteDuration();
 };
 
 /** How a run ended, as evidence about its backend server. */
@@ -150,7 +152,7 @@
         int failuresInRow = 0;
         absl::Time ejectedUntil = absl::InfinitePast();
         absl::Duration ejectionTime;
-        /** Expected time of each run in flight, oldest first; pairs with answered(). */
+        /** Expected time of the run started last. */
         absl::Duration lastEstimate;
         /** Last part of recent prompts that were read here. */
         absl::flat_hash_map<std::string, absl::Time> readParts;
@@ -163,12 +165,16 @@
         double tokensPerMs = 45.0;
         /** Time of a run at a plain service, smoothed. */
         double runMs = 30.0;
+        /** Share of runs that failed at any of its backend servers, smoothed; what all of them share is no one's fault. */
+        double failureShare = 0.0;
     };
 
     bool takesWork(const State &state) const;
     bool mayStartCold(State &state, absl::Time now);
     std::int64_t unreadAhead(const State &state, int level) const;
     std::int64_t cachedTokens(const State &state, const ServerQuery &query) const;
+    bool isEngine(const core::ServiceId &service) const;
+    double waves(const State &state) const;
     absl::Duration estimate(const State &state, const ServiceState &service, int level, std::int64_t unreadTokens) const;
     State *state(const core::BackendServerId &id);
     void noteRead(State &state, const std::string &part);
--- a/include/snipeferry/gateway/fleetview.h
+++ b/include/snipeferry/gateway/fleetview.h
@@ -19,6 +19,8 @@
     core::RegionId region;
     /** Expected time to the first event, the way there and back included. */
     absl::Duration estimate = absl::InfiniteDuration();
+    /** The part of the estimate that goes by before the request's own prompt is read. */
+    absl::Duration wait = absl::InfiniteDuration();
 };
 
 /** The other instances: who is announced, who is heard, and what room their regions have. */
--- a/include/snipeferry/gateway/requestflow.h
+++ b/include/snipeferry/gateway/requestflow.h
@@ -23,8 +23,8 @@
     absl::Duration keyWithdrawalTime = absl::Seconds(5);
     /** Part of the latency objective that a backend server here may take before other regions are asked. */
     double spillShare = 0.8;
-    /** Multiple of the latency objective beyond which a request is refused rather than started. */
-    double refuseShare = 1.5;
+    /** Part of the latency objective that may go by before a request's own prompt is read; beyond it the request is refused. */
+    double refuseShare = 1.0;
     std::uint64_t seed = 1;
 };
 
--- a/source/gateway/backendtable.cpp
+++ b/source/gateway/backendtable.cpp
@@ -25,6 +25,7 @@
 constexpr absl::Duration FIRST_EJECTION = absl::Milliseconds(800);
 constexpr absl::Duration LONGEST_EJECTION = absl::Seconds(6);
 constexpr double SMOOTHING = 0.1;
+constexpr double SERVICE_SMOOTHING = 0.02;
 /** Expected times within this much of each other count as equal. */
 constexpr double SIMILAR_MS = 40.0;
 /** Weight of the failure share in the expected time. */
@@ -206,21 +207,30 @@
     return cached;
 }
 
+bool BackendTable::isEngine(const core::ServiceId &service) const
+{
+    const auto rules = m_rules.find(service);
+    return rules != m_rules.end() && rules->second.isModelEngine;
+}
+
+double BackendTable::waves(const State &state) const
+{
+    return std::max(1.0, (state.running + state.peerRunning + 1.0) / std::max(1, state.server.slots));
+}
+
 absl::Duration BackendTable::estimate(const State &state, const ServiceState &service, int level, std::int64_t unreadTokens) const
 {
-    const auto rules = m_rules.find(state.server.service);
-    const bool isEngine = rules != m_rules.end() && rules->second.isModelEngine;
     const int running = state.running + state.peerRunning;
     double ms = 0;
-    if (isEngine) {
+    if (isEngine(state.server.service)) {
         ms = BASE_MS + static_cast<double>(unreadAhead(state, level) + unreadTokens) / service.tokensPerMs;
         // Requests beyond the batch wait for one that ends.
         ms += running >= state.server.slots ? service.runMs * (1.0 + running - state.server.slots) / state.server.slots : 0.0;
     } else {
-        const double waves = std::max(1.0, (running + 1.0) / std::max(1, state.server.slots));
-        ms = service.runMs * waves;
+        ms = service.runMs * waves(state);
     }
-    return absl::Milliseconds(ms * state.slowness * (1.0 + FAILURE_WEIGHT * state.failureShare));
+    const double ownFailures = std::max(0.0, state.failureShare - service.failureShare);
+    return absl::Milliseconds(ms * state.slowness * (1.0 + FAILURE_WEIGHT * ownFailures));
 }
 
 core::Expected<ServerChoice> BackendTable::choose(const ServerQuery &query)
@@ -255,7 +265,7 @@
         const absl::Duration time = estimate(candidate, service->second, level, unread);
         if (candidate.ejectedUntil > now) {
             if (time < ejected.estimate) {
-                ejected = ServerChoice{id, time, unread};
+                ejected = ServerChoice{id, time, unread, estimate(candidate, service->second, level, 0)};
             }
             continue;
         }
@@ -265,7 +275,7 @@
         // Among similar costs the first place of the rendezvous order wins, so that all instances agree.
         const bool isBetter = best.server.isEmpty() || cost < bestCost - SIMILAR_MS || (cost < bestCost + SIMILAR_MS && weight > bestWeight);
         if (isBetter) {
-            best = ServerChoice{id, time, unread};
+            best = ServerChoice{id, time, unread, estimate(candidate, service->second, level, 0)};
             bestCost = cost;
             bestWeight = weight;
         }
@@ -393,9 +403,13 @@
     }
     std::int64_t &unread = target->unread[urgencyOf(priority)];
     unread = std::max<std::int64_t>(0, unread - unreadTokens);
+    if (!isEngine(target->server.service)) {
+        double &runMs = m_services[target->server.service].runMs;
+        runMs += SMOOTHING * (absl::ToDoubleMilliseconds(latency) / waves(*target) - runMs);
+    }
     const double expected = std::max(5.0, absl::ToDoubleMilliseconds(target->lastEstimate) / std::max(0.5, target->slowness));
     const double ratio = std::clamp(absl::ToDoubleMilliseconds(latency) / expected, 0.3, 6.0);
-    target->slowness = std::clamp(target->slowness + SMOOTHING * (ratio - target->slowness), 0.5, 6.0);
+    target->slowness = std::clamp(target->slowness + SMOOTHING * (ratio - target->slowness), 0.5, 4.0);
 }
 
 void BackendTable::finished(const core::BackendServerId &id, int priority, std::int64_t unreadTokens, RunEnd end)
@@ -412,6 +426,8 @@
     }
     const bool hasFailed = end == RunEnd::ServerError || end == RunEnd::Unreachable;
     target->failureShare += SMOOTHING * ((hasFailed ? 1.0 : 0.0) - target->failureShare);
+    double &serviceShare = m_services[target->server.service].failureShare;
+    serviceShare += SERVICE_SMOOTHING * ((hasFailed ? 1.0 : 0.0) - serviceShare);
     if (!hasFailed) {
         if (end == RunEnd::Success) {
             target->failuresInRow = 0;
--- a/source/gateway/fleetview.cpp
+++ b/source/gateway/fleetview.cpp
@@ -226,11 +226,12 @@
         if (room == peer.rooms.end()) {
             continue;
         }
-        const double ownMs = static_cast<double>(promptTokens + peer.forwardedTokens) / REGION_TOKENS_PER_MS;
-        const absl::Duration estimate = room->wait + REGION_ROUND_TRIP + absl::Milliseconds(ownMs);
+        const absl::Duration unreported = absl::Milliseconds(static_cast<double>(peer.forwardedTokens) / REGION_TOKENS_PER_MS);
+        const absl::Duration wait = room->wait + REGION_ROUND_TRIP + unreported;
+        const absl::Duration estimate = wait + absl::Milliseconds(static_cast<double>(promptTokens) / REGION_TOKENS_PER_MS);
         const bool isBetter = best.instance.isEmpty() || estimate < best.estimate || (estimate == best.estimate && peer.forwarded < bestForwarded);
         if (isBetter) {
-            best = RemoteChoice{entry.first, peer.member.region, estimate};
+            best = RemoteChoice{entry.first, peer.member.region, estimate, wait};
             bestForwarded = peer.forwarded;
         }
     }
--- a/source/gateway/requestflow.cpp
+++ b/source/gateway/requestflow.cpp
@@ -266,8 +266,10 @@
     if (best == absl::InfiniteDuration()) {
         return tl::make_unexpected(core::makeError(core::ErrorKind::NoBackendServer, "No backend server can take the request now.", SOON));
     }
-    if (elapsed + best > objective * m_settings.refuseShare) {
-        const absl::Duration wait = std::max(SOON, best - objective);
+    // The time that a prompt of its own size takes is no reason to refuse it.
+    const absl::Duration bestWait = bestThere < bestHere ? there->wait : here->wait;
+    if (elapsed + bestWait > objective * m_settings.refuseShare) {
+        const absl::Duration wait = std::max(SOON, bestWait - objective);
         return tl::make_unexpected(core::makeError(core::ErrorKind::Overloaded, "Every permitted place is full.", wait));
     }
     if (bestThere < bestHere) {
@@ -644,7 +646,15 @@
     if (it == m_open.end()) {
         return;
     }
-    m_parts.journal.log(event("caller_left", *it->second).with("sends", absl::StrCat(it->second->sends)));
+    const Open &open = *it->second;
+    const absl::Time now = m_parts.timers.now();
+    m_parts.journal.log(event("caller_left", open)
+                            .with("server", open.server.value())
+                            .with("instance", open.instance.value())
+                            .with("sends", absl::StrCat(open.sends))
+                            .with("events", absl::StrCat(open.events.eventCount()))
+                            .with("waited_ms", absl::StrCat(absl::ToInt64Milliseconds(now - open.arrivedAt)))
+                            .with("silent_ms", absl::StrCat(absl::ToInt64Milliseconds(now - std::max(open.lastDataAt, open.arrivedAt)))));
     m_parts.journal.count("callers_left_total", it->second->route.name, 1);
     if (it->second->holdsTokens && it->second->sends == 0) {
         m_parts.allowances.refund(it->second->customer, it->second->cost);
