--- a/include/snipeferry/gateway/model.h
+++ b/include/snipeferry/gateway/model.h
@@ -59,7 +59,8 @@
     /** Regions where the request may run; empty for all. */
     std::vector<core::RegionId> homeRegions;
 
-    SNIPEFERRY_VALUE(Route, name, host, pathPrefix, repeatRule, isStream, isResumable, isOpen, timeout, latencyObjective, priority, maxAttempts, services, homeRegions)
+    SNIPEFERRY_VALUE(
+        Route, name, host, pathPrefix, repeatRule, isStream, isResumable, isOpen, timeout, latencyObjective, priority, maxAttempts, services, homeRegions)
 };
 
 struct Service
--- a/include/snipeferry/net/backendpool.h
+++ b/include/snipeferry/net/backendpool.h
@@ -34,8 +34,8 @@
     /** @brief Sets who takes the events of runs; must be called before the first run. */
     void setEvents(gateway::RunEvents &events);
 
-    void start(
-        gateway::Number run, const gateway::BackendServer &server, const gateway::HttpRequest &request, const core::RequestId &id, bool mayReuseConnection) override;
+    void start(gateway::Number run, const gateway::BackendServer &server, const gateway::HttpRequest &request, const core::RequestId &id,
+        bool mayReuseConnection) override;
     void cancel(gateway::Number run) override;
 
     /** @brief Connections opened since the start. */
--- a/include/snipeferry/net/eventloop.h
+++ b/include/snipeferry/net/eventloop.h
@@ -20,6 +20,9 @@
     void run();
     void stop();
 
+    /** @brief Lets run() work again after stop(). */
+    void resume();
+
 private:
     boost::asio::io_context m_context{1};
     core::SteadyTimerService m_timers;
--- a/source/gateway/backendtable.cpp
+++ b/source/gateway/backendtable.cpp
@@ -295,8 +295,7 @@
     if (it == m_services.end()) {
         return false;
     }
-    return std::any_of(
-        it->second.servers.begin(), it->second.servers.end(), [this](const core::BackendServerId &id) { return takesWork(m_servers.at(id)); });
+    return std::any_of(it->second.servers.begin(), it->second.servers.end(), [this](const core::BackendServerId &id) { return takesWork(m_servers.at(id)); });
 }
 
 const BackendServer *BackendTable::find(const core::BackendServerId &id) const
--- a/source/gateway/fleetview.cpp
+++ b/source/gateway/fleetview.cpp
@@ -209,8 +209,8 @@
     return best;
 }
 
-core::Expected<RemoteChoice> FleetView::choose(const core::ServiceId &service, std::int64_t promptTokens, const std::vector<core::RegionId> &homes,
-    const std::vector<core::InstanceId> &excluded) const
+core::Expected<RemoteChoice> FleetView::choose(
+    const core::ServiceId &service, std::int64_t promptTokens, const std::vector<core::RegionId> &homes, const std::vector<core::InstanceId> &excluded) const
 {
     RemoteChoice best;
     int bestForwarded = 0;
--- a/source/gateway/forwarddesk.cpp
+++ b/source/gateway/forwarddesk.cpp
@@ -17,8 +17,8 @@
 
 } // namespace
 
-ForwardDesk::ForwardDesk(core::TimerService &timers, BackendTable &backends, FleetView &fleet, const HeaderCodec &headers, RunTransport &runs, FleetLinks &links,
-    Journal &journal)
+ForwardDesk::ForwardDesk(
+    core::TimerService &timers, BackendTable &backends, FleetView &fleet, const HeaderCodec &headers, RunTransport &runs, FleetLinks &links, Journal &journal)
     : m_timers(timers),
       m_backends(backends),
       m_fleet(fleet),
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -63,8 +63,8 @@
 void Gateway::topicRead(Topic topic, const std::vector<Record> &records, core::Revision revision, absl::Time confirmedAt)
 {
     const std::vector<RecordChange> changes = mirror(topic).replace(records, revision);
-    m_ports.journal.log(core::LogEvent{"topic_read", {}}
-                            .with("topic", absl::StrCat(static_cast<int>(topic)))
+    m_ports.journal.log(core::LogEvent{
+        "topic_read", {}}.with("topic", absl::StrCat(static_cast<int>(topic)))
                             .with("revision", absl::StrCat(revision))
                             .with("changes", absl::StrCat(changes.size())));
     take(topic, changes);
@@ -145,8 +145,8 @@
     }
     case OperatorRecord::Kind::Evacuation:
         m_backends.setEvacuated(record->dataCentre, change.value.has_value());
-        m_ports.journal.log(core::LogEvent{"evacuation", {}}
-                                .with("data_centre", record->dataCentre.value())
+        m_ports.journal.log(core::LogEvent{
+            "evacuation", {}}.with("data_centre", record->dataCentre.value())
                                 .with("is_evacuated", change.value.has_value() ? "true" : "false")
                                 .with("revision", absl::StrCat(change.revision)));
         return;
--- a/source/gateway/requestflow.cpp
+++ b/source/gateway/requestflow.cpp
@@ -131,7 +131,8 @@
     }
     // A key counts only while no newer deployment can have withdrawn it for too long.
     if (m_parts.timers.now() - m_confirmedAt > m_settings.keyWithdrawalTime - KEY_MARGIN) {
-        return tl::make_unexpected(core::makeError(core::ErrorKind::PlatformUnavailable, "Keys cannot be checked against the newest deployment.", absl::Seconds(1)));
+        return tl::make_unexpected(
+            core::makeError(core::ErrorKind::PlatformUnavailable, "Keys cannot be checked against the newest deployment.", absl::Seconds(1)));
     }
     const Customer *customer = m_routes->findCustomerByKey(open.request.keyDigest);
     if (customer == nullptr) {
@@ -268,7 +269,7 @@
     }
     // The time that a prompt of its own size takes is no reason to refuse it.
     const absl::Duration bestWait = bestThere < bestHere ? there->wait : here->wait;
-    if (elapsed + bestWait > objective * m_settings.refuseShare) {
+    if (bestWait > objective * m_settings.refuseShare || best > open.deadline - m_parts.timers.now()) {
         const absl::Duration wait = std::max(SOON, bestWait - objective);
         return tl::make_unexpected(core::makeError(core::ErrorKind::Overloaded, "Every permitted place is full.", wait));
     }
--- a/source/gateway/routetable.cpp
+++ b/source/gateway/routetable.cpp
@@ -14,8 +14,8 @@
         m_routesByHost[absl::AsciiStrToLower(route.host)].push_back(&route);
     }
     for (auto &entry : m_routesByHost) {
-        std::stable_sort(entry.second.begin(), entry.second.end(),
-            [](const Route *left, const Route *right) { return left->pathPrefix.size() > right->pathPrefix.size(); });
+        std::stable_sort(
+            entry.second.begin(), entry.second.end(), [](const Route *left, const Route *right) { return left->pathPrefix.size() > right->pathPrefix.size(); });
     }
     for (const Customer &customer : m_deployment.customers) {
         m_customers[customer.id] = &customer;
--- a/source/net/eventloop.cpp
+++ b/source/net/eventloop.cpp
@@ -35,6 +35,11 @@
     }
 }
 
+void EventLoop::resume()
+{
+    m_isStopped = false;
+}
+
 void EventLoop::stop()
 {
     m_isStopped = true;
--- a/source/net/gatewayprocess.cpp
+++ b/source/net/gatewayprocess.cpp
@@ -1,9 +1,9 @@
 #include "snipeferry/net/gatewayprocess.h"
 
 #include <absl/strings/str_cat.h>
+#include <unistd.h>
 
 #include <csignal>
-#include <unistd.h>
 
 namespace snipeferry::net {
 
@@ -92,9 +92,15 @@
     m_settings.gateway.flow.seed = m_settings.gateway.self.incarnation;
     const gateway::Member &self = m_settings.gateway.self;
     LinkEvents events;
-    events.up = [this](const gateway::Member &peer) { m_gateway->linkUp(peer); };
-    events.down = [this](const core::InstanceId &peer) { m_gateway->linkDown(peer); };
-    events.received = [this](const core::InstanceId &from, const gateway::FleetMessage &message) { m_gateway->received(from, message); };
+    events.up = [this](const gateway::Member &peer) {
+        m_gateway->linkUp(peer);
+    };
+    events.down = [this](const core::InstanceId &peer) {
+        m_gateway->linkDown(peer);
+    };
+    events.received = [this](const core::InstanceId &from, const gateway::FleetMessage &message) {
+        m_gateway->received(from, message);
+    };
     m_links = std::make_unique<PeerLinks>(m_loop, self, std::move(events), m_journal);
     m_gateway = std::make_unique<gateway::Gateway>(
         m_settings.gateway, gateway::GatewayPorts{m_loop.timers(), m_adapter.headers, m_adapter.records, m_pool, *m_links, m_journal});
@@ -109,9 +115,7 @@
 core::Expected<void> GatewayProcess::listen()
 {
     const std::pair<HttpServer *, const std::string *> servers[] = {{&m_callers, &m_settings.gateway.self.callerAddress},
-        {&m_directory, &m_settings.directoryAddress},
-        {&m_readiness, &m_settings.readinessAddress},
-        {&m_metrics, &m_settings.metricsAddress}};
+        {&m_directory, &m_settings.directoryAddress}, {&m_readiness, &m_settings.readinessAddress}, {&m_metrics, &m_settings.metricsAddress}};
     for (const std::pair<HttpServer *, const std::string *> &server : servers) {
         if (server.second->empty()) {
             continue;
@@ -131,8 +135,8 @@
         return listening;
     }
     const gateway::Member &self = m_settings.gateway.self;
-    m_journal.log(core::LogEvent{"started", {}}
-                      .with("instance", self.id.value())
+    m_journal.log(core::LogEvent{
+        "started", {}}.with("instance", self.id.value())
                       .with("incarnation", absl::StrCat(self.incarnation))
                       .with("data_centre", self.dataCentre.value())
                       .with("callers", self.callerAddress)
--- a/source/net/httpserver.cpp
+++ b/source/net/httpserver.cpp
@@ -11,12 +11,12 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
 #include <optional>
 #include <set>
-#include <sys/socket.h>
 
 namespace snipeferry::net {
 
@@ -510,8 +510,8 @@
 
 bool isConnectionHeader(const std::string &name)
 {
-    static const std::array<const char *, 9> NAMES = {
-        "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "content-length", "expect"};
+    static const std::array<const char *, 9> NAMES
+        = {"connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "content-length", "expect"};
     return std::any_of(NAMES.begin(), NAMES.end(), [&](const char *candidate) { return absl::EqualsIgnoreCase(name, candidate); });
 }
 
--- a/source/net/peerlinks.cpp
+++ b/source/net/peerlinks.cpp
@@ -77,7 +77,8 @@
             m_server.start_accept(error);
         }
         if (error) {
-            return tl::make_unexpected(core::makeError(core::ErrorKind::Internal, absl::StrCat("Cannot listen on ", m_self.peerAddress, ": ", error.message())));
+            return tl::make_unexpected(
+                core::makeError(core::ErrorKind::Internal, absl::StrCat("Cannot listen on ", m_self.peerAddress, ": ", error.message())));
         }
         return {};
     }
@@ -129,9 +130,8 @@
         endpoint.set_open_handler([this, isDialled](const Handle &handle) { opened(handle, isDialled); });
         endpoint.set_close_handler([this](const Handle &handle) { closed(handle); });
         endpoint.set_fail_handler([this](const Handle &handle) { m_dialling.erase(dialled(handle)); });
-        endpoint.set_message_handler([this, isDialled](const Handle &handle, const typename Endpoint::message_ptr &message) {
-            received(handle, isDialled, message->get_payload());
-        });
+        endpoint.set_message_handler(
+            [this, isDialled](const Handle &handle, const typename Endpoint::message_ptr &message) { received(handle, isDialled, message->get_payload()); });
     }
 
     core::InstanceId dialled(const Handle &handle) const
--- a/source/net/stdoutjournal.cpp
+++ b/source/net/stdoutjournal.cpp
@@ -1,10 +1,9 @@
 #include "snipeferry/net/stdoutjournal.h"
 
 #include <absl/strings/str_cat.h>
-#include <prometheus/text_serializer.h>
-
 #include <fcntl.h>
 #include <poll.h>
+#include <prometheus/text_serializer.h>
 #include <unistd.h>
 
 namespace snipeferry::net {
--- a/source/net/storeclient.cpp
+++ b/source/net/storeclient.cpp
@@ -218,8 +218,9 @@
                 done(*answer);
                 return;
             }
-            self->m_journal.log(core::LogEvent{"store_call_failed", {}}.with("call", name).with(
-                "reason", answer ? absl::StrCat("status_", answer->status) : answer.error().message));
+            self->m_journal.log(core::LogEvent{"store_call_failed", {}}
+                                    .with("call", name)
+                                    .with("reason", answer ? absl::StrCat("status_", answer->status) : answer.error().message));
             self->after(self->m_backoff.next(), again);
         });
     }
--- /dev/null
+++ b/tests/gateway/gatewaytest.cpp
@@ -0,0 +1,167 @@
+#include "fixture.h"
+
+using namespace snipeferry;
+using namespace snipeferry::tests;
+
+TEST_CASE("an older deployment never replaces a newer one")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    gateway::Deployment newer = GatewayFixture::deployment(5);
+    newer.routes.push_back(GatewayFixture::route("/new/"));
+    fixture.deploy(newer);
+    fixture.deploy(GatewayFixture::deployment(4));
+    CHECK(fixture.ask("/new/x")->finals == 0);
+}
+
+TEST_CASE("a backend server that leaves or drains gets nothing new, and keeps what it runs")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    const std::shared_ptr<Answer> open = fixture.ask("/once/x");
+    const bool isDraining = GENERATE(true, false);
+    for (const char *name : {"s1", "s2"}) {
+        gateway::BackendServer server = GatewayFixture::server(name);
+        server.isDraining = true;
+        isDraining ? fixture.announce(server) : fixture.withdraw(name);
+    }
+    CHECK(fixture.ask("/once/x")->status == 503);
+    CHECK(fixture.runs.cancelled.empty());
+    fixture.succeed("done");
+    CHECK(open->status == 200);
+}
+
+TEST_CASE("announcements that lapsed in an outage of the store count until they could have come back")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.gateway.storeFailed();
+    fixture.timers.advance(absl::Seconds(1));
+    fixture.withdraw("s1");
+    fixture.withdraw("s2");
+    CHECK(fixture.ask("/once/x")->finals == 0);
+    fixture.timers.advance(absl::Milliseconds(3500));
+    fixture.confirm();
+    CHECK(fixture.ask("/once/x")->status == 503);
+}
+
+TEST_CASE("an announcement that cannot be read names no backend server")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    ++fixture.revision;
+    fixture.gateway.topicChanged(gateway::Topic::BackendServers, {{"s1", "\xff", fixture.revision}}, fixture.revision, fixture.timers.now());
+    for (int request = 0; request < 5; ++request) {
+        fixture.ask("/once/x");
+        CHECK(fixture.lastRun().server == core::BackendServerId("s2"));
+    }
+}
+
+TEST_CASE("backend servers of other regions are never used")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.withdraw("s1");
+    fixture.withdraw("s2");
+    gateway::BackendServer far = GatewayFixture::server("far");
+    far.dataCentre = core::DataCentreId("south-1");
+    fixture.announce(far);
+    CHECK(fixture.ask("/once/x")->status == 503);
+}
+
+TEST_CASE("an evacuated data centre gets nothing, and its backend servers count as cold afterwards")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.gateway.topicChanged(gateway::Topic::Operator, {{"north-1", std::string("{}"), 90}}, 90, fixture.timers.now());
+    CHECK(fixture.ask("/once/x")->status == 503);
+    fixture.gateway.topicChanged(gateway::Topic::Operator, {{"north-1", std::nullopt, 91}}, 91, fixture.timers.now());
+    for (int request = 0; request < 20; ++request) {
+        fixture.ask("/once/x");
+    }
+    CHECK(fixture.runs.sent.size() == 2);
+}
+
+TEST_CASE("a cut-off instance goes on with what a peer heard from the store, no longer than that held")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.confirm();
+    const core::InstanceId peer("gw-2");
+    fixture.gateway.linkUp(GatewayFixture::member("gw-2", "north"));
+    fixture.timers.advance(absl::Milliseconds(4800));
+    CHECK(fixture.ask("/keyed/x", {{"key", "bar-key"}})->status == 503);
+
+    // The peer returns a stamp of this instance, so its words are known to be younger than that.
+    gateway::Pulse pulse;
+    pulse.isReady = true;
+    pulse.sentAt = 5;
+    pulse.echo = absl::ToUnixNanos(fixture.timers.now() - absl::Milliseconds(300));
+    pulse.topics = {{gateway::Topic::Operator, 1, absl::Milliseconds(500)}};
+    fixture.gateway.received(peer, pulse);
+    CHECK(fixture.ask("/keyed/x", {{"key", "bar-key"}})->finals == 0);
+    fixture.timers.advance(absl::Milliseconds(4000));
+    CHECK(fixture.ask("/keyed/x", {{"key", "bar-key"}})->status == 503);
+}
+
+TEST_CASE("a peer's words without an echo prove nothing about their age")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.confirm();
+    fixture.gateway.linkUp(GatewayFixture::member("gw-2", "north"));
+    fixture.timers.advance(absl::Milliseconds(4800));
+    gateway::Pulse pulse;
+    pulse.topics = {{gateway::Topic::Operator, 1, absl::ZeroDuration()}};
+    fixture.gateway.received(core::InstanceId("gw-2"), pulse);
+    CHECK(fixture.ask("/keyed/x", {{"key", "bar-key"}})->status == 503);
+}
+
+TEST_CASE("a cut-off instance takes a newer deployment from a peer")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.gateway.linkUp(GatewayFixture::member("gw-2", "north"));
+    fixture.timers.advance(absl::Seconds(2));
+    gateway::Pulse pulse;
+    pulse.topics = {{gateway::Topic::Operator, 50, absl::ZeroDuration()}};
+    fixture.gateway.received(core::InstanceId("gw-2"), pulse);
+    REQUIRE(fixture.links.all<gateway::RecordsRequest>().size() == 1);
+    gateway::Deployment newer = GatewayFixture::deployment(9);
+    newer.routes.push_back(GatewayFixture::route("/new/"));
+    fixture.gateway.received(
+        core::InstanceId("gw-2"), gateway::RecordsTransfer{gateway::Topic::Operator, 50, {{"deployment", nlohmann::json(newer).dump(), 50}}});
+    CHECK(fixture.ask("/new/x")->finals == 0);
+}
+
+TEST_CASE("the directory names the nearest instances, and leaving ones before another region")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.linkRemote("gw-2", "north");
+    fixture.linkRemote("gw-9", "south");
+    const core::RegionId north("north");
+    const core::DataCentreId north1("north-1");
+    CHECK(fixture.gateway.callerAddresses(north, north1) == std::vector<std::string>{"gw-1:80", "gw-2:80"});
+    CHECK(fixture.gateway.callerAddresses(core::RegionId("south"), core::DataCentreId("south-1")) == std::vector<std::string>{"gw-9:80"});
+    fixture.gateway.drain(absl::Seconds(5));
+    gateway::Pulse leaving;
+    leaving.isReady = false;
+    fixture.gateway.received(core::InstanceId("gw-2"), leaving);
+    CHECK(fixture.gateway.callerAddresses(north, north1) == std::vector<std::string>{"gw-1:80", "gw-2:80"});
+    fixture.gateway.linkDown(core::InstanceId("gw-2"));
+    CHECK(fixture.gateway.callerAddresses(north, north1) == std::vector<std::string>{"gw-1:80"});
+}
+
+TEST_CASE("a mirror never goes back")
+{
+    core::VirtualTimerService timers;
+    gateway::RecordMirror mirror(timers);
+    mirror.replace({{"a", "new", 10}}, 12);
+    CHECK(mirror.replace({{"a", "old", 8}}, 9).empty());
+    CHECK(mirror.apply({{"a", std::string("old"), 8}}, 9).empty());
+    CHECK(mirror.find("a")->value == "new");
+    CHECK(mirror.revision() == 12);
+    CHECK(mirror.apply({{"a", std::nullopt, 13}}, 14).size() == 1);
+    CHECK(mirror.find("a") == nullptr);
+}
--- /dev/null
+++ b/tests/gateway/requestflowtest.cpp
@@ -0,0 +1,309 @@
+#include "fixture.h"
+
+using namespace snipeferry;
+using namespace snipeferry::tests;
+
+TEST_CASE("a call that must run at most once is not sent again after its connection broke")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    const std::shared_ptr<Answer> answer = fixture.ask("/once/reserve");
+    fixture.gateway.runFailed(fixture.lastRun().run, true, "no_answer");
+    CHECK(fixture.runs.sent.size() == 1);
+    CHECK(answer->status == 502);
+    CHECK(answer->finals == 1);
+}
+
+TEST_CASE("a call of which no byte left goes to another backend server")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    const std::shared_ptr<Answer> answer = fixture.ask("/once/reserve");
+    const core::BackendServerId first = fixture.lastRun().server;
+    fixture.gateway.runFailed(fixture.lastRun().run, false, "connect_failed");
+    REQUIRE(fixture.runs.sent.size() == 2);
+    CHECK(fixture.lastRun().server != first);
+    fixture.succeed("done");
+    CHECK(answer->status == 200);
+    CHECK(answer->body == "done");
+}
+
+TEST_CASE("what every backend server refused is refused as not run, with a time to come back")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    const std::shared_ptr<Answer> answer = fixture.ask("/once/reserve");
+    fixture.gateway.runHead(fixture.lastRun().run, {503, {{"not-run", "1"}}});
+    fixture.gateway.runHead(fixture.lastRun().run, {503, {{"not-run", "1"}}});
+    CHECK(fixture.runs.sent.size() == 2);
+    CHECK(answer->status == 503);
+    REQUIRE(answer->error.has_value());
+    CHECK(answer->error->ranState == core::RanState::NotRun);
+    CHECK(answer->error->retryAfter.has_value());
+}
+
+TEST_CASE("a backend server's refusal that does not state that nothing ran promises nothing to the caller")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    const int status = GENERATE(503, 429, 408);
+    const std::shared_ptr<Answer> answer = fixture.ask("/once/reserve");
+    fixture.gateway.runHead(fixture.lastRun().run, {status, {{"receipt", "x"}}});
+    CHECK(answer->status == 502);
+    CHECK(fixture.runs.sent.size() == 1);
+}
+
+TEST_CASE("an idempotent call that failed runs once more, within the route's attempts")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    const std::shared_ptr<Answer> answer = fixture.ask("/any/stock");
+    fixture.gateway.runHead(fixture.lastRun().run, {500, {{"receipt", "x"}}});
+    REQUIRE(fixture.runs.sent.size() == 2);
+    const gateway::Number second = fixture.lastRun().run;
+    fixture.gateway.runHead(second, {500, {{"receipt", "x"}}});
+    fixture.gateway.runData(second, "failed");
+    fixture.gateway.runEnd(second);
+    CHECK(fixture.runs.sent.size() == 2);
+    CHECK(answer->status == 500);
+    CHECK(answer->body == "failed");
+}
+
+TEST_CASE("a success without a receipt is no answer")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    const std::shared_ptr<Answer> answer = fixture.ask("/once/reserve");
+    fixture.gateway.runHead(fixture.lastRun().run, {200, {}});
+    CHECK(answer->status == 502);
+}
+
+TEST_CASE("an interrupted stream goes on behind its last whole event, without a gap or a repeat")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    const std::shared_ptr<Answer> answer = fixture.ask("/resume/plan");
+    const gateway::Number first = fixture.lastRun().run;
+    fixture.gateway.runHead(first, {200, {{"receipt", "first"}}});
+    fixture.gateway.runData(first, "id: 1\ndata: a\n\nid: 2\nda");
+    fixture.gateway.runFailed(first, true, "answer_broken_off");
+    REQUIRE(fixture.runs.sent.size() == 2);
+    CHECK(FakeHeaders::value(fixture.lastRun().request.headers, "resume") == "1");
+    const gateway::Number second = fixture.lastRun().run;
+    fixture.gateway.runHead(second, {200, {{"receipt", "second"}}});
+    fixture.gateway.runData(second, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    fixture.gateway.runEnd(second);
+    CHECK(answer->body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    CHECK(answer->isComplete);
+    CHECK(answer->finals == 1);
+}
+
+TEST_CASE("a stream that may not be resumed breaks off and never looks complete")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    const std::shared_ptr<Answer> answer = fixture.ask("/stream/answer");
+    const gateway::Number run = fixture.lastRun().run;
+    fixture.gateway.runHead(run, {200, {{"receipt", "x"}}});
+    fixture.gateway.runData(run, "id: 1\ndata: a\n\n");
+    fixture.gateway.runFailed(run, true, "answer_broken_off");
+    CHECK(answer->isBrokenOff);
+    CHECK_FALSE(answer->isComplete);
+    CHECK(fixture.runs.sent.size() == 1);
+}
+
+TEST_CASE("work ends at the backend server when the caller leaves")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.ask("/once/reserve");
+    fixture.gateway.requests().callerLeft(fixture.lastRequest);
+    CHECK(fixture.runs.cancelled == std::vector<gateway::Number>{fixture.lastRun().run});
+    CHECK(fixture.gateway.openCount() == 0);
+}
+
+TEST_CASE("a request is answered at its route's time limit, and its run ends")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    const std::shared_ptr<Answer> answer = fixture.ask("/once/reserve");
+    fixture.timers.advance(absl::Milliseconds(10'100));
+    CHECK(answer->status == 504);
+    CHECK(fixture.runs.cancelled.size() == 1);
+}
+
+TEST_CASE("a repeatable run that is silent is given up for another one")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.ask("/any/stock");
+    const core::BackendServerId first = fixture.lastRun().server;
+    fixture.timers.advance(absl::Milliseconds(1700));
+    REQUIRE(fixture.runs.sent.size() == 2);
+    CHECK(fixture.runs.cancelled.size() == 1);
+    CHECK(fixture.lastRun().server != first);
+}
+
+TEST_CASE("a run that must happen at most once is not given up for its silence")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.ask("/once/reserve");
+    fixture.timers.advance(absl::Seconds(9));
+    CHECK(fixture.runs.sent.size() == 1);
+    CHECK(fixture.runs.cancelled.empty());
+}
+
+TEST_CASE("a key counts only while the deployment is confirmed, and open routes go on without")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.confirm();
+    CHECK(fixture.ask("/keyed/x", {{"key", "bar-key"}})->finals == 0);
+    fixture.timers.advance(absl::Milliseconds(4800));
+    const std::shared_ptr<Answer> late = fixture.ask("/keyed/x", {{"key", "bar-key"}});
+    CHECK(late->status == 503);
+    CHECK(fixture.ask("/once/x")->finals == 0);
+}
+
+TEST_CASE("a suspended instance checks a key's age before it sends anything")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.confirm();
+    fixture.timers.freeze(absl::Seconds(20));
+    CHECK(fixture.ask("/keyed/x", {{"key", "bar-key"}})->status == 503);
+    CHECK(fixture.runs.sent.empty());
+}
+
+TEST_CASE("an unknown key or route is refused for good only by a fresh deployment")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.confirm();
+    CHECK(fixture.ask("/keyed/x", {{"key", "other"}})->status == 401);
+    CHECK(fixture.ask("/nowhere/")->status == 404);
+    fixture.timers.advance(absl::Seconds(3));
+    CHECK(fixture.ask("/keyed/x", {{"key", "other"}})->status == 503);
+    CHECK(fixture.ask("/nowhere/")->status == 503);
+}
+
+TEST_CASE("the backend server learns the customer of the key")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.confirm();
+    fixture.ask("/keyed/x", {{"key", "bar-key"}});
+    CHECK(FakeHeaders::value(fixture.lastRun().request.headers, "customer") == "bar");
+}
+
+TEST_CASE("a request with a home elsewhere is forwarded there, or refused without a run")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    const std::shared_ptr<Answer> refused = fixture.ask("/south/x");
+    CHECK(refused->status == 503);
+    fixture.linkRemote("gw-9", "south");
+    fixture.ask("/south/x");
+    CHECK(fixture.runs.sent.empty());
+    REQUIRE(fixture.links.all<gateway::ForwardRequest>().size() == 1);
+}
+
+TEST_CASE("the answer of a forwarded request passes whole, and a lost piece breaks it off")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.linkRemote("gw-9", "south");
+    const std::shared_ptr<Answer> answer = fixture.ask("/south/x");
+    const core::InstanceId peer("gw-9");
+    const gateway::Number number = fixture.links.all<gateway::ForwardRequest>().front().number;
+    fixture.gateway.received(peer, gateway::ForwardHead{number, {200, {{"receipt", "x"}}}});
+    SECTION("whole")
+    {
+        fixture.gateway.received(peer, gateway::ForwardData{number, 0, "one "});
+        fixture.gateway.received(peer, gateway::ForwardData{number, 1, "two"});
+        fixture.gateway.received(peer, gateway::ForwardEnd{number, 2});
+        CHECK(answer->body == "one two");
+    }
+    SECTION("piece lost")
+    {
+        fixture.gateway.received(peer, gateway::ForwardData{number, 1, "two"});
+        CHECK(answer->status == 502);
+    }
+    SECTION("answer of another instance")
+    {
+        fixture.gateway.received(core::InstanceId("gw-8"), gateway::ForwardEnd{number, 0});
+        CHECK(answer->finals == 0);
+    }
+    SECTION("link lost")
+    {
+        fixture.gateway.linkDown(peer);
+        CHECK(answer->status == 502);
+    }
+}
+
+TEST_CASE("a forwarded request runs here or is refused; it is never sent on")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.linkRemote("gw-9", "south");
+    fixture.links.sent.clear();
+    gateway::ForwardRequest forward;
+    forward.number = 7;
+    forward.service = core::ServiceId("booking");
+    forward.timeLeft = absl::Seconds(2);
+    SECTION("runs here")
+    {
+        fixture.gateway.received(core::InstanceId("gw-9"), forward);
+        CHECK(fixture.runs.sent.size() == 1);
+    }
+    SECTION("region not permitted")
+    {
+        forward.homeRegions = {core::RegionId("south")};
+        fixture.gateway.received(core::InstanceId("gw-9"), forward);
+        CHECK(fixture.runs.sent.empty());
+        REQUIRE(fixture.links.all<gateway::ForwardFailed>().size() == 1);
+        CHECK_FALSE(fixture.links.all<gateway::ForwardFailed>().front().mayHaveRun);
+    }
+    SECTION("no backend server")
+    {
+        fixture.withdraw("s1");
+        fixture.withdraw("s2");
+        fixture.gateway.received(core::InstanceId("gw-9"), forward);
+        CHECK(fixture.links.all<gateway::ForwardRequest>().empty());
+        REQUIRE(fixture.links.all<gateway::ForwardFailed>().size() == 1);
+    }
+    SECTION("the origin cancels")
+    {
+        fixture.gateway.received(core::InstanceId("gw-9"), forward);
+        fixture.gateway.received(core::InstanceId("gw-9"), gateway::ForwardCancel{7});
+        CHECK(fixture.runs.cancelled.size() == 1);
+    }
+}
+
+TEST_CASE("a leaving instance serves callers until the directory's answers are old, then sends them to others")
+{
+    // Pattern: instances of a region stop one after the other, two seconds apart, while streams of five seconds run.
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.gateway.drain(absl::Seconds(7));
+    CHECK_FALSE(fixture.gateway.isReady());
+    CHECK(fixture.ask("/once/x")->finals == 0);
+    fixture.timers.advance(absl::Seconds(3));
+    fixture.confirm();
+    SECTION("others of the region take callers")
+    {
+        fixture.linkRemote("gw-2", "north");
+        const std::shared_ptr<Answer> answer = fixture.ask("/once/x");
+        CHECK(answer->status == 503);
+        CHECK(answer->error->kind == core::ErrorKind::InstanceDraining);
+    }
+    SECTION("the last of its region refuses only what it could not finish")
+    {
+        CHECK(fixture.ask("/once/x")->status == 503);
+        gateway::Deployment quick = GatewayFixture::deployment(2);
+        quick.routes.front().timeout = absl::Seconds(2);
+        fixture.deploy(quick);
+        CHECK(fixture.ask("/once/x")->finals == 0);
+    }
+}
--- /dev/null
+++ b/tests/net/backendpooltest.cpp
@@ -0,0 +1,206 @@
+#include "scriptedserver.h"
+#include "snipeferry/net/backendpool.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <catch2/catch.hpp>
+
+using namespace snipeferry;
+using namespace snipeferry::tests;
+
+namespace {
+
+/** What one run reported. */
+class Recorder : public gateway::RunEvents
+{
+public:
+    explicit Recorder(net::EventLoop &loop)
+        : m_loop(loop)
+    {
+    }
+
+    void runHead(gateway::Number /*run*/, const gateway::HttpHead &head) override
+    {
+        statuses.push_back(head.status);
+    }
+
+    void runData(gateway::Number /*run*/, const std::string &data) override
+    {
+        body += data;
+    }
+
+    void runEnd(gateway::Number /*run*/) override
+    {
+        ++ends;
+        m_loop.stop();
+    }
+
+    void runFailed(gateway::Number /*run*/, bool mayHaveRunNow, const std::string & /*reason*/) override
+    {
+        ++failures;
+        mayHaveRun = mayHaveRunNow;
+        m_loop.stop();
+    }
+
+    std::vector<int> statuses;
+    std::string body;
+    int ends = 0;
+    int failures = 0;
+    bool mayHaveRun = false;
+
+private:
+    net::EventLoop &m_loop;
+};
+
+struct PoolFixture
+{
+    explicit PoolFixture(ScriptedServer::Script script)
+        : server(loop, std::move(script)),
+          pool(loop, {}, [](const gateway::HttpHead &head) {
+              for (const gateway::Header &header : head.headers) {
+                  if (header.name == "Id") {
+                      return core::RequestId(header.value);
+                  }
+              }
+              return core::RequestId();
+          })
+    {
+        pool.setEvents(recorder);
+    }
+
+    /** Sends one request and runs the loop until it has ended. */
+    void send(const std::string &id, bool mayReuse = true)
+    {
+        gateway::BackendServer target;
+        target.id = core::BackendServerId("s");
+        target.address = address.empty() ? server.address() : address;
+        pool.start(++run, target, {"POST", "/x", {}, "body"}, core::RequestId(id), mayReuse);
+        turn(absl::Seconds(5));
+    }
+
+    /** Runs the loop until a run has ended, or for some time. */
+    void turn(absl::Duration time)
+    {
+        loop.resume();
+        const core::Subscription limit = loop.timers().after(time, [this] { loop.stop(); });
+        loop.run();
+    }
+
+    net::EventLoop loop;
+    Recorder recorder{loop};
+    std::string address;
+    ScriptedServer server;
+    net::BackendPool pool;
+    gateway::Number run = 0;
+};
+
+std::string whole(const std::string &id, const std::string &body, const std::string &headers = "")
+{
+    return absl::StrCat("HTTP/1.1 200 OK\r\nId: ", id, "\r\n", headers, "Content-Length: ", body.size(), "\r\n\r\n", body);
+}
+
+} // namespace
+
+TEST_CASE("connections are used again after a whole answer")
+{
+    PoolFixture fixture([](int request, const std::shared_ptr<ScriptedServer::Socket> &socket, const std::string & /*read*/) {
+        ScriptedServer::send(socket, whole(absl::StrCat("r", request), "answer"));
+    });
+    fixture.send("r1");
+    fixture.send("r2");
+    CHECK(fixture.recorder.ends == 2);
+    CHECK(fixture.recorder.body == "answeranswer");
+    CHECK(fixture.server.connections == 1);
+}
+
+TEST_CASE("an answer to an earlier request belongs to nobody")
+{
+    PoolFixture fixture([](int /*request*/, const std::shared_ptr<ScriptedServer::Socket> &socket, const std::string & /*read*/) {
+        ScriptedServer::send(socket, whole("r0", "foreign") + whole("r1", "own"));
+    });
+    fixture.send("r1");
+    CHECK(fixture.recorder.ends == 1);
+    CHECK(fixture.recorder.body == "own");
+}
+
+TEST_CASE("bytes behind an answer end the connection")
+{
+    PoolFixture fixture([](int request, const std::shared_ptr<ScriptedServer::Socket> &socket, const std::string & /*read*/) {
+        ScriptedServer::send(socket, whole(absl::StrCat("r", request), "own") + whole("r1", "again"));
+    });
+    fixture.send("r1");
+    fixture.send("r1");
+    CHECK(fixture.recorder.body == "ownown");
+    CHECK(fixture.server.connections == 2);
+}
+
+TEST_CASE("an answer that breaks off is no answer, whatever its framing")
+{
+    const std::string bytes = GENERATE(std::string("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"),
+        std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"),
+        std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"),
+        std::string("HTTP/1.1 200"),
+        std::string("no answer at all\r\n\r\n"),
+        std::string());
+    PoolFixture fixture([bytes](int /*request*/, const std::shared_ptr<ScriptedServer::Socket> &socket, const std::string & /*read*/) {
+        ScriptedServer::send(socket, bytes);
+        boost::system::error_code ignored;
+        socket->shutdown(ScriptedServer::Socket::shutdown_both, ignored);
+    });
+    fixture.send("r1");
+    CHECK(fixture.recorder.ends == 0);
+    CHECK(fixture.recorder.failures == 1);
+    CHECK(fixture.recorder.mayHaveRun);
+}
+
+TEST_CASE("an answer without a length ends with its connection, and a reset is no end")
+{
+    const bool isReset = GENERATE(true, false);
+    PoolFixture fixture([isReset](int /*request*/, const std::shared_ptr<ScriptedServer::Socket> &socket, const std::string & /*read*/) {
+        ScriptedServer::send(socket, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nall of it");
+        boost::system::error_code ignored;
+        if (isReset) {
+            socket->set_option(boost::asio::socket_base::linger(true, 0), ignored);
+            socket->close(ignored);
+        } else {
+            socket->shutdown(ScriptedServer::Socket::shutdown_send, ignored);
+        }
+    });
+    fixture.send("r1");
+    CHECK(fixture.recorder.ends == (isReset ? 0 : 1));
+    CHECK(fixture.recorder.failures == (isReset ? 1 : 0));
+}
+
+TEST_CASE("a server that cannot be reached has certainly not run the request")
+{
+    PoolFixture fixture([](int, const std::shared_ptr<ScriptedServer::Socket> &, const std::string &) {});
+    fixture.address = "127.0.0.1:1";
+    fixture.send("r1");
+    CHECK(fixture.recorder.failures == 1);
+    CHECK_FALSE(fixture.recorder.mayHaveRun);
+}
+
+TEST_CASE("a cancelled run closes its connection at once and reports nothing more")
+{
+    PoolFixture fixture([](int, const std::shared_ptr<ScriptedServer::Socket> &, const std::string &) {});
+    fixture.loop.timers();
+    const core::Subscription cancel = fixture.loop.timers().after(absl::Milliseconds(50), [&] { fixture.pool.cancel(1); });
+    const core::Subscription stop = fixture.loop.timers().after(absl::Milliseconds(150), [&] { fixture.loop.stop(); });
+    fixture.send("r1");
+    CHECK(fixture.server.closed == 1);
+    CHECK(fixture.recorder.failures + fixture.recorder.ends == 0);
+}
+
+TEST_CASE("a connection that a server closed while idle is not used again")
+{
+    PoolFixture fixture([](int /*request*/, const std::shared_ptr<ScriptedServer::Socket> &socket, const std::string & /*read*/) {
+        ScriptedServer::send(socket, whole("", "answer"));
+        boost::system::error_code ignored;
+        socket->shutdown(ScriptedServer::Socket::shutdown_send, ignored);
+    });
+    fixture.send("r1");
+    fixture.turn(absl::Milliseconds(100));
+    fixture.send("r2");
+    CHECK(fixture.recorder.ends == 2);
+    CHECK(fixture.server.connections == 2);
+}
--- /dev/null
+++ b/tests/platform-adapter/adaptertest.cpp
@@ -0,0 +1,228 @@
+#include "directorycodec.h"
+#include "headercodec.h"
+#include "recordcodec.h"
+#include "storeformat.h"
+
+#include <absl/strings/escaping.h>
+#include <absl/strings/str_cat.h>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace snipeferry;
+
+namespace {
+
+const fleetplatform::HeaderCodec HEADERS;
+const fleetplatform::RecordCodec RECORDS;
+const fleetplatform::StoreFormat STORE;
+const fleetplatform::DirectoryCodec DIRECTORY;
+
+gateway::HttpRequest planRequest()
+{
+    return {"POST",
+        "/plans/1",
+        {{"Host", "ficu95.example:80"},
+            {"Attempt-Id", "9c41"},
+            {"Model", "m"},
+            {"Token-Counts", "1460,80"},
+            {"Prompt-Prefix", "5c1e:800,91bd:410,e440:250"},
+            {"Deadline-Ms", "10000"},
+            {"Api-Key", "secret"},
+            {"Tenant", "someone"},
+            {"hold", "h"},
+            {"Pin-Ms", "5"},
+            {"Kv-From", "x"},
+            {"Kv-Backup", "y"},
+            {"Request-Priority", "0"},
+            {"Expect-Instance", "i-1"},
+            {"Last-Event-Id", "12"},
+            {"X-Other", "kept"}},
+        "prompt"};
+}
+
+bool has(const gateway::Headers &headers, const std::string &name, const std::string &value)
+{
+    return std::find(headers.begin(), headers.end(), gateway::Header{name, value}) != headers.end();
+}
+
+int countOf(const gateway::Headers &headers, const std::string &name)
+{
+    return static_cast<int>(std::count_if(headers.begin(), headers.end(), [&](const gateway::Header &header) { return header.name == name; }));
+}
+
+gateway::RecordChange put(const std::string &key, const std::string &value)
+{
+    return {key, value, 1};
+}
+
+const char *const CONFIG = R"({"version":7,"routes":[
+ {"name":"r1","host":"h","prefix":"/a/","kind":"streaming","timeoutMs":3000,"targetLatencyMs":800,"priority":0,"service":"s1","maxAttempts":1,
+  "public":false,"sticky":true,"resumable":false,"gapAimMs":800,"homeRegions":["bajio"]},
+ {"name":"r2","host":"h","prefix":"/b/","kind":"idempotent","timeoutMs":10000,"targetLatencyMs":1200,"priority":1,
+  "trafficSplit":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"maxAttempts":2,"public":true,"homeRegions":[]}],
+ "services":[{"name":"s1","healthPath":"/health","maxConns":370,"coldS":3.0,"coldPerS":2.0,"engine":{"slots":64}},
+  {"name":"s2","healthPath":"/health","maxConns":110,"coldS":0.0,"coldPerS":0.0}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+ "tenants":[{"name":"t","apiKeys":["k1","k2"],"priority":1,"unit":"tokens","plainTokens":200,"ratePerS":507642,"burst":1000,"homeRegions":[]}]})";
+
+const char *const SERVER = R"({"service":"s1","address":"10.0.0.9:80","zone":"z","version":"v1","slots":64,"state":"ready","coldLeftMs":250,"callSeq":4,"born":17})";
+
+} // namespace
+
+TEST_CASE("a request is decoded, and what only the system may set does not pass")
+{
+    const core::Expected<gateway::CallerRequest> request = HEADERS.decodeRequest(planRequest());
+    REQUIRE(request);
+    CHECK(request->id == core::RequestId("9c41"));
+    CHECK(request->host == "ficu95.example");
+    CHECK(request->timeLimit == absl::Seconds(10));
+    CHECK(request->promptTokens == 1460);
+    CHECK(request->outputTokens == 80);
+    CHECK(request->promptParts.size() == 3);
+    CHECK(request->lastEventId == "12");
+    CHECK(request->keyDigest.find("secret") == std::string::npos);
+    for (const char *taken : {"Api-Key", "Tenant", "hold", "Pin-Ms", "Kv-From", "Kv-Backup", "Request-Priority", "Expect-Instance", "Deadline-Ms"}) {
+        CHECK(countOf(request->http.headers, taken) == 0);
+    }
+    for (const char *kept : {"Attempt-Id", "Model", "Token-Counts", "Prompt-Prefix", "X-Other"}) {
+        CHECK(countOf(request->http.headers, kept) == 1);
+    }
+}
+
+TEST_CASE("a run carries what is left of the time, its runner and its tenant, each once")
+{
+    gateway::HttpRequest request = HEADERS.decodeRequest(planRequest())->http;
+    HEADERS.encodeRun(request, {core::BackendServerId("i-7"), core::CustomerId("t"), absl::Milliseconds(1500), 12, "12"});
+    CHECK(has(request.headers, "Expect-Instance", "i-7"));
+    CHECK(has(request.headers, "Tenant", "t"));
+    CHECK(has(request.headers, "Deadline-Ms", "1500"));
+    CHECK(has(request.headers, "Request-Priority", "9"));
+    CHECK(has(request.headers, "Last-Event-Id", "12"));
+    CHECK(countOf(request.headers, "Tenant") == 1);
+}
+
+TEST_CASE("a request without an identifier is none")
+{
+    CHECK_FALSE(HEADERS.decodeRequest({"GET", "/", {{"Host", "h"}}, ""}));
+}
+
+TEST_CASE("an answer's head tells whether the run happened")
+{
+    CHECK(HEADERS.decodeAnswer({503, {{"Not-Executed", "1"}}}).isNotRun);
+    CHECK_FALSE(HEADERS.decodeAnswer({503, {}}).isNotRun);
+    CHECK(HEADERS.decodeAnswer({421, {}}).isWrongServer);
+    CHECK(HEADERS.decodeAnswer({200, {{"server-seal", "x"}}}).hasReceipt);
+    CHECK(HEADERS.decodeAnswer({200, {{"Runner-Load", "3,1,8"}}}).running == 3);
+    CHECK(HEADERS.decodeAnswer({200, {{"Runner-Load", "3,x,8"}}}).running == -1);
+}
+
+TEST_CASE("a refusal says when to come back")
+{
+    const gateway::Headers headers = HEADERS.answerHeaders(core::RequestId("9c41"), core::makeError(core::ErrorKind::Overloaded, "full", absl::Milliseconds(250)));
+    CHECK(has(headers, "Retry-After", "0.25"));
+    CHECK(has(headers, "Attempt-Id", "9c41"));
+}
+
+TEST_CASE("the operator's deployment is decoded into the gateway's types")
+{
+    const core::Expected<gateway::OperatorRecord> record = RECORDS.decodeOperator(put("op/config", CONFIG));
+    REQUIRE(record);
+    REQUIRE(record->deployment.has_value());
+    const gateway::Deployment &deployment = *record->deployment;
+    CHECK(deployment.version == 7);
+    CHECK(deployment.routes[0].isStream);
+    CHECK(deployment.routes[0].repeatRule == gateway::RepeatRule::AtMostOnce);
+    CHECK(deployment.routes[0].homeRegions == std::vector<core::RegionId>{core::RegionId("bajio")});
+    CHECK(deployment.routes[1].repeatRule == gateway::RepeatRule::Idempotent);
+    CHECK(deployment.routes[1].services == std::vector<gateway::WeightedService>{{core::ServiceId("s1"), 90}, {core::ServiceId("s2"), 10}});
+    CHECK(deployment.routes[1].isOpen);
+    CHECK(deployment.services[0].isModelEngine);
+    CHECK_FALSE(deployment.services[1].isModelEngine);
+    CHECK(deployment.customers[0].countsTokens);
+    CHECK(deployment.customers[0].keyDigests.size() == 2);
+    CHECK(deployment.limits.idleTimeout == absl::Seconds(15));
+}
+
+TEST_CASE("records that are not the operator's own form are errors, not empty values")
+{
+    CHECK_FALSE(RECORDS.decodeOperator(put("op/config", "{}")));
+    CHECK_FALSE(RECORDS.decodeOperator(put("op/config", "\xff")));
+    CHECK_FALSE(RECORDS.decodeOperator(put("op/rollout/s1", "[]")));
+    CHECK(RECORDS.decodeOperator(put("op/evacuate/z", "{}"))->dataCentre == core::DataCentreId("z"));
+    CHECK(RECORDS.decodeOperator(put("op/unknown", "?"))->kind == gateway::OperatorRecord::Kind::Other);
+}
+
+TEST_CASE("a runner's announcement is decoded, and one from another writer names none")
+{
+    const core::Expected<gateway::BackendServer> server = RECORDS.decodeBackendServer("servers/i-7", SERVER);
+    REQUIRE(server);
+    CHECK(server->id == core::BackendServerId("i-7"));
+    CHECK(server->coldLeft == absl::Milliseconds(250));
+    CHECK(server->startedAtMs == 17);
+    const std::string good(SERVER);
+    const std::vector<std::pair<std::string, std::string>> faults = {{"\"ready\"", "\"resting\""},
+        {"\"slots\":64", "\"slots\":\"64\""},
+        {"\"slots\":64", "\"slots\":0"},
+        {"\"coldLeftMs\":250", "\"coldLeftMs\":null"},
+        {"\"callSeq\":4", "\"callSeq\":4.5"},
+        {"\"service\":\"s1\",", ""},
+        {"\"born\":17", "\"born\":1.5"}};
+    for (const std::pair<std::string, std::string> &fault : faults) {
+        std::string bad = good;
+        bad.replace(bad.find(fault.first), fault.first.size(), fault.second);
+        INFO(bad);
+        CHECK_FALSE(RECORDS.decodeBackendServer("servers/i-7", bad));
+    }
+    CHECK_FALSE(RECORDS.decodeBackendServer("servers/i-7", std::string("\xff\xfe\x00", 3)));
+}
+
+TEST_CASE("an instance's announcement comes back as it was written")
+{
+    const gateway::Member member{core::InstanceId("front-1"), 9, core::DataCentreId("z"), core::RegionId("r"), "1.1.1.1:80", "1.1.1.1:90"};
+    CHECK(RECORDS.decodeMember(RECORDS.encodeMember(member)).value() == member);
+    CHECK_FALSE(RECORDS.decodeMember("{}"));
+}
+
+TEST_CASE("the store's calls are spelled as its page says")
+{
+    CHECK(STORE.readPage(gateway::Topic::BackendServers, "").target == "/api/kv-range?prefix=servers/");
+    CHECK(STORE.readPage(gateway::Topic::BackendServers, "servers/a b").target == "/api/kv-range?prefix=servers/&after=servers/a%20b");
+    CHECK(STORE.awaitChanges(gateway::Topic::Operator, 411, absl::Seconds(2)).target == "/api/kv-watch?prefix=op/&after=411&waitMs=2000");
+    CHECK(STORE.openLease(absl::Seconds(3)).body == R"({"ttlMs":3000})");
+    CHECK(STORE.renewLease({"77", {}}).target == "/api/kv-keep/77");
+    CHECK(STORE.endLease({"77", {}}).method == "DELETE");
+    CHECK(STORE.writeRecord({"k", "node-1", 0}, {"77", {}}).body
+        == R"({"expectRev":[],"puts":[{"key":"k","lease":77,"value":"bm9kZS0x"}],"remove":[]})");
+}
+
+TEST_CASE("the store's answers are decoded, and anything else is an error")
+{
+    const core::Expected<net::RecordPage> page = STORE.decodePage(R"({"items":[{"key":"k","value":"bm9kZS0x","rev":4}],"morePages":true,"asOf":9})");
+    REQUIRE(page);
+    CHECK(page->records.front().value == "node-1");
+    CHECK(page->hasMore);
+    const core::Expected<net::ChangePage> changes
+        = STORE.decodeChanges(R"({"events":[{"key":"k","value":"bm9kZS0x","rev":4},{"key":"o","rev":5,"tombstone":true}],"asOf":5})");
+    REQUIRE(changes);
+    CHECK(changes->changes[0].value == std::string("node-1"));
+    CHECK_FALSE(changes->changes[1].value.has_value());
+    CHECK(STORE.decodeLease(R"({"lease":77120,"ttlMs":3000})")->id == "77120");
+    for (const char *bad : {"", "{}", "[]", "\xff", R"({"events":[{"key":"k","rev":4}],"asOf":5})", R"({"items":[{"key":"k","value":"?","rev":1}],"asOf":1})"}) {
+        CHECK_FALSE(STORE.decodePage(bad));
+        CHECK_FALSE(STORE.decodeChanges(bad));
+        CHECK_FALSE(STORE.decodeLease(bad));
+    }
+}
+
+TEST_CASE("directory and readiness calls are told apart")
+{
+    const std::optional<net::PlaceQuery> query = DIRECTORY.decodePlaceQuery({"GET", "/api/resolve?name=h&region=bajio&zone=bajio-1", {}, ""});
+    REQUIRE(query.has_value());
+    CHECK(query->region == core::RegionId("bajio"));
+    CHECK(query->dataCentre == core::DataCentreId("bajio-1"));
+    CHECK_FALSE(DIRECTORY.decodePlaceQuery({"POST", "/api/resolve", {}, ""}).has_value());
+    CHECK(DIRECTORY.isReadinessCall({"GET", "/api/ready", {}, ""}));
+    CHECK(DIRECTORY.encodeAddresses({"10.1.0.25:8221"}, absl::Seconds(2)) == R"({"addrs":["10.1.0.25:8221"],"ttlS":2.0})");
+}
