Gateway: count forwarded work by service, urgency and report; log the inputs of a full place

Ruled out: slow or failing backend servers of the service (describe() shows slowness and failures in the log line). Change: forwarded tokens count by service until the next pulse; rooms are told by urgency; where the homes of route and customer have no common region the refusal names no time to come back. Conclusion: test 'long streams that were forwarded do not make their region look full'.

--- a/include/snipeferry/gateway/backendtable.h
+++ b/include/snipeferry/gateway/backendtable.h
@@ -118,6 +118,9 @@
     /** @brief Whether any backend server of the service takes work. */
     bool hasServers(const core::ServiceId &service) const;
 
+    /** @brief What is known of a backend server's load and health, for the log. */
+    std::string describe(const core::BackendServerId &id) const;
+
     const BackendServer *find(const core::BackendServerId &id) const;
 
     /** @brief Versions of a service's backend servers that take work. */
@@ -125,8 +128,8 @@
 
     std::vector<core::ServiceId> services() const;
 
-    /** @brief Expected wait of a request without prompt at the least loaded backend server; infinite without any. */
-    absl::Duration leastWait(const core::ServiceId &service);
+    /** @brief Expected wait of a request without prompt at the least loaded backend server, by urgency; empty without any. */
+    std::vector<absl::Duration> leastWaits(const core::ServiceId &service) const;
 
     void started(const core::BackendServerId &id, int priority, std::int64_t unreadTokens, const std::vector<PromptPart> &parts);
     /** @brief The first event of a run came after a time. */
--- a/include/snipeferry/gateway/fleetmessages.h
+++ b/include/snipeferry/gateway/fleetmessages.h
@@ -27,10 +27,10 @@
 struct ServiceRoom
 {
     core::ServiceId service;
-    /** Expected wait at the least loaded backend server. */
-    absl::Duration wait;
+    /** Expected wait at the least loaded backend server, by urgency. */
+    std::vector<absl::Duration> waits;
 
-    SNIPEFERRY_VALUE(ServiceRoom, service, wait)
+    SNIPEFERRY_VALUE(ServiceRoom, service, waits)
 };
 
 /** What the sender knows of one topic of the store. */
--- a/include/snipeferry/gateway/fleetview.h
+++ b/include/snipeferry/gateway/fleetview.h
@@ -12,6 +12,17 @@
 
 namespace snipeferry::gateway {
 
+/** What a choice of another region has to fit. */
+struct RemoteQuery
+{
+    core::ServiceId service;
+    int priority = 5;
+    std::int64_t promptTokens = 0;
+    /** Empty for all regions. */
+    std::vector<core::RegionId> homes;
+    std::vector<core::InstanceId> excluded;
+};
+
 /** Where a request may be forwarded to. */
 struct RemoteChoice
 {
@@ -68,11 +79,10 @@
     std::vector<std::string> callerAddresses(const core::RegionId &region, const core::DataCentreId &dataCentre, bool isSelfReady) const;
 
     /** @brief The best instance of another region for a request. */
-    core::Expected<RemoteChoice> choose(const core::ServiceId &service, std::int64_t promptTokens, const std::vector<core::RegionId> &homes,
-        const std::vector<core::InstanceId> &excluded) const;
+    core::Expected<RemoteChoice> choose(const RemoteQuery &query) const;
 
-    void forwardStarted(const core::InstanceId &id, std::int64_t promptTokens);
-    void forwardEnded(const core::InstanceId &id, std::int64_t promptTokens);
+    void forwardStarted(const core::InstanceId &id, const core::ServiceId &service, std::int64_t promptTokens);
+    void forwardEnded(const core::InstanceId &id);
 
 private:
     struct Peer
@@ -86,7 +96,8 @@
         std::int64_t lastSentAt = 0;
         std::vector<ServiceRoom> rooms;
         int forwarded = 0;
-        std::int64_t forwardedTokens = 0;
+        /** Prompt tokens forwarded since the last pulse, which its rooms do not count yet. */
+        absl::flat_hash_map<core::ServiceId, std::int64_t> unreportedTokens;
     };
 
     bool isHeard(const Peer &peer) const;
--- a/source/gateway/backendtable.cpp
+++ b/source/gateway/backendtable.cpp
@@ -2,6 +2,8 @@
 
 #include "snipeferry/gateway/rendezvous.h"
 
+#include <absl/strings/str_format.h>
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -298,6 +300,18 @@
     return std::any_of(it->second.servers.begin(), it->second.servers.end(), [this](const core::BackendServerId &id) { return takesWork(m_servers.at(id)); });
 }
 
+std::string BackendTable::describe(const core::BackendServerId &id) const
+{
+    const auto it = m_servers.find(id);
+    if (it == m_servers.end()) {
+        return "gone";
+    }
+    const State &state = it->second;
+    const auto service = m_services.find(state.server.service);
+    return absl::StrFormat("running=%d peers=%d slowness=%.2f failures=%.2f run_ms=%.1f", state.running, state.peerRunning, state.slowness, state.failureShare,
+        service == m_services.end() ? 0.0 : service->second.runMs);
+}
+
 const BackendServer *BackendTable::find(const core::BackendServerId &id) const
 {
     const auto it = m_servers.find(id);
@@ -331,18 +345,22 @@
     return all;
 }
 
-absl::Duration BackendTable::leastWait(const core::ServiceId &service)
+std::vector<absl::Duration> BackendTable::leastWaits(const core::ServiceId &service) const
 {
     const auto it = m_services.find(service);
-    absl::Duration least = absl::InfiniteDuration();
+    std::vector<absl::Duration> least;
     if (it == m_services.end()) {
         return least;
     }
     const absl::Time now = m_timers.now();
     for (const core::BackendServerId &id : it->second.servers) {
         const State &state = m_servers.at(id);
-        if (takesWork(state) && state.ejectedUntil <= now && state.coldUntil <= now) {
-            least = std::min(least, estimate(state, it->second, URGENCY_LEVELS - 1, 0));
+        if (!takesWork(state) || state.ejectedUntil > now || state.coldUntil > now) {
+            continue;
+        }
+        least.resize(URGENCY_LEVELS, absl::InfiniteDuration());
+        for (int level = 0; level < URGENCY_LEVELS; ++level) {
+            least[level] = std::min(least[level], estimate(state, it->second, level, 0));
         }
     }
     return least;
--- a/source/gateway/fleetview.cpp
+++ b/source/gateway/fleetview.cpp
@@ -14,8 +14,10 @@
 constexpr absl::Duration LINK_GRACE = absl::Seconds(3);
 /** Way to another region and back, and the connection there. */
 constexpr absl::Duration REGION_ROUND_TRIP = absl::Milliseconds(125);
-/** Prompt tokens that a region reads in a millisecond for one instance's requests, for work it has not reported yet. */
-constexpr double REGION_TOKENS_PER_MS = 45.0;
+/** Prompt tokens that one backend server reads in a millisecond, until measured; see ServiceState::tokensPerMs. */
+constexpr double SERVER_TOKENS_PER_MS = 45.0;
+/** The same for the several servers of a region, for work that it has not reported yet. */
+constexpr double REGION_TOKENS_PER_MS = 120.0;
 constexpr std::size_t MAX_DIRECTORY_ENTRIES = 64;
 
 } // namespace
@@ -93,6 +95,7 @@
     peer.heardAt = m_timers.now();
     peer.isReady = pulse.isReady;
     peer.rooms = pulse.rooms;
+    peer.unreportedTokens.clear();
     peer.lastSentAt = pulse.sentAt;
     if (pulse.echo == 0) {
         return absl::InfinitePast();
@@ -209,26 +212,28 @@
     return best;
 }
 
-core::Expected<RemoteChoice> FleetView::choose(
-    const core::ServiceId &service, std::int64_t promptTokens, const std::vector<core::RegionId> &homes, const std::vector<core::InstanceId> &excluded) const
+core::Expected<RemoteChoice> FleetView::choose(const RemoteQuery &query) const
 {
     RemoteChoice best;
     int bestForwarded = 0;
+    const std::size_t level = static_cast<std::size_t>(urgencyOf(query.priority));
     for (const auto &entry : m_peers) {
         const Peer &peer = entry.second;
-        if (peer.member.region == m_self.region || !peer.isReady || !isHeard(peer) || !isHomeRegion(homes, peer.member.region)) {
+        if (peer.member.region == m_self.region || !peer.isReady || !isHeard(peer) || !isHomeRegion(query.homes, peer.member.region)) {
             continue;
         }
-        if (std::find(excluded.begin(), excluded.end(), entry.first) != excluded.end()) {
+        if (std::find(query.excluded.begin(), query.excluded.end(), entry.first) != query.excluded.end()) {
             continue;
         }
-        const auto room = std::find_if(peer.rooms.begin(), peer.rooms.end(), [&](const ServiceRoom &candidate) { return candidate.service == service; });
+        const auto room = std::find_if(
+            peer.rooms.begin(), peer.rooms.end(), [&](const ServiceRoom &candidate) { return candidate.service == query.service && candidate.waits.size() > level; });
         if (room == peer.rooms.end()) {
             continue;
         }
-        const absl::Duration unreported = absl::Milliseconds(static_cast<double>(peer.forwardedTokens) / REGION_TOKENS_PER_MS);
-        const absl::Duration wait = room->wait + REGION_ROUND_TRIP + unreported;
-        const absl::Duration estimate = wait + absl::Milliseconds(static_cast<double>(promptTokens) / REGION_TOKENS_PER_MS);
+        const auto tokens = peer.unreportedTokens.find(query.service);
+        const double unreported = tokens == peer.unreportedTokens.end() ? 0.0 : static_cast<double>(tokens->second);
+        const absl::Duration wait = room->waits[level] + REGION_ROUND_TRIP + absl::Milliseconds(unreported / REGION_TOKENS_PER_MS);
+        const absl::Duration estimate = wait + absl::Milliseconds(static_cast<double>(query.promptTokens) / SERVER_TOKENS_PER_MS);
         const bool isBetter = best.instance.isEmpty() || estimate < best.estimate || (estimate == best.estimate && peer.forwarded < bestForwarded);
         if (isBetter) {
             best = RemoteChoice{entry.first, peer.member.region, estimate, wait};
@@ -241,21 +246,20 @@
     return best;
 }
 
-void FleetView::forwardStarted(const core::InstanceId &id, std::int64_t promptTokens)
+void FleetView::forwardStarted(const core::InstanceId &id, const core::ServiceId &service, std::int64_t promptTokens)
 {
     const auto it = m_peers.find(id);
     if (it != m_peers.end()) {
         ++it->second.forwarded;
-        it->second.forwardedTokens += promptTokens;
+        it->second.unreportedTokens[service] += promptTokens;
     }
 }
 
-void FleetView::forwardEnded(const core::InstanceId &id, std::int64_t promptTokens)
+void FleetView::forwardEnded(const core::InstanceId &id)
 {
     const auto it = m_peers.find(id);
     if (it != m_peers.end()) {
         it->second.forwarded = std::max(0, it->second.forwarded - 1);
-        it->second.forwardedTokens = std::max<std::int64_t>(0, it->second.forwardedTokens - promptTokens);
     }
 }
 
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -274,9 +274,9 @@
         pulse.work = m_backends.ownWork();
     } else {
         for (const core::ServiceId &service : m_backends.services()) {
-            const absl::Duration wait = m_backends.leastWait(service);
-            if (wait < absl::InfiniteDuration()) {
-                pulse.rooms.push_back({service, wait});
+            const std::vector<absl::Duration> waits = m_backends.leastWaits(service);
+            if (!waits.empty()) {
+                pulse.rooms.push_back({service, waits});
             }
         }
     }
--- a/source/gateway/requestflow.cpp
+++ b/source/gateway/requestflow.cpp
@@ -259,17 +259,28 @@
     const bool hasNoHome = homes.empty() && !(open.route.homeRegions.empty() && open.customerHomes.empty());
     core::Expected<RemoteChoice> there = tl::make_unexpected(core::makeError(core::ErrorKind::RegionNotAllowed, "No region may run the request."));
     if (!hasNoHome) {
-        there = m_parts.fleet.choose(open.service, open.request.promptTokens, homes, open.excludedInstances);
+        there = m_parts.fleet.choose(RemoteQuery{open.service, open.priority, open.request.promptTokens, homes, open.excludedInstances});
     }
     const absl::Duration bestHere = here ? here->estimate : absl::InfiniteDuration();
     const absl::Duration bestThere = there ? there->estimate : absl::InfiniteDuration();
     const absl::Duration best = std::min(bestHere, bestThere);
+    if (hasNoHome) {
+        // The homes of route and customer have no region in common; no time to come back changes that.
+        return tl::make_unexpected(core::makeError(core::ErrorKind::NoBackendServer, "No region may run the request."));
+    }
     if (best == absl::InfiniteDuration()) {
         return tl::make_unexpected(core::makeError(core::ErrorKind::NoBackendServer, "No backend server can take the request now.", SOON));
     }
     // The time that a prompt of its own size takes is no reason to refuse it.
     const absl::Duration bestWait = bestThere < bestHere ? there->wait : here->wait;
     if (bestWait > objective * m_settings.refuseShare || best > open.deadline - m_parts.timers.now()) {
+        m_parts.journal.log(event("places_full", open)
+                                .with("service", open.service.value())
+                                .with("here_ms", here ? absl::StrCat(absl::ToInt64Milliseconds(bestHere)) : core::errorAnswer(here.error().kind).name)
+                                .with("there_ms", there ? absl::StrCat(absl::ToInt64Milliseconds(bestThere)) : core::errorAnswer(there.error().kind).name)
+                                .with("wait_ms", absl::StrCat(absl::ToInt64Milliseconds(bestWait)))
+                                .with("objective_ms", absl::StrCat(absl::ToInt64Milliseconds(objective)))
+                                .with("state", here ? m_parts.backends.describe(here->server) : std::string()));
         const absl::Duration wait = std::max(SOON, bestWait - objective);
         return tl::make_unexpected(core::makeError(core::ErrorKind::Overloaded, "Every permitted place is full.", wait));
     }
@@ -336,7 +347,7 @@
     forward.isStream = open.route.isStream;
     forward.priority = open.priority;
     forward.timeLeft = open.deadline - now;
-    m_parts.fleet.forwardStarted(choice.instance, open.request.promptTokens);
+    m_parts.fleet.forwardStarted(choice.instance, open.service, open.request.promptTokens);
     m_parts.journal.log(event("forwarded", open)
                             .with("instance", choice.instance.value())
                             .with("region", choice.region.value())
@@ -366,7 +377,7 @@
     if (!open.server.isEmpty()) {
         m_parts.backends.finished(open.server, open.priority, open.isAnswering ? 0 : open.unreadTokens, end);
     } else {
-        m_parts.fleet.forwardEnded(open.instance, open.request.promptTokens);
+        m_parts.fleet.forwardEnded(open.instance);
     }
     m_requestOfRun.erase(open.run);
     open.run = 0;
--- a/tests/gateway/fixture.h
+++ b/tests/gateway/fixture.h
@@ -382,7 +382,7 @@
         gateway::Pulse pulse;
         pulse.sentAt = 1;
         pulse.isReady = true;
-        pulse.rooms = {{core::ServiceId("booking"), absl::Milliseconds(20)}};
+        pulse.rooms = {{core::ServiceId("booking"), std::vector<absl::Duration>(gateway::URGENCY_LEVELS, absl::Milliseconds(20))}};
         gateway.received(core::InstanceId(name), pulse);
     }
 
--- a/tests/gateway/requestflowtest.cpp
+++ b/tests/gateway/requestflowtest.cpp
@@ -307,3 +307,18 @@
         CHECK(fixture.ask("/once/x")->finals == 0);
     }
 }
+
+TEST_CASE("long streams that were forwarded do not make their region look full")
+{
+    // Pattern: a customer's home is another region; its plans stream for seconds while its short calls follow.
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.linkRemote("gw-9", "south");
+    for (int plan = 0; plan < 20; ++plan) {
+        fixture.ask("/south/plan", {{"tokens", "12000"}});
+        fixture.linkRemote("gw-9", "south");
+    }
+    const std::shared_ptr<Answer> call = fixture.ask("/south/x");
+    CHECK(call->finals == 0);
+    CHECK(fixture.links.all<gateway::ForwardRequest>().size() == 21);
+}
