Gateway: one reader of each topic a data centre, and links that do not grow with the square of the fleet

Ruled out: longer watches (a silent connection is noticed only at their end). Change: one instance of each data centre, by rendezvous of the live ones, follows a topic and tells the region; pulses confirm it with a bound from the echo; from 1.9 s without confirmation the others read for themselves. Three chosen links to each data centre of another region. Pulses in a region grow rarer with its size.

--- a/include/snipeferry/gateway/fleetmessages.h
+++ b/include/snipeferry/gateway/fleetmessages.h
@@ -89,6 +89,18 @@
     SNIPEFERRY_VALUE(RecordsTransfer, topic, revision, records)
 };
 
+/** Changes of a topic that the sender has read; the receiver needs all before them. */
+struct RecordsUpdate
+{
+    Topic topic = Topic::Operator;
+    /** Revision of the sender before the changes. */
+    core::Revision after = 0;
+    core::Revision revision = 0;
+    std::vector<RecordChange> changes;
+
+    SNIPEFERRY_VALUE(RecordsUpdate, topic, after, revision, changes)
+};
+
 /** Sends a request to an instance of another region, which runs it there or refuses it; it is never sent on. */
 struct ForwardRequest
 {
@@ -153,6 +165,6 @@
 
 /** A new message goes to the end of the list; its place is its number on the wire. */
 using FleetMessage = std::variant<Greeting, Pulse, AllowanceTransfer, RecordsRequest, RecordsTransfer, ForwardRequest, ForwardHead, ForwardData, ForwardEnd,
-    ForwardFailed, ForwardCancel>;
+    ForwardFailed, ForwardCancel, RecordsUpdate>;
 
 } // namespace snipeferry::gateway
--- a/include/snipeferry/gateway/fleetview.h
+++ b/include/snipeferry/gateway/fleetview.h
@@ -57,11 +57,18 @@
     /** @brief Fields of a pulse to a peer that belong to the link. */
     Pulse startPulse(const core::InstanceId &to) const;
 
-    /** @brief Announced members other than this one. */
-    std::vector<Member> announced() const;
+    /**
+     * @brief Members to which links are kept: all of this region, and of each other data centre some.
+     *
+     * Both ends of a link choose alike, so that neither keeps one that the other does not want.
+     */
+    std::vector<Member> wanted() const;
     std::vector<core::InstanceId> linked() const;
     bool isInOwnRegion(const core::InstanceId &id) const;
 
+    /** @brief Live instances of this data centre, this one included. */
+    std::vector<core::InstanceId> dataCentreInstances() const;
+
     /** @brief Live instances of this region, this one included. */
     std::vector<core::InstanceId> regionInstances() const;
 
@@ -100,6 +107,7 @@
         absl::flat_hash_map<core::ServiceId, std::int64_t> unreportedTokens;
     };
 
+    bool isWanted(const Member &member) const;
     bool isHeard(const Peer &peer) const;
     bool mayBeAlive(const Peer &peer) const;
 
--- a/include/snipeferry/gateway/gateway.h
+++ b/include/snipeferry/gateway/gateway.h
@@ -73,6 +73,14 @@
     /** @brief Revision behind which a topic's changes are of interest; 0 if it was never read. */
     core::Revision revision(Topic topic) const;
 
+    /**
+     * @brief Whether this instance should follow a topic at the store itself.
+     *
+     * One instance of each data centre follows a topic and tells the others. Who that is follows from the live instances
+     * alone; where its news stay away, the others read for themselves.
+     */
+    bool shouldFollow(Topic topic) const;
+
     /** @brief Whether a topic's copy holds a record. */
     bool hasRecord(Topic topic, const std::string &key) const;
 
@@ -110,7 +118,9 @@
     void removeHeldServers();
     void confirm(Topic topic, absl::Time at);
     void updateInstances();
+    void pulseRegion();
     void sendPulses(bool isToRegion);
+    void tellRegion(Topic topic, core::Revision after, core::Revision revision, const std::vector<RecordChange> &changes);
     Pulse pulseFor(const core::InstanceId &peer, bool isToRegion);
 
     void handle(const core::InstanceId &from, const Greeting &message);
@@ -118,6 +128,7 @@
     void handle(const core::InstanceId &from, const AllowanceTransfer &message);
     void handle(const core::InstanceId &from, const RecordsRequest &message);
     void handle(const core::InstanceId &from, const RecordsTransfer &message);
+    void handle(const core::InstanceId &from, const RecordsUpdate &message);
     void handle(const core::InstanceId &from, const ForwardRequest &message);
     void handle(const core::InstanceId &from, const ForwardHead &message);
     void handle(const core::InstanceId &from, const ForwardData &message);
@@ -144,6 +155,7 @@
     core::Signal<MembersChanged> m_membersChanged;
     core::Signal<LimitsChanged> m_limitsChanged;
     core::Subscription m_regionPulse;
+    absl::Time m_regionPulsedAt = absl::InfinitePast();
     core::Subscription m_distantPulse;
     core::Subscription m_holdTimer;
 };
--- a/include/snipeferry/net/eventloop.h
+++ b/include/snipeferry/net/eventloop.h
@@ -15,6 +15,7 @@
 public:
     boost::asio::io_context &context();
     core::TimerService &timers();
+    const core::TimerService &timers() const;
 
     /** @brief Runs until stop(). */
     void run();
--- a/include/snipeferry/net/storeclient.h
+++ b/include/snipeferry/net/storeclient.h
@@ -32,7 +32,7 @@
 class StoreClient
 {
 public:
-    StoreClient(EventLoop &loop, StoreClientSettings settings, const StoreFormat &format, gateway::Gateway &gateway, gateway::Journal &journal);
+    StoreClient(EventLoop &loop, const StoreClientSettings &settings, const StoreFormat &format, gateway::Gateway &gateway, gateway::Journal &journal);
     ~StoreClient();
 
     /** @brief Starts to follow the topics and to announce this instance under a record. */
--- a/source/gateway/fleetview.cpp
+++ b/source/gateway/fleetview.cpp
@@ -1,5 +1,6 @@
 #include "snipeferry/gateway/fleetview.h"
 
+#include "snipeferry/gateway/rendezvous.h"
 #include "snipeferry/gateway/routetable.h"
 
 #include <algorithm>
@@ -19,6 +20,8 @@
 /** The same for the several servers of a region, for work that it has not reported yet. */
 constexpr double REGION_TOKENS_PER_MS = 120.0;
 constexpr std::size_t MAX_DIRECTORY_ENTRIES = 64;
+/** Links that an instance chooses to each data centre of another region; three outlast the loss of one and a restart beside it. */
+constexpr int LINKS_TO_DATA_CENTRE = 3;
 
 } // namespace
 
@@ -112,11 +115,35 @@
     return pulse;
 }
 
-std::vector<Member> FleetView::announced() const
+bool FleetView::isWanted(const Member &member) const
+{
+    if (member.region == m_self.region) {
+        return true;
+    }
+    // Count the data centre's members that either end ranks before the other one.
+    const auto isChosen = [this](const Member &chooser, const Member &chosen) {
+        const double weight = rendezvousWeight(chooser.id.value(), chosen.id.value());
+        int before = 0;
+        const auto countIfBefore = [&](const Member &other) {
+            const bool isRival = other.dataCentre == chosen.dataCentre && other.id != chosen.id;
+            before += isRival && rendezvousWeight(chooser.id.value(), other.id.value()) > weight ? 1 : 0;
+        };
+        countIfBefore(m_self);
+        for (const auto &entry : m_peers) {
+            if (entry.second.isAnnounced) {
+                countIfBefore(entry.second.member);
+            }
+        }
+        return before < LINKS_TO_DATA_CENTRE;
+    };
+    return isChosen(m_self, member) || isChosen(member, m_self);
+}
+
+std::vector<Member> FleetView::wanted() const
 {
     std::vector<Member> all;
     for (const auto &entry : m_peers) {
-        if (entry.second.isAnnounced) {
+        if (entry.second.isAnnounced && isWanted(entry.second.member)) {
             all.push_back(entry.second.member);
         }
     }
@@ -147,7 +174,20 @@
 
 bool FleetView::mayBeAlive(const Peer &peer) const
 {
-    return isHeard(peer) || (!peer.isLinked && peer.isAnnounced && m_timers.now() - peer.announcedAt < LINK_GRACE);
+    // Without a link of its own, an instance of another region is judged by its lease.
+    const bool isYoung = m_timers.now() - peer.announcedAt < LINK_GRACE;
+    return isHeard(peer) || (!peer.isLinked && peer.isAnnounced && (isYoung || !isWanted(peer.member)));
+}
+
+std::vector<core::InstanceId> FleetView::dataCentreInstances() const
+{
+    std::vector<core::InstanceId> all{m_self.id};
+    for (const auto &entry : m_peers) {
+        if (entry.second.member.dataCentre == m_self.dataCentre && isHeard(entry.second)) {
+            all.push_back(entry.first);
+        }
+    }
+    return all;
 }
 
 std::vector<core::InstanceId> FleetView::regionInstances() const
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -1,5 +1,7 @@
 #include "snipeferry/gateway/gateway.h"
 
+#include "snipeferry/gateway/rendezvous.h"
+
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -16,6 +18,14 @@
 constexpr absl::Duration HOLD_CHECK_PERIOD = absl::Milliseconds(200);
 /** Age of an own confirmation from which records of other instances are of use. */
 constexpr absl::Duration STALE_CONFIRMATION = absl::Milliseconds(1800);
+/**
+ * Age of a topic's confirmation from which an instance reads for itself, by topic. The reader confirms the operator's topic
+ * every second and pulses follow within another; a change has to be in force within three seconds.
+ */
+constexpr std::array<absl::Duration, TOPIC_COUNT> FOLLOW_LIMITS = {absl::Milliseconds(1900), absl::Milliseconds(3000), absl::Milliseconds(6000)};
+/** Region pulses of all instances together stay at this distance for each receiver. */
+constexpr absl::Duration PULSE_PERIOD_PER_INSTANCE = absl::Milliseconds(25);
+constexpr absl::Duration LONGEST_REGION_PULSE = absl::Milliseconds(800);
 /** A deployment this old cannot vouch for keys; the instance then sends callers elsewhere. Under the withdrawal time. */
 constexpr double READY_SHARE_OF_WITHDRAWAL = 0.85;
 
@@ -31,7 +41,7 @@
       m_repeats(m_settings.repeats, ports.timers),
       m_flow(m_settings.flow, FlowParts{ports.timers, m_backends, m_fleet, m_allowances, m_repeats, ports.headers, ports.runs, ports.links, ports.journal}),
       m_desk(ports.timers, m_backends, m_fleet, ports.headers, ports.runs, ports.links, ports.journal),
-      m_regionPulse(ports.timers.every(m_settings.regionPulsePeriod, [this] { sendPulses(true); })),
+      m_regionPulse(ports.timers.every(m_settings.regionPulsePeriod, [this] { pulseRegion(); })),
       m_distantPulse(ports.timers.every(m_settings.distantPulsePeriod, [this] { sendPulses(false); })),
       m_holdTimer(ports.timers.every(HOLD_CHECK_PERIOD, [this] { removeHeldServers(); }))
 {
@@ -55,6 +65,29 @@
     return mirror(topic).isLoaded() ? mirror(topic).revision() : 0;
 }
 
+bool Gateway::shouldFollow(Topic topic) const
+{
+    const RecordMirror &own = mirror(topic);
+    if (!own.isLoaded() || m_ports.timers.now() - own.confirmedAt() > FOLLOW_LIMITS[static_cast<std::size_t>(topic)]) {
+        return true;
+    }
+    // Each topic has a reader of its own, so that the work is spread.
+    const std::string key = absl::StrCat("topic-", static_cast<int>(topic));
+    return rendezvousFirst(key, m_fleet.dataCentreInstances()) == m_settings.self.id;
+}
+
+void Gateway::tellRegion(Topic topic, core::Revision after, core::Revision revision, const std::vector<RecordChange> &changes)
+{
+    if (changes.empty()) {
+        return;
+    }
+    for (const core::InstanceId &peer : m_fleet.linked()) {
+        if (m_fleet.isInOwnRegion(peer)) {
+            m_ports.links.send(peer, RecordsUpdate{topic, after, revision, changes});
+        }
+    }
+}
+
 bool Gateway::hasRecord(Topic topic, const std::string &key) const
 {
     return mirror(topic).find(key) != nullptr;
@@ -73,8 +106,11 @@
 
 void Gateway::topicChanged(Topic topic, const std::vector<RecordChange> &changes, core::Revision revision, absl::Time confirmedAt)
 {
-    take(topic, mirror(topic).apply(changes, revision));
+    const core::Revision after = mirror(topic).revision();
+    const std::vector<RecordChange> news = mirror(topic).apply(changes, revision);
+    take(topic, news);
     confirm(topic, confirmedAt);
+    tellRegion(topic, after, revision, news);
 }
 
 void Gateway::confirm(Topic topic, absl::Time at)
@@ -115,7 +151,7 @@
     }
     if (topic == Topic::Members && !changes.empty()) {
         updateInstances();
-        m_membersChanged.emit(MembersChanged{m_fleet.announced()});
+        m_membersChanged.emit(MembersChanged{m_fleet.wanted()});
     }
 }
 
@@ -284,6 +320,18 @@
     return pulse;
 }
 
+void Gateway::pulseRegion()
+{
+    // In a large region pulses are rarer, so that their number for each instance stays the same.
+    const absl::Time now = m_ports.timers.now();
+    const absl::Duration period = std::clamp(PULSE_PERIOD_PER_INSTANCE * m_fleet.regionInstances().size(), m_settings.regionPulsePeriod, LONGEST_REGION_PULSE);
+    if (now - m_regionPulsedAt < period - m_settings.regionPulsePeriod / 2) {
+        return;
+    }
+    m_regionPulsedAt = now;
+    sendPulses(true);
+}
+
 void Gateway::sendPulses(bool isToRegion)
 {
     const std::vector<ReadPart> readParts = isToRegion ? m_backends.takeReadParts() : std::vector<ReadPart>();
@@ -365,6 +413,21 @@
     take(message.topic, changes);
 }
 
+void Gateway::handle(const core::InstanceId &from, const RecordsUpdate &message)
+{
+    const auto index = static_cast<std::size_t>(message.topic);
+    if (index >= m_mirrors.size()) {
+        return;
+    }
+    RecordMirror &own = m_mirrors[index];
+    if (!own.isLoaded() || own.revision() < message.after) {
+        // Something before these changes is missing here.
+        m_ports.links.send(from, RecordsRequest{message.topic, own.changeRevision()});
+        return;
+    }
+    take(message.topic, own.apply(message.changes, message.revision));
+}
+
 void Gateway::handle(const core::InstanceId &from, const ForwardRequest &message)
 {
     m_desk.handle(from, message);
--- a/source/gateway/requestflow.cpp
+++ b/source/gateway/requestflow.cpp
@@ -169,11 +169,11 @@
     open.deadline = open.arrivedAt + std::min(route->timeout, open.request.timeLimit);
     open.events = EventStream(open.request.lastEventId);
 
-    const core::Expected<void> identified = identify(open);
+    core::Expected<void> identified = identify(open);
     if (!identified) {
         return identified;
     }
-    const core::Expected<void> stays = checkDrain(open);
+    core::Expected<void> stays = checkDrain(open);
     if (!stays) {
         return stays;
     }
@@ -196,7 +196,7 @@
     }
 
     // Charge the customer last, so that what is refused for other reasons costs nothing.
-    const core::Expected<void> reserved = m_parts.allowances.reserve(open.customer, open.cost);
+    core::Expected<void> reserved = m_parts.allowances.reserve(open.customer, open.cost);
     if (!reserved) {
         return reserved;
     }
--- a/source/net/eventloop.cpp
+++ b/source/net/eventloop.cpp
@@ -24,6 +24,11 @@
     return m_timers;
 }
 
+const core::TimerService &EventLoop::timers() const
+{
+    return m_timers;
+}
+
 void EventLoop::run()
 {
     while (!m_isStopped) {
--- a/source/net/gatewayprocess.cpp
+++ b/source/net/gatewayprocess.cpp
@@ -130,7 +130,7 @@
 
 core::Expected<void> GatewayProcess::run()
 {
-    const core::Expected<void> listening = listen();
+    core::Expected<void> listening = listen();
     if (!listening) {
         return listening;
     }
--- a/source/net/peerlinks.cpp
+++ b/source/net/peerlinks.cpp
@@ -34,13 +34,13 @@
     using type = LinkConfig;
     struct transport_config : public Base::transport_config // NOLINT(readability-identifier-naming): name fixed by the library
     {
-        static constexpr long timeout_connect = CONNECT_TIMEOUT_MS;
-        static constexpr long timeout_open_handshake = CONNECT_TIMEOUT_MS;
-        static constexpr long timeout_close_handshake = CONNECT_TIMEOUT_MS;
+        static constexpr long timeout_connect = CONNECT_TIMEOUT_MS; // NOLINT(readability-identifier-naming): name fixed by the library
+        static constexpr long timeout_open_handshake = CONNECT_TIMEOUT_MS; // NOLINT(readability-identifier-naming): name fixed by the library
+        static constexpr long timeout_close_handshake = CONNECT_TIMEOUT_MS; // NOLINT(readability-identifier-naming): name fixed by the library
     };
     using transport_type = websocketpp::transport::asio::endpoint<transport_config>;
-    static constexpr std::size_t connection_read_buffer_size = READ_BUFFER_BYTES;
-    static constexpr std::size_t max_message_size = MAX_FRAME_BYTES;
+    static constexpr std::size_t connection_read_buffer_size = READ_BUFFER_BYTES; // NOLINT(readability-identifier-naming): name fixed by the library
+    static constexpr std::size_t max_message_size = MAX_FRAME_BYTES; // NOLINT(readability-identifier-naming): name fixed by the library
 };
 
 using Server = websocketpp::server<LinkConfig<websocketpp::config::asio>>;
--- a/source/net/storeclient.cpp
+++ b/source/net/storeclient.cpp
@@ -14,6 +14,10 @@
 constexpr absl::Duration FIRST_PAUSE = absl::Milliseconds(100);
 constexpr absl::Duration LONGEST_PAUSE = absl::Milliseconds(800);
 constexpr absl::Duration READ_TIMEOUT = absl::Milliseconds(2500);
+/** An instance that lets another one follow a topic looks this often whether it is still so. */
+constexpr absl::Duration TURN_CHECK_PERIOD = absl::Milliseconds(200);
+/** Way to the store and back, to another region at most. */
+constexpr absl::Duration ON_TIME = absl::Milliseconds(200);
 constexpr int HTTP_OK = 200;
 constexpr int HTTP_NOT_FOUND = 404;
 constexpr int HTTP_GONE = 410;
@@ -111,6 +115,10 @@
 
     void watch()
     {
+        if (!m_gateway.shouldFollow(m_topic)) {
+            m_pause = m_loop.timers().after(TURN_CHECK_PERIOD, [self = shared_from_this()] { self->watch(); });
+            return;
+        }
         m_journal.count("store_calls_total", "watch", 1);
         m_startedAt = m_loop.timers().now();
         m_caller->call(m_format.awaitChanges(m_topic, m_gateway.revision(m_topic), m_wait), m_wait + m_answerTimeout,
@@ -134,11 +142,21 @@
             return;
         }
         m_backoff.reset();
-        // The store answered after the call arrived there, so what it says held when the call was made or later.
-        m_gateway.topicChanged(m_topic, page->changes, page->revision, m_startedAt);
+        m_gateway.topicChanged(m_topic, page->changes, page->revision, confirmedAt(*page));
         watch();
     }
 
+    /**
+     * When the store surely held what it answered: at the call, since it answered after that arrived. An answer without
+     * changes comes at the end of the wait; one that came just then, and no later, was not held up on its way.
+     */
+    absl::Time confirmedAt(const ChangePage &page) const
+    {
+        const absl::Duration elapsed = m_loop.timers().now() - m_startedAt;
+        const bool isOnTime = elapsed >= m_wait && elapsed < m_wait + ON_TIME;
+        return page.changes.empty() && isOnTime ? m_startedAt + m_wait : m_startedAt;
+    }
+
     void failed(const core::Expected<CallAnswer> &answer, std::function<void()> again)
     {
         const std::string reason = answer ? absl::StrCat("status_", answer->status) : answer.error().message;
@@ -300,7 +318,7 @@
     core::Subscription m_pause;
 };
 
-StoreClient::StoreClient(EventLoop &loop, StoreClientSettings settings, const StoreFormat &format, gateway::Gateway &gateway, gateway::Journal &journal)
+StoreClient::StoreClient(EventLoop &loop, const StoreClientSettings &settings, const StoreFormat &format, gateway::Gateway &gateway, gateway::Journal &journal)
 {
     const std::array<absl::Duration, gateway::TOPIC_COUNT> waits = {settings.operatorWait, settings.backendServerWait, settings.memberWait};
     for (int index = 0; index < gateway::TOPIC_COUNT; ++index) {
--- a/tests/gateway/gatewaytest.cpp
+++ b/tests/gateway/gatewaytest.cpp
@@ -165,3 +165,70 @@
     CHECK(mirror.apply({{"a", std::nullopt, 13}}, 14).size() == 1);
     CHECK(mirror.find("a") == nullptr);
 }
+
+TEST_CASE("one instance of a data centre follows each topic, and another when its news stay away")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.confirm();
+    REQUIRE(fixture.gateway.shouldFollow(gateway::Topic::Operator));
+    // With many others of the data centre, the reader of a topic is mostly one of them.
+    for (int index = 2; index < 40; ++index) {
+        fixture.linkRemote(absl::StrCat("gw-", index), "north");
+    }
+    fixture.confirm();
+    fixture.gateway.topicChanged(gateway::Topic::BackendServers, {}, fixture.revision, fixture.timers.now());
+    fixture.gateway.topicChanged(gateway::Topic::Members, {}, fixture.revision, fixture.timers.now());
+    int followed = 0;
+    for (int topic = 0; topic < gateway::TOPIC_COUNT; ++topic) {
+        followed += fixture.gateway.shouldFollow(static_cast<gateway::Topic>(topic)) ? 1 : 0;
+    }
+    CHECK(followed <= 1);
+    fixture.timers.advance(absl::Milliseconds(2000));
+    CHECK(fixture.gateway.shouldFollow(gateway::Topic::Operator));
+}
+
+TEST_CASE("changes told by the reader are taken at once, and a gap before them is filled first")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    const core::InstanceId reader("gw-2");
+    fixture.linkRemote("gw-2", "north");
+    gateway::Deployment newer = GatewayFixture::deployment(9);
+    newer.routes.push_back(GatewayFixture::route("/new/"));
+    const core::Revision known = fixture.gateway.revision(gateway::Topic::Operator);
+    const std::vector<gateway::RecordChange> changes{{"deployment", nlohmann::json(newer).dump(), known + 8}};
+    fixture.gateway.received(reader, gateway::RecordsUpdate{gateway::Topic::Operator, known + 5, known + 8, changes});
+    CHECK(fixture.ask("/new/x")->finals == 1);
+    CHECK(fixture.links.all<gateway::RecordsRequest>().size() == 1);
+    fixture.gateway.received(reader, gateway::RecordsUpdate{gateway::Topic::Operator, known, known + 8, changes});
+    CHECK(fixture.ask("/new/x")->finals == 0);
+}
+
+TEST_CASE("a large fleet keeps some links to each other data centre, and both ends choose alike")
+{
+    core::VirtualTimerService timers;
+    std::vector<gateway::Member> members;
+    for (const char *region : {"north", "south"}) {
+        for (int index = 0; index < 13; ++index) {
+            members.push_back(GatewayFixture::member(absl::StrCat(region, index), region));
+        }
+    }
+    std::map<core::InstanceId, std::vector<core::InstanceId>> wanted;
+    for (const gateway::Member &self : members) {
+        gateway::FleetView view(self, timers);
+        for (const gateway::Member &member : members) {
+            view.announceMember(member);
+        }
+        for (const gateway::Member &member : view.wanted()) {
+            wanted[self.id].push_back(member.id);
+        }
+        CHECK(wanted[self.id].size() >= 12 + 3);
+        CHECK(wanted[self.id].size() < 25);
+    }
+    for (const auto &entry : wanted) {
+        for (const core::InstanceId &other : entry.second) {
+            CHECK(std::count(wanted[other].begin(), wanted[other].end(), entry.first) == 1);
+        }
+    }
+}
