Gateway: of many backend servers compare some

Ruled out: more frequent pulses (bytes and processor grow with the square of the region). Change: beyond eight backend servers a request compares those that have its shared part, three of its rendezvous order and three at random.

--- a/include/snipeferry/gateway/backendtable.h
+++ b/include/snipeferry/gateway/backendtable.h
@@ -8,6 +8,7 @@
 #include <absl/container/flat_hash_set.h>
 
 #include <array>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -172,6 +173,8 @@
         double failureShare = 0.0;
     };
 
+    /** Backend servers that a request is compared at; of many only some, so that instances with old news do not all choose the same. */
+    std::vector<core::BackendServerId> candidates(const ServiceState &service, const ServerQuery &query, const std::string &affinity);
     bool takesWork(const State &state) const;
     bool mayStartCold(State &state, absl::Time now);
     std::int64_t unreadAhead(const State &state, int level) const;
@@ -185,6 +188,7 @@
 
     core::InstanceId m_self;
     core::TimerService &m_timers;
+    std::mt19937_64 m_random;
     absl::flat_hash_map<core::BackendServerId, State> m_servers;
     absl::flat_hash_map<core::ServiceId, ServiceState> m_services;
     absl::flat_hash_map<core::ServiceId, Service> m_rules;
--- a/source/gateway/backendtable.cpp
+++ b/source/gateway/backendtable.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <utility>
 
 namespace snipeferry::gateway {
@@ -28,6 +29,11 @@
 constexpr absl::Duration LONGEST_EJECTION = absl::Seconds(6);
 constexpr double SMOOTHING = 0.1;
 constexpr double SERVICE_SMOOTHING = 0.02;
+/** Up to this many backend servers are all compared. */
+constexpr std::size_t MAX_COMPARED = 8;
+/** Of more, this many from the front of the rendezvous order, and this many at random. */
+constexpr int RANKED_COMPARED = 3;
+constexpr int RANDOM_COMPARED = 3;
 /** Expected times within this much of each other count as equal. */
 constexpr double SIMILAR_MS = 40.0;
 /** Weight of the failure share in the expected time. */
@@ -42,7 +48,8 @@
 
 BackendTable::BackendTable(core::InstanceId self, core::TimerService &timers)
     : m_self(std::move(self)),
-      m_timers(timers)
+      m_timers(timers),
+      m_random(std::hash<std::string>{}(m_self.value()))
 {
 }
 
@@ -235,6 +242,43 @@
     return absl::Milliseconds(ms * state.slowness * (1.0 + FAILURE_WEIGHT * ownFailures));
 }
 
+std::vector<core::BackendServerId> BackendTable::candidates(const ServiceState &service, const ServerQuery &query, const std::string &affinity)
+{
+    const absl::Time now = m_timers.now();
+    std::vector<core::BackendServerId> fit;
+    for (const core::BackendServerId &id : service.servers) {
+        State &candidate = m_servers.at(id);
+        const bool hasVersion = query.version.isEmpty() || candidate.server.version == query.version;
+        const bool isExcluded = std::find(query.excluded.begin(), query.excluded.end(), id) != query.excluded.end();
+        if (takesWork(candidate) && hasVersion && !isExcluded && mayStartCold(candidate, now)) {
+            fit.push_back(id);
+        }
+    }
+    if (fit.size() <= MAX_COMPARED) {
+        return fit;
+    }
+    // Those that have the prompt's shared part, the first in its rendezvous order, and some at random.
+    std::vector<std::pair<double, core::BackendServerId>> ranked;
+    std::vector<core::BackendServerId> some;
+    for (const core::BackendServerId &id : fit) {
+        if (!affinity.empty() && m_servers.at(id).readParts.contains(affinity)) {
+            some.push_back(id);
+        }
+        ranked.emplace_back(affinity.empty() ? 0.0 : rendezvousWeight(affinity, id.value()), id);
+    }
+    if (!affinity.empty()) {
+        std::partial_sort(ranked.begin(), ranked.begin() + RANKED_COMPARED, ranked.end(), std::greater<>());
+        for (int place = 0; place < RANKED_COMPARED; ++place) {
+            some.push_back(ranked[static_cast<std::size_t>(place)].second);
+        }
+    }
+    std::uniform_int_distribution<std::size_t> draw(0, fit.size() - 1);
+    for (int drawn = 0; drawn < RANDOM_COMPARED; ++drawn) {
+        some.push_back(fit[draw(m_random)]);
+    }
+    return some;
+}
+
 core::Expected<ServerChoice> BackendTable::choose(const ServerQuery &query)
 {
     const absl::Time now = m_timers.now();
@@ -255,14 +299,8 @@
     double bestCost = 0;
     double bestWeight = 0;
     ServerChoice ejected;
-    for (const core::BackendServerId &id : service->second.servers) {
-        State &candidate = m_servers.at(id);
-        if (!takesWork(candidate) || (!query.version.isEmpty() && candidate.server.version != query.version)) {
-            continue;
-        }
-        if (std::find(query.excluded.begin(), query.excluded.end(), id) != query.excluded.end() || !mayStartCold(candidate, now)) {
-            continue;
-        }
+    for (const core::BackendServerId &id : candidates(service->second, query, affinity)) {
+        const State &candidate = m_servers.at(id);
         const std::int64_t unread = std::max<std::int64_t>(0, query.promptTokens - cachedTokens(candidate, query));
         const absl::Duration time = estimate(candidate, service->second, level, unread);
         if (candidate.ejectedUntil > now) {
--- a/tests/gateway/limitstest.cpp
+++ b/tests/gateway/limitstest.cpp
@@ -293,3 +293,28 @@
         CHECK(stream.eventCount() == 3);
     }
 }
+
+TEST_CASE("many instances with old news of each other do not all choose the same backend server")
+{
+    // Pattern: 24 instances before 64 backend servers; one of these looks idle to all of them for half a second.
+    core::VirtualTimerService timers;
+    std::map<core::BackendServerId, int> chosen;
+    for (int instance = 0; instance < 24; ++instance) {
+        gateway::BackendTable table(core::InstanceId(absl::StrCat("gw-", instance)), timers);
+        table.configure({engineService()});
+        for (int index = 0; index < 64; ++index) {
+            table.announce(engine(absl::StrCat("s", index)));
+            if (index > 0) {
+                table.started(core::BackendServerId(absl::StrCat("s", index)), 0, 20'000, {});
+            }
+        }
+        for (int request = 0; request < 10; ++request) {
+            const core::Expected<gateway::ServerChoice> choice = table.choose(planQuery(absl::StrCat(instance, "-", request)));
+            REQUIRE(choice);
+            table.started(choice->server, 0, 12'000, {});
+            ++chosen[choice->server];
+        }
+    }
+    CHECK(chosen[core::BackendServerId("s0")] < 60);
+    CHECK(chosen.size() > 40);
+}
