Note a failed try: a penalty of 3 s for a backend server's share of failures

Tried: 3,000 ms for a certain failure in the choice's cost. Ruled out with it: that the choice is the means; the new load test ('fails part of its requests') already held without it and stays. Conclusion: reverted.

--- a/source/gateway/fleetview.cpp
+++ b/source/gateway/fleetview.cpp
@@ -265,8 +265,8 @@
         if (std::find(query.excluded.begin(), query.excluded.end(), entry.first) != query.excluded.end()) {
             continue;
         }
-        const auto room = std::find_if(
-            peer.rooms.begin(), peer.rooms.end(), [&](const ServiceRoom &candidate) { return candidate.service == query.service && candidate.waits.size() > level; });
+        const auto room = std::find_if(peer.rooms.begin(), peer.rooms.end(),
+            [&](const ServiceRoom &candidate) { return candidate.service == query.service && candidate.waits.size() > level; });
         if (room == peer.rooms.end()) {
             continue;
         }
--- a/tests/gateway/fixture.h
+++ b/tests/gateway/fixture.h
@@ -5,7 +5,6 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
-
 #include <catch2/catch.hpp>
 
 #include <map>
--- a/tests/gateway/limitstest.cpp
+++ b/tests/gateway/limitstest.cpp
@@ -1,11 +1,10 @@
 #include "snipeferry/gateway/allowancebook.h"
 #include "snipeferry/gateway/backendtable.h"
 #include "snipeferry/gateway/eventstream.h"
-#include "snipeferry/gateway/repeatbudget.h"
 #include "snipeferry/gateway/rendezvous.h"
+#include "snipeferry/gateway/repeatbudget.h"
 
 #include <absl/strings/str_cat.h>
-
 #include <catch2/catch.hpp>
 
 #include <deque>
@@ -211,7 +210,8 @@
         table->announce(engine("s1"));
         table->announce(engine("s2"));
     }
-    const core::BackendServerId other = mine.choose(planQuery("venue"))->server == core::BackendServerId("s1") ? core::BackendServerId("s2") : core::BackendServerId("s1");
+    const core::BackendServerId other
+        = mine.choose(planQuery("venue"))->server == core::BackendServerId("s1") ? core::BackendServerId("s2") : core::BackendServerId("s1");
     theirs.started(other, 0, 0, planQuery("venue").promptParts);
     mine.notePeerParts(theirs.takeReadParts());
     CHECK(mine.choose(planQuery("venue"))->server == other);
@@ -318,3 +318,27 @@
     CHECK(chosen[core::BackendServerId("s0")] < 60);
     CHECK(chosen.size() > 40);
 }
+
+TEST_CASE("a backend server that fails part of its requests gets few while others are sound")
+{
+    // Pattern: one of six engines fails 45 of 100 requests at once, with good health, and holds part of the shared prompts.
+    core::VirtualTimerService timers;
+    gateway::BackendTable table(core::InstanceId("gw-1"), timers);
+    table.configure({engineService()});
+    for (int index = 0; index < 6; ++index) {
+        table.announce(engine(absl::StrCat("s", index)));
+    }
+    const core::BackendServerId bad("s0");
+    int atBad = 0;
+    for (int request = 0; request < 1200; ++request) {
+        timers.advance(absl::Milliseconds(20));
+        const gateway::ServerQuery query = planQuery(absl::StrCat("subject-", request % 83));
+        const gateway::ServerChoice choice = *table.choose(query);
+        table.started(choice.server, 0, choice.unreadTokens, query.promptParts);
+        table.answered(choice.server, 0, choice.unreadTokens, absl::Milliseconds(250));
+        const bool hasFailed = choice.server == bad && request % 9 < 4;
+        table.finished(choice.server, 0, 0, hasFailed ? gateway::RunEnd::ServerError : gateway::RunEnd::Success);
+        atBad += choice.server == bad ? 1 : 0;
+    }
+    CHECK(atBad < 60);
+}
--- a/tests/net/backendpooltest.cpp
+++ b/tests/net/backendpooltest.cpp
@@ -1,8 +1,8 @@
-#include "scriptedserver.h"
 #include "snipeferry/net/backendpool.h"
 
-#include <absl/strings/str_cat.h>
+#include "scriptedserver.h"
 
+#include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 
 using namespace snipeferry;
@@ -138,9 +138,7 @@
 {
     const std::string bytes = GENERATE(std::string("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"),
         std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"),
-        std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"),
-        std::string("HTTP/1.1 200"),
-        std::string("no answer at all\r\n\r\n"),
+        std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"), std::string("HTTP/1.1 200"), std::string("no answer at all\r\n\r\n"),
         std::string());
     PoolFixture fixture([bytes](int /*request*/, const std::shared_ptr<ScriptedServer::Socket> &socket, const std::string & /*read*/) {
         ScriptedServer::send(socket, bytes);
--- a/tests/platform-adapter/adaptertest.cpp
+++ b/tests/platform-adapter/adaptertest.cpp
@@ -5,7 +5,6 @@
 
 #include <absl/strings/escaping.h>
 #include <absl/strings/str_cat.h>
-
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -21,24 +20,10 @@
 
 gateway::HttpRequest planRequest()
 {
-    return {"POST",
-        "/plans/1",
-        {{"Host", "ficu95.example:80"},
-            {"Attempt-Id", "9c41"},
-            {"Model", "m"},
-            {"Token-Counts", "1460,80"},
-            {"Prompt-Prefix", "5c1e:800,91bd:410,e440:250"},
-            {"Deadline-Ms", "10000"},
-            {"Api-Key", "secret"},
-            {"Tenant", "someone"},
-            {"hold", "h"},
-            {"Pin-Ms", "5"},
-            {"Kv-From", "x"},
-            {"Kv-Backup", "y"},
-            {"Request-Priority", "0"},
-            {"Expect-Instance", "i-1"},
-            {"Last-Event-Id", "12"},
-            {"X-Other", "kept"}},
+    return {"POST", "/plans/1",
+        {{"Host", "ficu95.example:80"}, {"Attempt-Id", "9c41"}, {"Model", "m"}, {"Token-Counts", "1460,80"}, {"Prompt-Prefix", "5c1e:800,91bd:410,e440:250"},
+            {"Deadline-Ms", "10000"}, {"Api-Key", "secret"}, {"Tenant", "someone"}, {"hold", "h"}, {"Pin-Ms", "5"}, {"Kv-From", "x"}, {"Kv-Backup", "y"},
+            {"Request-Priority", "0"}, {"Expect-Instance", "i-1"}, {"Last-Event-Id", "12"}, {"X-Other", "kept"}},
         "prompt"};
 }
 
@@ -67,7 +52,8 @@
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
  "tenants":[{"name":"t","apiKeys":["k1","k2"],"priority":1,"unit":"tokens","plainTokens":200,"ratePerS":507642,"burst":1000,"homeRegions":[]}]})";
 
-const char *const SERVER = R"({"service":"s1","address":"10.0.0.9:80","zone":"z","version":"v1","slots":64,"state":"ready","coldLeftMs":250,"callSeq":4,"born":17})";
+const char *const SERVER
+    = R"({"service":"s1","address":"10.0.0.9:80","zone":"z","version":"v1","slots":64,"state":"ready","coldLeftMs":250,"callSeq":4,"born":17})";
 
 } // namespace
 
@@ -120,7 +106,8 @@
 
 TEST_CASE("a refusal says when to come back")
 {
-    const gateway::Headers headers = HEADERS.answerHeaders(core::RequestId("9c41"), core::makeError(core::ErrorKind::Overloaded, "full", absl::Milliseconds(250)));
+    const gateway::Headers headers
+        = HEADERS.answerHeaders(core::RequestId("9c41"), core::makeError(core::ErrorKind::Overloaded, "full", absl::Milliseconds(250)));
     CHECK(has(headers, "Retry-After", "0.25"));
     CHECK(has(headers, "Attempt-Id", "9c41"));
 }
@@ -162,13 +149,9 @@
     CHECK(server->coldLeft == absl::Milliseconds(250));
     CHECK(server->startedAtMs == 17);
     const std::string good(SERVER);
-    const std::vector<std::pair<std::string, std::string>> faults = {{"\"ready\"", "\"resting\""},
-        {"\"slots\":64", "\"slots\":\"64\""},
-        {"\"slots\":64", "\"slots\":0"},
-        {"\"coldLeftMs\":250", "\"coldLeftMs\":null"},
-        {"\"callSeq\":4", "\"callSeq\":4.5"},
-        {"\"service\":\"s1\",", ""},
-        {"\"born\":17", "\"born\":1.5"}};
+    const std::vector<std::pair<std::string, std::string>> faults
+        = {{"\"ready\"", "\"resting\""}, {"\"slots\":64", "\"slots\":\"64\""}, {"\"slots\":64", "\"slots\":0"}, {"\"coldLeftMs\":250", "\"coldLeftMs\":null"},
+            {"\"callSeq\":4", "\"callSeq\":4.5"}, {"\"service\":\"s1\",", ""}, {"\"born\":17", "\"born\":1.5"}};
     for (const std::pair<std::string, std::string> &fault : faults) {
         std::string bad = good;
         bad.replace(bad.find(fault.first), fault.first.size(), fault.second);
@@ -193,8 +176,7 @@
     CHECK(STORE.openLease(absl::Seconds(3)).body == R"({"ttlMs":3000})");
     CHECK(STORE.renewLease({"77", {}}).target == "/api/kv-keep/77");
     CHECK(STORE.endLease({"77", {}}).method == "DELETE");
-    CHECK(STORE.writeRecord({"k", "node-1", 0}, {"77", {}}).body
-        == R"({"expectRev":[],"puts":[{"key":"k","lease":77,"value":"bm9kZS0x"}],"remove":[]})");
+    CHECK(STORE.writeRecord({"k", "node-1", 0}, {"77", {}}).body == R"({"expectRev":[],"puts":[{"key":"k","lease":77,"value":"bm9kZS0x"}],"remove":[]})");
 }
 
 TEST_CASE("the store's answers are decoded, and anything else is an error")
@@ -209,7 +191,8 @@
     CHECK(changes->changes[0].value == std::string("node-1"));
     CHECK_FALSE(changes->changes[1].value.has_value());
     CHECK(STORE.decodeLease(R"({"lease":77120,"ttlMs":3000})")->id == "77120");
-    for (const char *bad : {"", "{}", "[]", "\xff", R"({"events":[{"key":"k","rev":4}],"asOf":5})", R"({"items":[{"key":"k","value":"?","rev":1}],"asOf":1})"}) {
+    for (const char *bad :
+        {"", "{}", "[]", "\xff", R"({"events":[{"key":"k","rev":4}],"asOf":5})", R"({"items":[{"key":"k","value":"?","rev":1}],"asOf":1})"}) {
         CHECK_FALSE(STORE.decodePage(bad));
         CHECK_FALSE(STORE.decodeChanges(bad));
         CHECK_FALSE(STORE.decodeLease(bad));
