Gateway: rollouts by trial, takeover and one stored decision; pulses of a region twice as often

Cause: an order to move a service was ignored, so that a new version would have got its full share at once. Ruled out: the product's rollout book (its stages are fenced records of the old platform client); a share that grows step by step (a fault that shows late would pass the bound of a tenth). Change: the new version gets 3 in 100 until 0.94 of the time limit and takes over only if its answers were as good as the old one's on each route, at all instances together; anyone reverts at once; the first decision stored under the order's own key stands. Pulses in a region: 12 ms an instance in place of 25.

--- a/include/snipeferry/gateway/backendtable.h
+++ b/include/snipeferry/gateway/backendtable.h
@@ -46,6 +46,8 @@
     core::ServiceId service;
     /** Empty for any version. */
     core::VersionId version;
+    /** A version that the request may not go to, or empty. */
+    core::VersionId excludedVersion;
     int priority = 5;
     std::int64_t promptTokens = 0;
     std::vector<PromptPart> promptParts;
--- a/include/snipeferry/gateway/fleetmessages.h
+++ b/include/snipeferry/gateway/fleetmessages.h
@@ -5,6 +5,7 @@
 #include "snipeferry/gateway/message.h"
 #include "snipeferry/gateway/model.h"
 #include "snipeferry/gateway/records.h"
+#include "snipeferry/gateway/rolloutguard.h"
 
 #include <string>
 #include <variant>
@@ -59,8 +60,9 @@
     std::vector<ServerWork> work;
     std::vector<ReadPart> readParts;
     std::vector<AllowanceReport> allowances;
+    std::vector<RolloutReport> rollouts;
 
-    SNIPEFERRY_VALUE(Pulse, sentAt, echo, isReady, topics, rooms, work, readParts, allowances)
+    SNIPEFERRY_VALUE(Pulse, sentAt, echo, isReady, topics, rooms, work, readParts, allowances, rollouts)
 };
 
 struct AllowanceTransfer
@@ -108,7 +110,9 @@
     std::uint64_t number = 0;
     CallerRequest request;
     core::ServiceId service;
+    std::string route;
     core::VersionId version;
+    core::VersionId excludedVersion;
     core::CustomerId customer;
     std::vector<core::RegionId> homeRegions;
     bool isRepeatable = false;
@@ -117,7 +121,8 @@
     /** Time left until the request's final answer is due. */
     absl::Duration timeLeft;
 
-    SNIPEFERRY_VALUE(ForwardRequest, number, request, service, version, customer, homeRegions, isRepeatable, isStream, priority, timeLeft)
+    SNIPEFERRY_VALUE(
+        ForwardRequest, number, request, service, route, version, excludedVersion, customer, homeRegions, isRepeatable, isStream, priority, timeLeft)
 };
 
 struct ForwardHead
--- a/include/snipeferry/gateway/forwarddesk.h
+++ b/include/snipeferry/gateway/forwarddesk.h
@@ -3,6 +3,7 @@
 #include "snipeferry/gateway/backendtable.h"
 #include "snipeferry/gateway/fleetview.h"
 #include "snipeferry/gateway/ports.h"
+#include "snipeferry/gateway/rolloutguard.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -19,8 +20,8 @@
 class ForwardDesk : public RunEvents
 {
 public:
-    ForwardDesk(core::TimerService &timers, BackendTable &backends, FleetView &fleet, const HeaderCodec &headers, RunTransport &runs, FleetLinks &links,
-        Journal &journal);
+    ForwardDesk(core::TimerService &timers, BackendTable &backends, FleetView &fleet, RolloutGuard &rollouts, const HeaderCodec &headers, RunTransport &runs,
+        FleetLinks &links, Journal &journal);
 
     void handle(const core::InstanceId &from, const ForwardRequest &message);
     void handle(const core::InstanceId &from, const ForwardCancel &message);
@@ -40,6 +41,11 @@
         Number originNumber = 0;
         core::RequestId request;
         core::BackendServerId server;
+        core::ServiceId service;
+        std::string route;
+        core::VersionId version;
+        int status = 0;
+        absl::Duration firstAnswer;
         int priority = 5;
         std::int64_t unreadTokens = 0;
         absl::Time startedAt;
@@ -56,6 +62,7 @@
     core::TimerService &m_timers;
     BackendTable &m_backends;
     FleetView &m_fleet;
+    RolloutGuard &m_rollouts;
     const HeaderCodec &m_headers;
     RunTransport &m_runs;
     FleetLinks &m_links;
--- a/include/snipeferry/gateway/gateway.h
+++ b/include/snipeferry/gateway/gateway.h
@@ -99,6 +99,12 @@
     bool isDraining() const;
     std::size_t openCount() const;
 
+    /** @brief The store holds a decision about a rollout, whoever made it. */
+    void rolloutStored(const core::ServiceId &service, core::Revision order, RolloutState state);
+
+    /** @brief Emitted for decisions about rollouts that this instance has to store. */
+    core::Signal<RolloutDecision> &rolloutDecided();
+
     core::Signal<MembersChanged> &membersChanged();
     core::Signal<LimitsChanged> &limitsChanged();
 
@@ -143,6 +149,7 @@
     FleetView m_fleet;
     AllowanceBook m_allowances;
     RepeatBudget m_repeats;
+    RolloutGuard m_rollouts;
     RequestFlow m_flow;
     ForwardDesk m_desk;
     std::shared_ptr<const RouteTable> m_routes;
--- a/include/snipeferry/gateway/records.h
+++ b/include/snipeferry/gateway/records.h
@@ -3,6 +3,7 @@
 #include "snipeferry/core/error.h"
 #include "snipeferry/core/timerservice.h"
 #include "snipeferry/gateway/model.h"
+#include "snipeferry/gateway/rolloutguard.h"
 
 #include <map>
 #include <optional>
@@ -123,7 +124,11 @@
     virtual std::string memberKey(const core::InstanceId &instance) const = 0;
 
     /** @brief Record that tells the operator how a rollout stands. */
-    virtual Record rolloutStatus(const RolloutOrder &order, const std::string &state) const = 0;
+    virtual Record rolloutStatus(const RolloutOrder &order, RolloutState state) const = 0;
+
+    /** @brief Record that is written once for an order and holds its decision. */
+    virtual Record rolloutDecision(const RolloutOrder &order, core::Revision revision, RolloutState state) const = 0;
+    virtual core::Expected<RolloutState> decodeDecision(const std::string &value) const = 0;
 };
 
 } // namespace snipeferry::gateway
--- a/include/snipeferry/gateway/requestflow.h
+++ b/include/snipeferry/gateway/requestflow.h
@@ -6,6 +6,7 @@
 #include "snipeferry/gateway/fleetview.h"
 #include "snipeferry/gateway/ports.h"
 #include "snipeferry/gateway/repeatbudget.h"
+#include "snipeferry/gateway/rolloutguard.h"
 #include "snipeferry/gateway/routetable.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -36,6 +37,7 @@
     FleetView &fleet;
     AllowanceBook &allowances;
     RepeatBudget &repeats;
+    RolloutGuard &rollouts;
     const HeaderCodec &headers;
     RunTransport &runs;
     FleetLinks &links;
@@ -106,8 +108,11 @@
         core::InstanceId instance;
         absl::Time runStartedAt;
         absl::Time lastDataAt;
+        core::VersionId version;
         std::int64_t unreadTokens = 0;
         bool isAnswering = false;
+        /** Time to the first piece of the answer. */
+        absl::Duration firstAnswer;
         std::uint64_t pieces = 0;
         /** Runs started, and those that the backend servers may have begun. */
         int sends = 0;
@@ -134,7 +139,7 @@
     bool mayRepeat(const Open &open) const;
     core::Expected<void> place(Open &open);
     void startHere(Open &open, const ServerChoice &choice);
-    void startThere(Open &open, const RemoteChoice &choice);
+    void startThere(Open &open, const RemoteChoice &choice, const VersionChoice &versions);
     void endRun(Open &open, RunEnd end);
     void stopTransport(const Open &open);
     void cancelRun(Open &open);
--- a/include/snipeferry/net/storeclient.h
+++ b/include/snipeferry/net/storeclient.h
@@ -32,7 +32,8 @@
 class StoreClient
 {
 public:
-    StoreClient(EventLoop &loop, const StoreClientSettings &settings, const StoreFormat &format, gateway::Gateway &gateway, gateway::Journal &journal);
+    StoreClient(EventLoop &loop, const StoreClientSettings &settings, const StoreFormat &format, const gateway::RecordCodec &records, gateway::Gateway &gateway,
+        gateway::Journal &journal);
     ~StoreClient();
 
     /** @brief Starts to follow the topics and to announce this instance under a record. */
@@ -43,10 +44,12 @@
 
     class Follower;
     class Announcer;
+    class Teller;
 
 private:
     std::array<std::shared_ptr<Follower>, gateway::TOPIC_COUNT> m_followers;
     std::shared_ptr<Announcer> m_announcer;
+    std::shared_ptr<Teller> m_teller;
 };
 
 } // namespace snipeferry::net
--- a/include/snipeferry/net/storeformat.h
+++ b/include/snipeferry/net/storeformat.h
@@ -52,6 +52,12 @@
     virtual gateway::HttpRequest renewLease(const Lease &lease) const = 0;
     virtual gateway::HttpRequest endLease(const Lease &lease) const = 0;
 
+    /** @brief Writes records for good; with a guard only if no record has the guard's key yet, and the guard with them. */
+    virtual gateway::HttpRequest writeRecords(const std::vector<gateway::Record> &records, const std::optional<gateway::Record> &guard) const = 0;
+
+    /** @brief Reads which record stood in the way of a guard. */
+    virtual core::Expected<gateway::Record> decodeConflict(const std::string &body) const = 0;
+
     /** @brief Writes a record that goes with the lease. */
     virtual gateway::HttpRequest writeRecord(const gateway::Record &record, const Lease &lease) const = 0;
 };
--- a/source/gateway/backendtable.cpp
+++ b/source/gateway/backendtable.cpp
@@ -248,7 +248,8 @@
     std::vector<core::BackendServerId> fit;
     for (const core::BackendServerId &id : service.servers) {
         State &candidate = m_servers.at(id);
-        const bool hasVersion = query.version.isEmpty() || candidate.server.version == query.version;
+        const core::VersionId &version = candidate.server.version;
+        const bool hasVersion = (query.version.isEmpty() || version == query.version) && (query.excludedVersion.isEmpty() || version != query.excludedVersion);
         const bool isExcluded = std::find(query.excluded.begin(), query.excluded.end(), id) != query.excluded.end();
         if (takesWork(candidate) && hasVersion && !isExcluded && mayStartCold(candidate, now)) {
             fit.push_back(id);
--- a/source/gateway/forwarddesk.cpp
+++ b/source/gateway/forwarddesk.cpp
@@ -14,14 +14,17 @@
 constexpr absl::Duration SWEEP_PERIOD = absl::Milliseconds(100);
 /** Time that the way back takes; a run that cannot answer before is not begun. */
 constexpr absl::Duration WAY_BACK = absl::Milliseconds(60);
+/** Lowest HTTP status of a failure of the server. */
+constexpr int SERVER_ERROR = 500;
 
 } // namespace
 
-ForwardDesk::ForwardDesk(
-    core::TimerService &timers, BackendTable &backends, FleetView &fleet, const HeaderCodec &headers, RunTransport &runs, FleetLinks &links, Journal &journal)
+ForwardDesk::ForwardDesk(core::TimerService &timers, BackendTable &backends, FleetView &fleet, RolloutGuard &rollouts, const HeaderCodec &headers,
+    RunTransport &runs, FleetLinks &links, Journal &journal)
     : m_timers(timers),
       m_backends(backends),
       m_fleet(fleet),
+      m_rollouts(rollouts),
       m_headers(headers),
       m_runs(runs),
       m_links(links),
@@ -55,6 +58,7 @@
     ServerQuery query;
     query.service = message.service;
     query.version = message.version;
+    query.excludedVersion = message.excludedVersion;
     query.priority = message.priority;
     query.promptTokens = message.request.promptTokens;
     query.promptParts = message.request.promptParts;
@@ -72,6 +76,9 @@
     guest.originNumber = message.number;
     guest.request = message.request.id;
     guest.server = choice->server;
+    guest.service = message.service;
+    guest.route = message.route;
+    guest.version = m_backends.find(choice->server)->version;
     guest.priority = message.priority;
     guest.unreadTokens = choice->unreadTokens;
     guest.startedAt = now;
@@ -100,7 +107,12 @@
     if (it == m_guests.end()) {
         return;
     }
-    m_backends.finished(it->second.server, it->second.priority, it->second.isAnswering ? 0 : it->second.unreadTokens, end);
+    const Guest &guest = it->second;
+    m_backends.finished(guest.server, guest.priority, guest.isAnswering ? 0 : guest.unreadTokens, end);
+    if (end != RunEnd::Cancelled && end != RunEnd::Refused) {
+        const absl::Duration latency = guest.isAnswering ? guest.firstAnswer : m_timers.now() - guest.startedAt;
+        m_rollouts.observe(guest.service, guest.route, guest.version, end != RunEnd::Success, latency);
+    }
     m_guests.erase(it);
 }
 
@@ -134,7 +146,8 @@
 {
     if (!guest.isAnswering) {
         guest.isAnswering = true;
-        m_backends.answered(guest.server, guest.priority, guest.unreadTokens, m_timers.now() - guest.startedAt);
+        guest.firstAnswer = m_timers.now() - guest.startedAt;
+        m_backends.answered(guest.server, guest.priority, guest.unreadTokens, guest.firstAnswer);
     }
 }
 
@@ -153,6 +166,7 @@
         refuse(guest.origin, guest.originNumber, guest.request, "refused_by_server");
         return;
     }
+    it->second.status = head.status;
     m_links.send(it->second.origin, ForwardHead{it->second.originNumber, head});
 }
 
@@ -174,7 +188,7 @@
     }
     noteAnswer(it->second);
     m_links.send(it->second.origin, ForwardEnd{it->second.originNumber, it->second.pieces});
-    end(run, RunEnd::Success);
+    end(run, it->second.status >= SERVER_ERROR ? RunEnd::ServerError : RunEnd::Success);
 }
 
 void ForwardDesk::runFailed(Number run, bool mayHaveRun, const std::string &reason)
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -24,7 +24,7 @@
  */
 constexpr std::array<absl::Duration, TOPIC_COUNT> FOLLOW_LIMITS = {absl::Milliseconds(1900), absl::Milliseconds(3000), absl::Milliseconds(6000)};
 /** Region pulses of all instances together stay at this distance for each receiver. */
-constexpr absl::Duration PULSE_PERIOD_PER_INSTANCE = absl::Milliseconds(25);
+constexpr absl::Duration PULSE_PERIOD_PER_INSTANCE = absl::Milliseconds(12);
 constexpr absl::Duration LONGEST_REGION_PULSE = absl::Milliseconds(800);
 /** A deployment this old cannot vouch for keys; the instance then sends callers elsewhere. Under the withdrawal time. */
 constexpr double READY_SHARE_OF_WITHDRAWAL = 0.85;
@@ -39,8 +39,10 @@
       m_fleet(m_settings.self, ports.timers),
       m_allowances(m_settings.allowances, ports.timers),
       m_repeats(m_settings.repeats, ports.timers),
-      m_flow(m_settings.flow, FlowParts{ports.timers, m_backends, m_fleet, m_allowances, m_repeats, ports.headers, ports.runs, ports.links, ports.journal}),
-      m_desk(ports.timers, m_backends, m_fleet, ports.headers, ports.runs, ports.links, ports.journal),
+      m_rollouts(m_settings.self.id, m_settings.flow.seed + 1, ports.timers),
+      m_flow(m_settings.flow,
+          FlowParts{ports.timers, m_backends, m_fleet, m_allowances, m_repeats, m_rollouts, ports.headers, ports.runs, ports.links, ports.journal}),
+      m_desk(ports.timers, m_backends, m_fleet, m_rollouts, ports.headers, ports.runs, ports.links, ports.journal),
       m_regionPulse(ports.timers.every(m_settings.regionPulsePeriod, [this] { pulseRegion(); })),
       m_distantPulse(ports.timers.every(m_settings.distantPulsePeriod, [this] { sendPulses(false); })),
       m_holdTimer(ports.timers.every(HOLD_CHECK_PERIOD, [this] { removeHeldServers(); }))
@@ -187,6 +189,16 @@
                                 .with("revision", absl::StrCat(change.revision)));
         return;
     case OperatorRecord::Kind::Rollout:
+        if (record->rollout.has_value()) {
+            m_rollouts.order(*record->rollout, change.revision);
+        } else {
+            m_rollouts.withdraw(record->service);
+        }
+        m_ports.journal.log(core::LogEvent{"rollout_ordered", {}}
+                                .with("service", record->service.value())
+                                .with("is_withdrawn", record->rollout.has_value() ? "false" : "true")
+                                .with("revision", absl::StrCat(change.revision)));
+        return;
     case OperatorRecord::Kind::Other:
         m_ports.journal.log(core::LogEvent{"operator_record_ignored", {}}.with("key", change.key));
         return;
@@ -275,6 +287,9 @@
     m_allowances.setInstanceCount(count);
     m_repeats.setInstanceCount(count);
     m_backends.setRegionInstances(m_fleet.regionInstances());
+    std::vector<core::InstanceId> live = m_fleet.linked();
+    live.push_back(m_settings.self.id);
+    m_rollouts.setInstances(std::move(live));
 }
 
 void Gateway::linkUp(const Member &peer)
@@ -317,6 +332,7 @@
         }
     }
     pulse.allowances = m_allowances.reports();
+    pulse.rollouts = m_rollouts.reports();
     return pulse;
 }
 
@@ -376,6 +392,7 @@
             m_ports.links.send(from, RecordsRequest{state.topic, own.changeRevision()});
         }
     }
+    m_rollouts.receive(from, message.rollouts);
     if (message.isReady) {
         const std::vector<AllowanceGrant> grants = m_allowances.grantsFor(from, message.allowances);
         if (!grants.empty()) {
@@ -493,6 +510,16 @@
     return m_flow.openCount() + m_desk.openCount();
 }
 
+void Gateway::rolloutStored(const core::ServiceId &service, core::Revision order, RolloutState state)
+{
+    m_rollouts.stored(service, order, state);
+}
+
+core::Signal<RolloutDecision> &Gateway::rolloutDecided()
+{
+    return m_rollouts.decided();
+}
+
 core::Signal<MembersChanged> &Gateway::membersChanged()
 {
     return m_membersChanged;
--- a/source/gateway/requestflow.cpp
+++ b/source/gateway/requestflow.cpp
@@ -242,6 +242,9 @@
     query.promptTokens = open.request.promptTokens;
     query.promptParts = open.request.promptParts;
     query.excluded = open.excludedServers;
+    const VersionChoice versions = m_parts.rollouts.choose(open.service);
+    query.version = versions.only;
+    query.excludedVersion = versions.never;
     core::Expected<ServerChoice> here = tl::make_unexpected(core::makeError(core::ErrorKind::RegionNotAllowed, "This region may not run the request."));
     if (mayRunHere(open)) {
         here = m_parts.backends.choose(query);
@@ -285,7 +288,7 @@
         return tl::make_unexpected(core::makeError(core::ErrorKind::Overloaded, "Every permitted place is full.", wait));
     }
     if (bestThere < bestHere) {
-        startThere(open, *there);
+        startThere(open, *there, versions);
     } else {
         startHere(open, *here);
     }
@@ -299,6 +302,7 @@
     open.server = choice.server;
     open.instance = core::InstanceId();
     open.unreadTokens = choice.unreadTokens;
+    open.version = m_parts.backends.find(choice.server)->version;
     open.runStartedAt = now;
     open.lastDataAt = now;
     open.isAnswering = false;
@@ -322,7 +326,7 @@
     m_parts.runs.start(open.run, *m_parts.backends.find(choice.server), request, open.request.id, mayRepeat(open));
 }
 
-void RequestFlow::startThere(Open &open, const RemoteChoice &choice)
+void RequestFlow::startThere(Open &open, const RemoteChoice &choice, const VersionChoice &versions)
 {
     const absl::Time now = m_parts.timers.now();
     open.run = nextRunNumber();
@@ -341,6 +345,9 @@
     forward.request.keyDigest.clear();
     forward.request.lastEventId = open.events.lastEventId();
     forward.service = open.service;
+    forward.route = open.route.name;
+    forward.version = versions.only;
+    forward.excludedVersion = versions.never;
     forward.customer = open.customer;
     forward.homeRegions = homesOf(open);
     forward.isRepeatable = mayRepeat(open);
@@ -376,6 +383,10 @@
     }
     if (!open.server.isEmpty()) {
         m_parts.backends.finished(open.server, open.priority, open.isAnswering ? 0 : open.unreadTokens, end);
+        if (end != RunEnd::Cancelled && end != RunEnd::Refused) {
+            const absl::Duration latency = open.isAnswering ? open.firstAnswer : m_parts.timers.now() - open.runStartedAt;
+            m_parts.rollouts.observe(open.service, open.route.name, open.version, end != RunEnd::Success, latency);
+        }
     } else {
         m_parts.fleet.forwardEnded(open.instance);
     }
@@ -477,6 +488,7 @@
     open->lastDataAt = now;
     if (!open->isAnswering) {
         open->isAnswering = true;
+        open->firstAnswer = now - open->runStartedAt;
         if (!open->server.isEmpty()) {
             m_parts.backends.answered(open->server, open->priority, open->unreadTokens, now - open->runStartedAt);
         }
@@ -515,7 +527,8 @@
     }
     if (!open->isAnswering && !open->server.isEmpty()) {
         open->isAnswering = true;
-        m_parts.backends.answered(open->server, open->priority, open->unreadTokens, m_parts.timers.now() - open->runStartedAt);
+        open->firstAnswer = m_parts.timers.now() - open->runStartedAt;
+        m_parts.backends.answered(open->server, open->priority, open->unreadTokens, open->firstAnswer);
     }
     endRun(*open, open->head.status >= 500 ? RunEnd::ServerError : RunEnd::Success);
     complete(*open);
--- a/source/net/storeclient.cpp
+++ b/source/net/storeclient.cpp
@@ -5,6 +5,8 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <deque>
+#include <optional>
 #include <random>
 
 namespace snipeferry::net {
@@ -21,6 +23,8 @@
 constexpr int HTTP_OK = 200;
 constexpr int HTTP_NOT_FOUND = 404;
 constexpr int HTTP_GONE = 410;
+/** Precondition failed: a guard stands in the way. */
+constexpr int HTTP_CONFLICT = 412;
 
 /** Pauses between failed calls; they grow, and differ between instances. */
 class Backoff
@@ -318,13 +322,105 @@
     core::Subscription m_pause;
 };
 
-StoreClient::StoreClient(EventLoop &loop, const StoreClientSettings &settings, const StoreFormat &format, gateway::Gateway &gateway, gateway::Journal &journal)
+/** Stores decisions about rollouts one after the other, each until the store has answered. */
+class StoreClient::Teller : public std::enable_shared_from_this<StoreClient::Teller>
+{
+public:
+    Teller(EventLoop &loop, const StoreClientSettings &settings, const StoreFormat &format, const gateway::RecordCodec &records, gateway::Gateway &gateway,
+        gateway::Journal &journal)
+        : m_loop(loop),
+          m_format(format),
+          m_records(records),
+          m_gateway(gateway),
+          m_journal(journal),
+          m_caller(std::make_shared<HttpCaller>(loop, settings.address)),
+          m_backoff(std::random_device()())
+    {
+    }
+
+    void tell(const gateway::RolloutDecision &decision)
+    {
+        m_waiting.push_back(decision);
+        if (m_waiting.size() == 1) {
+            send();
+        }
+    }
+
+private:
+    static bool isFinal(const gateway::RolloutDecision &decision)
+    {
+        return decision.state == gateway::RolloutState::Completed || decision.state == gateway::RolloutState::Reverted;
+    }
+
+    void send()
+    {
+        const gateway::RolloutDecision &decision = m_waiting.front();
+        std::optional<gateway::Record> guard;
+        if (isFinal(decision)) {
+            guard = m_records.rolloutDecision(decision.order, decision.revision, decision.state);
+        }
+        m_journal.count("store_calls_total", "rollout", 1);
+        m_caller->call(m_format.writeRecords({m_records.rolloutStatus(decision.order, decision.state)}, guard), READ_TIMEOUT,
+            [self = shared_from_this()](const core::Expected<CallAnswer> &answer) { self->answered(answer); });
+    }
+
+    void answered(const core::Expected<CallAnswer> &answer)
+    {
+        const gateway::RolloutDecision decision = m_waiting.front();
+        const bool isConflict = answer && answer->status == HTTP_CONFLICT;
+        if (!answer || (answer->status != HTTP_OK && !isConflict)) {
+            m_pause = m_loop.timers().after(m_backoff.next(), [self = shared_from_this()] { self->send(); });
+            return;
+        }
+        m_backoff.reset();
+        // Where another decision came first, or this one's answer was lost, what the store holds stands.
+        const gateway::RolloutState state = isConflict ? heldState(answer->body, decision.state) : decision.state;
+        if (isFinal(decision)) {
+            m_gateway.rolloutStored(decision.order.service, decision.revision, state);
+        }
+        m_journal.log(core::LogEvent{"rollout_told", {}}
+                          .with("service", decision.order.service.value())
+                          .with("target", decision.order.target.value())
+                          .with("state", absl::StrCat(static_cast<int>(state)))
+                          .with("reason", decision.reason)
+                          .with("is_conflict", isConflict ? "true" : "false"));
+        m_waiting.pop_front();
+        if (!m_waiting.empty()) {
+            send();
+        }
+    }
+
+    gateway::RolloutState heldState(const std::string &body, gateway::RolloutState own) const
+    {
+        const core::Expected<gateway::Record> record = m_format.decodeConflict(body);
+        const core::Expected<gateway::RolloutState> held = record ? m_records.decodeDecision(record->value) : tl::make_unexpected(record.error());
+        if (!held) {
+            m_journal.log(core::LogEvent{"rollout_decision_unreadable", {}}.with("error", held.error().message));
+        }
+        return held.value_or(own);
+    }
+
+    EventLoop &m_loop;
+    const StoreFormat &m_format;
+    const gateway::RecordCodec &m_records;
+    gateway::Gateway &m_gateway;
+    gateway::Journal &m_journal;
+    std::shared_ptr<HttpCaller> m_caller;
+    Backoff m_backoff;
+    std::deque<gateway::RolloutDecision> m_waiting;
+    core::Subscription m_pause;
+};
+
+StoreClient::StoreClient(EventLoop &loop, const StoreClientSettings &settings, const StoreFormat &format, const gateway::RecordCodec &records,
+    gateway::Gateway &gateway, gateway::Journal &journal)
 {
     const std::array<absl::Duration, gateway::TOPIC_COUNT> waits = {settings.operatorWait, settings.backendServerWait, settings.memberWait};
     for (int index = 0; index < gateway::TOPIC_COUNT; ++index) {
         m_followers[index] = std::make_shared<Follower>(loop, settings, static_cast<gateway::Topic>(index), waits[index], format, gateway, journal);
     }
     m_announcer = std::make_shared<Announcer>(loop, settings, format, gateway, journal);
+    m_teller = std::make_shared<Teller>(loop, settings, format, records, gateway, journal);
+    gateway.rolloutDecided().subscribe([teller = m_teller](const gateway::RolloutDecision &decision) { teller->tell(decision); });
 }
 
 StoreClient::~StoreClient() = default;
--- a/tests/gateway/fixture.h
+++ b/tests/gateway/fixture.h
@@ -125,9 +125,19 @@
         return instance.value();
     }
 
-    gateway::Record rolloutStatus(const gateway::RolloutOrder & /*order*/, const std::string &state) const override
+    gateway::Record rolloutStatus(const gateway::RolloutOrder & /*order*/, gateway::RolloutState state) const override
     {
-        return {"rollout", state, 0};
+        return {"rollout", nlohmann::json(state).dump(), 0};
+    }
+
+    gateway::Record rolloutDecision(const gateway::RolloutOrder & /*order*/, core::Revision /*revision*/, gateway::RolloutState state) const override
+    {
+        return {"decision", nlohmann::json(state).dump(), 0};
+    }
+
+    core::Expected<gateway::RolloutState> decodeDecision(const std::string &value) const override
+    {
+        return nlohmann::json::parse(value).get<gateway::RolloutState>();
     }
 };
 
