Gateway: ask other regions from 0.35 objectives of wait

Cause: engines of a region at its peak always had prompts to read, so that streams of ten events at 250 ms each missed 3 s, while engines of other regions were idle (log: caller_left events=14 waited_ms=2852 silent_ms=150). Change: a request looks at other regions once the wait here passes 0.35 in place of 0.8 of its objective.

--- a/include/snipeferry/gateway/requestflow.h
+++ b/include/snipeferry/gateway/requestflow.h
@@ -23,7 +23,7 @@
     /** A withdrawn key must not work for longer than this after the withdrawal was confirmed. */
     absl::Duration keyWithdrawalTime = absl::Seconds(5);
     /** Part of the latency objective that a backend server here may take before other regions are asked. */
-    double spillShare = 0.8;
+    double spillShare = 0.35;
     /** Part of the latency objective that may go by before a request's own prompt is read; beyond it the request is refused. */
     double refuseShare = 1.0;
     std::uint64_t seed = 1;
