--- a/include/snipeferry/core/timerservice.h
+++ b/include/snipeferry/core/timerservice.h
@@ -69,6 +69,9 @@
     /** @brief Due time of the earliest timer, or absl::InfiniteFuture(). */
     absl::Time earliestDue() const;
 
+    /** @brief Drops all timers and what their callbacks hold. */
+    void dropAll();
+
 private:
     std::uint64_t add(absl::Duration delay, absl::Duration period, Callback callback);
     void remove(std::uint64_t id);
@@ -110,6 +113,9 @@
     /** @brief Runs due callbacks. */
     void run();
 
+    /** @brief Drops all timers, so that what their callbacks hold ends before the loop does. */
+    void clear();
+
     /** @brief Due time of the earliest timer, or absl::InfiniteFuture(). */
     absl::Time nextDue() const;
 };
--- a/include/snipeferry/net/eventloop.h
+++ b/include/snipeferry/net/eventloop.h
@@ -13,6 +13,11 @@
 class EventLoop
 {
 public:
+    EventLoop() = default;
+    ~EventLoop();
+    EventLoop(const EventLoop &) = delete;
+    EventLoop &operator=(const EventLoop &) = delete;
+
     boost::asio::io_context &context();
     core::TimerService &timers();
     const core::TimerService &timers() const;
@@ -25,8 +30,9 @@
     void resume();
 
 private:
-    boost::asio::io_context m_context{1};
+    // Handlers that end with the context still cancel timers, so the timers outlive it.
     core::SteadyTimerService m_timers;
+    boost::asio::io_context m_context{1};
     bool m_isStopped = false;
 };
 
--- a/source/core/timerservice.cpp
+++ b/source/core/timerservice.cpp
@@ -97,6 +97,13 @@
     return m_order.empty() ? absl::InfiniteFuture() : m_order.begin()->first.first;
 }
 
+void TimerService::dropAll()
+{
+    // Ends of callbacks may cancel further timers; they find the maps empty.
+    const std::map<std::uint64_t, Timer> dropped = std::exchange(m_timers, {});
+    m_order.clear();
+}
+
 VirtualTimerService::VirtualTimerService(absl::Time start)
     : m_now(start)
 {
@@ -147,6 +154,11 @@
     return absl::Now();
 }
 
+void SteadyTimerService::clear()
+{
+    dropAll();
+}
+
 void SteadyTimerService::run()
 {
     runDue();
--- a/source/net/eventloop.cpp
+++ b/source/net/eventloop.cpp
@@ -14,6 +14,12 @@
 
 } // namespace
 
+EventLoop::~EventLoop()
+{
+    // Callbacks of timers hold sockets, which must end before the context.
+    m_timers.clear();
+}
+
 boost::asio::io_context &EventLoop::context()
 {
     return m_context;
--- a/source/net/storeclient.cpp
+++ b/source/net/storeclient.cpp
@@ -290,12 +290,6 @@
 
     void renew()
     {
-        // A record that another process of this instance left may have gone with its old lease.
-        const bool isMissing = m_loop.timers().now() - m_writtenAt > m_settings.renewPeriod && !m_gateway.hasRecord(gateway::Topic::Members, m_record.key);
-        if (isMissing) {
-            write();
-            return;
-        }
         call(
             m_format.renewLease(m_lease), "lease_renew",
             [this](const CallAnswer &answer) {
@@ -303,6 +297,13 @@
                     openLease();
                     return;
                 }
+                // The announcement may have gone with the lease of an earlier process of this instance.
+                const bool isMissing
+                    = m_loop.timers().now() - m_writtenAt > m_settings.renewPeriod && !m_gateway.hasRecord(gateway::Topic::Members, m_record.key);
+                if (isMissing) {
+                    write();
+                    return;
+                }
                 after(m_settings.renewPeriod, &Announcer::renew);
             },
             &Announcer::renew);
--- a/tests/gateway/fixture.h
+++ b/tests/gateway/fixture.h
@@ -399,7 +399,7 @@
     {
         gateway::HttpRequest request{"POST", target, extra, "body"};
         request.headers.push_back({"id", absl::StrCat("r", ++asked)});
-        const std::shared_ptr<Answer> answer = std::make_shared<Answer>();
+        std::shared_ptr<Answer> answer = std::make_shared<Answer>();
         lastRequest = gateway.requests().arrived(std::move(request), std::make_shared<FakeSink>(answer));
         return answer;
     }
--- a/tests/gateway/rollouttest.cpp
+++ b/tests/gateway/rollouttest.cpp
@@ -25,6 +25,7 @@
         : random(seed)
     {
         std::vector<core::InstanceId> ids;
+        ids.reserve(static_cast<std::size_t>(count));
         for (int index = 0; index < count; ++index) {
             ids.push_back(core::InstanceId(absl::StrCat("gw-", index)));
         }
--- /dev/null
+++ b/tests/net/storeclienttest.cpp
@@ -0,0 +1,210 @@
+#include "snipeferry/net/storeclient.h"
+
+#include "gateway/fixture.h"
+#include "recordcodec.h"
+#include "scriptedserver.h"
+#include "storeformat.h"
+
+#include <absl/strings/escaping.h>
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+
+using namespace snipeferry;
+using namespace snipeferry::tests;
+
+namespace {
+
+constexpr absl::Duration TURN = absl::Milliseconds(10);
+constexpr absl::Duration LIMIT = absl::Seconds(8);
+
+/** How the stand-in of the store misbehaves on calls for changes, until it has done so often enough. */
+enum class Fault {
+    None,
+    Silent,
+    Reset,
+    Busy,
+    TooMany,
+    HistoryGone,
+    NoJson,
+};
+
+/** The platform's store as far as one gateway needs it: one backend server is announced, and calls are counted. */
+struct StoreStandIn
+{
+    explicit StoreStandIn(net::EventLoop &loop)
+        : server(loop, [this](int, const std::shared_ptr<ScriptedServer::Socket> &socket, const std::string &read) { answer(socket, read); })
+    {
+    }
+
+    void answer(const std::shared_ptr<ScriptedServer::Socket> &socket, const std::string &read)
+    {
+        // The last request on the connection; each fits in one read.
+        const std::size_t get = read.rfind("GET /api/");
+        const std::size_t post = read.rfind("POST /api/");
+        const std::size_t begin = get == std::string::npos ? post : post == std::string::npos ? get : std::max(get, post);
+        const std::string call = read.substr(begin, read.find('\r', begin) - begin);
+        if (absl::StrContains(call, "kv-range")) {
+            ++reads;
+            const bool isServers = absl::StrContains(call, "prefix=servers/");
+            const std::string items
+                = isServers ? absl::StrCat(R"({"key":"servers/i-1","value":")", absl::Base64Escape(SERVER), R"(","rev":3})") : std::string();
+            reply(socket, 200, absl::StrCat(R"({"items":[)", items, R"(],"morePages":false,"asOf":5})"));
+        } else if (absl::StrContains(call, "kv-watch")) {
+            watch(socket);
+        } else if (absl::StrContains(call, "kv-lease")) {
+            ++leases;
+            reply(socket, 200, R"({"lease":77,"ttlMs":9000})");
+        } else if (absl::StrContains(call, "kv-keep")) {
+            ++renewals;
+            reply(socket, isLeaseLost ? 404 : 200, R"({"ttlMs":9000})");
+            isLeaseLost = false;
+        } else {
+            ++writes;
+            reply(socket, 200, R"({"rev":6})");
+        }
+    }
+
+    void watch(const std::shared_ptr<ScriptedServer::Socket> &socket)
+    {
+        ++watches;
+        boost::system::error_code ignored;
+        if (faultsLeft-- <= 0 || fault == Fault::None) {
+            // A waiting call is never answered by this stand-in; the client's own limit ends it.
+            return;
+        }
+        switch (fault) {
+        case Fault::Reset:
+            socket->set_option(boost::asio::socket_base::linger(true, 0), ignored);
+            socket->close(ignored);
+            return;
+        case Fault::Busy:
+            return reply(socket, 503, "{}");
+        case Fault::TooMany:
+            return reply(socket, 429, "{}");
+        case Fault::HistoryGone:
+            return reply(socket, 410, "{}");
+        case Fault::NoJson:
+            return reply(socket, 200, "\xff{");
+        default:
+            return;
+        }
+    }
+
+    static void reply(const std::shared_ptr<ScriptedServer::Socket> &socket, int status, const std::string &body)
+    {
+        ScriptedServer::send(socket, absl::StrCat("HTTP/1.1 ", status, " X\r\nContent-Length: ", body.size(), "\r\n\r\n", body));
+    }
+
+    static constexpr const char *SERVER
+        = R"({"service":"booking","address":"10.0.0.1:80","zone":"north-1","version":"v1","slots":6,"state":"ready","coldLeftMs":0,"callSeq":1})";
+
+    ScriptedServer server;
+    Fault fault = Fault::None;
+    int faultsLeft = 0;
+    bool isLeaseLost = false;
+    int reads = 0;
+    int watches = 0;
+    int leases = 0;
+    int renewals = 0;
+    int writes = 0;
+};
+
+struct StoreFixture
+{
+    StoreFixture()
+        : gateway(GatewayFixture::settings(), gateway::GatewayPorts{loop.timers(), headers, records, runs, links, journal}),
+          client(loop, settings(store.server.address()), format, records, gateway, journal)
+    {
+    }
+
+    static net::StoreClientSettings settings(const std::string &address)
+    {
+        net::StoreClientSettings settings;
+        settings.address = address;
+        settings.operatorWait = absl::Milliseconds(60);
+        settings.backendServerWait = absl::Milliseconds(60);
+        settings.memberWait = absl::Milliseconds(60);
+        settings.answerTimeout = absl::Milliseconds(60);
+        settings.renewPeriod = absl::Milliseconds(50);
+        return settings;
+    }
+
+    void start()
+    {
+        client.start({"snipeferry/members/gw-1", "{}", 0});
+    }
+
+    /** Runs until a condition holds; false after a limit. */
+    bool until(const std::function<bool()> &condition)
+    {
+        const absl::Time end = loop.timers().now() + LIMIT;
+        while (!condition() && loop.timers().now() < end) {
+            loop.resume();
+            const core::Subscription stop = loop.timers().after(TURN, [this] { loop.stop(); });
+            loop.run();
+        }
+        return condition();
+    }
+
+    net::EventLoop loop;
+    StoreStandIn store{loop};
+    FakeHeaders headers;
+    fleetplatform::RecordCodec records;
+    fleetplatform::StoreFormat format;
+    FakeRuns runs;
+    FakeLinks links;
+    FakeJournal journal;
+    gateway::Gateway gateway;
+    net::StoreClient client;
+};
+
+} // namespace
+
+TEST_CASE("all topics are read at the start, and the instance is announced")
+{
+    StoreFixture fixture;
+    fixture.start();
+    REQUIRE(fixture.until([&] { return fixture.store.writes == 1 && fixture.gateway.revision(gateway::Topic::Members) == 5; }));
+    CHECK(fixture.store.reads == 3);
+    CHECK(fixture.store.leases == 1);
+    CHECK(fixture.gateway.hasRecord(gateway::Topic::BackendServers, "servers/i-1"));
+}
+
+TEST_CASE("calls for changes go on after every kind of bad answer")
+{
+    const Fault fault = GENERATE(Fault::Silent, Fault::Reset, Fault::Busy, Fault::TooMany, Fault::NoJson);
+    StoreFixture fixture;
+    fixture.store.fault = fault;
+    fixture.store.faultsLeft = 3;
+    fixture.start();
+    CHECK(fixture.until([&] { return fixture.store.watches >= 7; }));
+}
+
+TEST_CASE("a store without history is read afresh")
+{
+    StoreFixture fixture;
+    fixture.store.fault = Fault::HistoryGone;
+    fixture.store.faultsLeft = 2;
+    fixture.start();
+    CHECK(fixture.until([&] { return fixture.store.reads >= 5; }));
+}
+
+TEST_CASE("a lease that ended is opened again, and the announcement written again")
+{
+    StoreFixture fixture;
+    fixture.store.isLeaseLost = true;
+    fixture.start();
+    CHECK(fixture.until([&] { return fixture.store.leases >= 2 && fixture.store.writes >= 2; }));
+}
+
+TEST_CASE("a decision about a rollout is stored, and another one that came first stands")
+{
+    StoreFixture fixture;
+    fixture.start();
+    REQUIRE(fixture.until([&] { return fixture.store.writes == 1; }));
+    gateway::RolloutDecision decision;
+    decision.order = {core::ServiceId("booking"), core::VersionId("v2"), absl::Seconds(12)};
+    decision.state = gateway::RolloutState::Reverted;
+    fixture.gateway.rolloutDecided().emit(decision);
+    CHECK(fixture.until([&] { return fixture.store.writes >= 2; }));
+}
