Split the request flow by stage: admission, placement, answers

Cause: one file of 795 lines held four jobs. Ruled out: a class for each stage (all work on the same open request). Change: the definitions move; no line of behaviour changes; the pause that two stages use is a member constant.

--- a/include/snipeferry/gateway/requestflow.h
+++ b/include/snipeferry/gateway/requestflow.h
@@ -87,6 +87,9 @@
     bool ownsRun(Number run) const;
 
 private:
+    /** Time to come back when the reason passes within a moment. */
+    static constexpr absl::Duration SOON = absl::Milliseconds(300);
+
     struct Open
     {
         Number number = 0;
@@ -130,10 +133,13 @@
 
     using OpenPointer = std::unique_ptr<Open>;
 
+    // Admission: requestadmission.cpp
     core::Expected<void> admit(Open &open);
     core::Expected<void> checkDrain(const Open &open) const;
     core::Expected<void> identify(Open &open) const;
     bool isDeploymentFresh() const;
+
+    // Where a request runs, and runs again: requestplacement.cpp
     std::vector<core::RegionId> homesOf(const Open &open) const;
     bool mayRunHere(const Open &open) const;
     bool mayRepeat(const Open &open) const;
@@ -145,6 +151,8 @@
     void cancelRun(Open &open);
     void tryAgain(Number number, bool mayHaveRun, RunEnd end, const std::string &reason);
     bool resume(Open &open);
+
+    // Answers: requestanswer.cpp
     void pass(Open &open, const std::string &data);
     void complete(Open &open);
     void fail(Open &open, const core::Error &error);
