--- a/tests/gateway/requestflowtest.cpp
+++ b/tests/gateway/requestflowtest.cpp
@@ -322,3 +322,16 @@
     CHECK(call->finals == 0);
     CHECK(fixture.links.all<gateway::ForwardRequest>().size() == 21);
 }
+
+TEST_CASE("a region at its peak asks others long before its own queue uses up the objective")
+{
+    // Pattern: many calls at once in one region, while another is idle.
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.linkRemote("gw-9", "south");
+    while (fixture.links.all<gateway::ForwardRequest>().empty() && fixture.runs.sent.size() < 400) {
+        fixture.ask("/once/x");
+    }
+    CHECK(fixture.runs.sent.size() < 200);
+    CHECK(fixture.runs.sent.size() > 50);
+}
