Wait for confirmation after a pause; bound silence behind the deadline

Change: after a pause nothing is dispatched until the platform or an instance has confirmed the configuration, not counting what was on its way before the pause; asked every 200 ms, given up after 3 s (then the data centre is cut off and serves by what it knows). An answer that is silent behind its deadline is ended 4 s after its last byte.

--- a/include/snipeferry/configuration/configurationstore.h
+++ b/include/snipeferry/configuration/configurationstore.h
@@ -53,8 +53,11 @@
 
     core::Signal<ConfigurationChanged> &changed();
 
-    /** @brief Time since platform or a peer last had the revision in force; infinite before the first. */
-    absl::Duration sinceConfirmed() const;
+    /** @brief When the platform or another instance last said that no newer configuration is known. */
+    absl::Time confirmedAt() const;
+
+    /** @brief Asks the platform and all linked instances whether the configuration in force is still the newest. */
+    void confirmAgain();
 
     void handle(const messages::PeerReceived &event);
     void handle(const messages::PeerLinkChanged &event);
--- a/source/configuration/configurationstore.cpp
+++ b/source/configuration/configurationstore.cpp
@@ -85,6 +85,14 @@
         }
     }
 
+    void confirmAgain()
+    {
+        m_fetch.poll();
+        for (const core::InstanceId &peer : m_peers.linked()) {
+            send(peer, node::ConfigurationRequest{knownRevision()});
+        }
+    }
+
     std::shared_ptr<const Configuration> m_current;
     std::shared_ptr<const ConfigurationIndex> m_index;
     WithdrawnKeys m_withdrawn;
@@ -276,9 +284,14 @@
     return m_impl->m_changed;
 }
 
-absl::Duration ConfigurationStore::sinceConfirmed() const
+absl::Time ConfigurationStore::confirmedAt() const
+{
+    return m_impl->m_confirmedAt;
+}
+
+void ConfigurationStore::confirmAgain()
 {
-    return m_impl->m_timers.now() - m_impl->m_confirmedAt;
+    m_impl->confirmAgain();
 }
 
 void ConfigurationStore::handle(const messages::PeerReceived &event)
--- a/source/node/requestanswer.cpp
+++ b/source/node/requestanswer.cpp
@@ -223,7 +223,7 @@
     open.lastProgress = m_parts.timers.now();
     open.status = status;
     open.answerHeaders = headers;
-    setAlarm(open, open.lastProgress + m_settings.streamIdleTimeout);
+    setAlarm(open, silenceEnd(open));
     if (open.isForwarded()) {
         m_parts.outbox.push(messages::SendToPeer{open.origin, ForwardHead{open.request.id, status, std::move(headers)}});
     } else if (!open.isDetached) {
--- a/source/node/requestdispatch.cpp
+++ b/source/node/requestdispatch.cpp
@@ -7,8 +7,14 @@
 constexpr int MAX_ATTEMPTS = 3;
 constexpr absl::Duration REQUEUE_PAUSE = absl::Milliseconds(20);
 constexpr absl::Duration PAUSE_LIMIT = absl::Seconds(1);
+/** What was on its way before a pause is read within this time; it confirms nothing. */
 constexpr absl::Duration CATCH_UP_TIME = absl::Milliseconds(500);
+constexpr absl::Duration CONFIRMATION_PERIOD = absl::Milliseconds(200);
+/** Without an answer for this long the data centre is cut off and serves by what it knows. Half the time in which changes are in force. */
+constexpr absl::Duration CONFIRMATION_LIMIT = absl::Seconds(3);
 constexpr absl::Duration RETRY_SOON = absl::Seconds(1);
+/** Longest silence of an answer that began within its deadline and goes on behind it; with the deadline it bounds every answer. */
+constexpr absl::Duration LATE_SILENCE_LIMIT = absl::Seconds(4);
 
 } // namespace
 
@@ -63,17 +69,40 @@
 {
     const absl::Time now = m_parts.timers.now();
     if (now - m_lastSeen > PAUSE_LIMIT) {
-        m_catchUpUntil = now + CATCH_UP_TIME;
+        m_isCatchingUp = true;
+        m_wokeAt = now;
+        m_askedAt = absl::InfinitePast();
         m_parts.outbox.push(messages::Log{core::LogEvent{"pause_noticed", {{"milliseconds", std::to_string(absl::ToInt64Milliseconds(now - m_lastSeen))}}}});
     }
     m_lastSeen = now;
 }
 
+bool RequestFlow::isCatchingUp()
+{
+    if (!m_isCatchingUp) {
+        return false;
+    }
+    const absl::Time now = m_parts.timers.now();
+    const bool isConfirmed = m_parts.configurations.confirmedAt() > m_wokeAt + CATCH_UP_TIME;
+    if (isConfirmed || now - m_wokeAt > CONFIRMATION_LIMIT) {
+        m_isCatchingUp = false;
+        core::LogEvent event{"pause_caught_up", {}};
+        event.with("milliseconds", std::to_string(absl::ToInt64Milliseconds(now - m_wokeAt))).with("is_confirmed", isConfirmed ? "true" : "false");
+        m_parts.outbox.push(messages::Log{std::move(event)});
+        return false;
+    }
+    if (now - m_askedAt >= CONFIRMATION_PERIOD) {
+        m_askedAt = now;
+        m_parts.configurations.confirmAgain();
+    }
+    return true;
+}
+
 void RequestFlow::pump()
 {
     // After a pause the news that came meanwhile is read first; what was known before may be withdrawn.
     notePause();
-    if (m_isPumping || m_queue.size() == 0 || m_parts.timers.now() < m_catchUpUntil) {
+    if (isCatchingUp() || m_isPumping || m_queue.size() == 0) {
         return;
     }
     m_isPumping = true;
@@ -106,7 +135,7 @@
 void RequestFlow::dispatch(OpenRequest &open)
 {
     notePause();
-    if (m_parts.timers.now() < m_catchUpUntil) {
+    if (isCatchingUp()) {
         enqueueAgain(open);
         return;
     }
@@ -304,11 +333,17 @@
     }
 }
 
+absl::Time RequestFlow::silenceEnd(const OpenRequest &open) const
+{
+    const absl::Duration late = std::min(m_settings.streamIdleTimeout, LATE_SILENCE_LIMIT);
+    return std::min(open.lastProgress + m_settings.streamIdleTimeout, std::max(open.deadline, open.lastProgress + late));
+}
+
 void RequestFlow::alarmDue(OpenRequest &open)
 {
     // An answer that has begun may be silent only so long: a backend server or a link can stop without a sign.
     if (open.hasHead) {
-        const absl::Time silentUntil = open.lastProgress + m_settings.streamIdleTimeout;
+        const absl::Time silentUntil = silenceEnd(open);
         if (silentUntil > m_parts.timers.now()) {
             setAlarm(open, silentUntil);
             return;
--- a/source/node/requestflow.h
+++ b/source/node/requestflow.h
@@ -94,6 +94,8 @@
     void enqueueAgain(OpenRequest &open);
     void dispatch(OpenRequest &open);
     void notePause();
+    /** Whether the process was paused lately and does not know yet what changed meanwhile. */
+    bool isCatchingUp();
     void sendToBackendServer(OpenRequest &open);
     void sendToInstance(OpenRequest &open);
     bool retry(OpenRequest &open, const core::Error &error, bool mayHaveRun);
@@ -102,6 +104,8 @@
     void setAlarm(OpenRequest &open, absl::Time time);
     void checkAlarms();
     void alarmDue(OpenRequest &open);
+    /** When an answer that has begun and stays silent is given up. */
+    absl::Time silenceEnd(const OpenRequest &open) const;
 
     // Answers: requestanswer.cpp
     void answerHead(OpenRequest &open, int status, std::vector<Header> headers);
@@ -134,8 +138,11 @@
     absl::flat_hash_map<core::RequestId, absl::Time> m_recentForwards;
     /** When a timer or an event was last seen; a long gap means that the process was paused. */
     absl::Time m_lastSeen;
-    /** Nothing is dispatched until then. */
-    absl::Time m_catchUpUntil = absl::InfinitePast();
+    /** When the process last went on after a pause. */
+    absl::Time m_wokeAt = absl::InfinitePast();
+    /** When the configuration was last asked for after a pause. */
+    absl::Time m_askedAt = absl::InfinitePast();
+    bool m_isCatchingUp = false;
     bool m_isClosed = false;
     bool m_isPumping = false;
     core::Subscription m_tick;
