--- a/apps/snipeferry/platformsession.cpp
+++ b/apps/snipeferry/platformsession.cpp
@@ -17,34 +17,28 @@
 } // namespace
 
 PlatformSession::PlatformSession(const std::vector<std::string> &endpoints)
-    : m_client(settingsFor(endpoints), [this](const messages::Event &event) { take(event); })
+    : m_client(m_loop, settingsFor(endpoints), [this](const messages::Event &event) { take(event); })
 {
-    m_client.start();
-}
-
-PlatformSession::~PlatformSession()
-{
-    m_client.stop();
 }
 
 platform::Reply PlatformSession::call(const platform::Call &call)
 {
     m_client.call(call);
-    const absl::MutexLock lock(&m_mutex);
-    const auto isAnswered = [&]() ABSL_SHARED_LOCKS_REQUIRED(m_mutex) {
-        return m_replies.count(call.id) > 0;
-    };
-    m_mutex.Await(absl::Condition(&isAnswered));
-    platform::Reply reply = std::move(m_replies[call.id]);
-    m_replies.erase(call.id);
+    // The loop stops with the reply.
+    while (!m_reply.has_value() || m_reply->id != call.id) {
+        m_loop.resume();
+        m_loop.run();
+    }
+    platform::Reply reply = std::move(*m_reply);
+    m_reply.reset();
     return reply;
 }
 
 void PlatformSession::take(const messages::Event &event)
 {
-    if (const auto *replied = std::get_if<messages::PlatformReplied>(&event)) {
-        const absl::MutexLock lock(&m_mutex);
-        m_replies[replied->reply.id] = replied->reply;
+    if (const messages::PlatformReplied *replied = std::get_if<messages::PlatformReplied>(&event)) {
+        m_reply = replied->reply;
+        m_loop.stop();
     }
 }
 
--- a/apps/snipeferry/platformsession.h
+++ b/apps/snipeferry/platformsession.h
@@ -1,12 +1,11 @@
 #pragma once
 
+#include "snipeferry/net/eventloop.h"
 #include "snipeferry/platform/platformclient.h"
 
-#include <absl/base/thread_annotations.h>
-#include <absl/synchronization/mutex.h>
 #include <absl/time/clock.h>
 
-#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,7 +16,6 @@
 {
 public:
     explicit PlatformSession(const std::vector<std::string> &endpoints);
-    ~PlatformSession();
 
     /** @brief Carries out a call and waits for its reply. */
     platform::Reply call(const platform::Call &call);
@@ -35,8 +33,8 @@
 private:
     void take(const messages::Event &event);
 
-    absl::Mutex m_mutex;
-    std::map<platform::CallId, platform::Reply> m_replies ABSL_GUARDED_BY(m_mutex);
+    net::EventLoop m_loop;
+    std::optional<platform::Reply> m_reply;
     platform::PlatformClient m_client;
 };
 
--- a/bench/path/main.cpp
+++ b/bench/path/main.cpp
@@ -44,7 +44,7 @@
     double firstByte = 0;
     std::size_t bytes = 0;
     http::ClientHandlers handlers;
-    handlers.onHead = [&](int code, const std::vector<node::Header> &) {
+    handlers.onHead = [&](int code, const core::Headers &) {
         status = code;
         return true;
     };
--- a/include/snipeferry/gateway/message.h
+++ b/include/snipeferry/gateway/message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "snipeferry/core/error.h"
+#include "snipeferry/core/header.h"
 #include "snipeferry/core/value.h"
 
 #include <string>
@@ -11,15 +12,8 @@
  */
 namespace snipeferry::gateway {
 
-struct Header
-{
-    std::string name;
-    std::string value;
-
-    SNIPEFERRY_VALUE(Header, name, value)
-};
-
-using Headers = std::vector<Header>;
+using core::Header;
+using core::Headers;
 
 /** A whole HTTP request. Headers that concern only one connection are left out. */
 struct HttpRequest
--- a/include/snipeferry/http/backendclient.h
+++ b/include/snipeferry/http/backendclient.h
@@ -2,6 +2,7 @@
 
 #include "snipeferry/messages/action.h"
 #include "snipeferry/messages/eventsink.h"
+#include "snipeferry/net/eventloop.h"
 
 #include <absl/time/time.h>
 
@@ -14,7 +15,7 @@
 
 struct BackendClientSettings
 {
-    /** Attempts in progress at once, each with a thread. */
+    /** Attempts in progress at once, each with a connection. */
     std::size_t maxAttempts = 512;
     absl::Duration connectTimeout = absl::Seconds(2);
     /** Longest silence within an answer that has begun. */
@@ -30,7 +31,7 @@
 class BackendClient
 {
 public:
-    BackendClient(BackendClientSettings settings, messages::EventSink sink);
+    BackendClient(net::EventLoop &loop, BackendClientSettings settings, messages::EventSink sink);
     ~BackendClient();
 
     void dispatch(const messages::Dispatch &dispatch);
@@ -38,7 +39,7 @@
     /** @brief Closes the attempt's connection; nothing more of the attempt is posted. */
     void cancel(const messages::CancelDispatch &cancel);
 
-    /** @brief Cancels everything and joins all threads. */
+    /** @brief Cancels everything. */
     void stop();
 
     std::size_t openAttempts() const;
--- a/include/snipeferry/http/backendmonitor.h
+++ b/include/snipeferry/http/backendmonitor.h
@@ -1,11 +1,15 @@
 #pragma once
 
 #include "snipeferry/messages/eventsink.h"
+#include "snipeferry/net/eventloop.h"
 #include "snipeferry/platform/directory.h"
 
 #include <absl/time/time.h>
 
+#include <map>
 #include <memory>
+#include <optional>
+#include <string>
 #include <vector>
 
 /**
@@ -19,44 +23,51 @@
     /** Time between two readings of one backend server. */
     absl::Duration interval = absl::Milliseconds(500);
     absl::Duration timeout = absl::Seconds(1);
-    /** Backend servers read at once. */
-    std::size_t maxReaders = 4;
-    std::size_t maxAnswerBytes = std::size_t{4} << 20;
 };
 
-/** Reads one kind of backend server; the dialect of another engine is another adapter. */
-class BackendReporter
+/** What one kind of backend server tells about itself; the dialect of another engine is another strategy. */
+class ReportFormat
 {
 public:
-    virtual ~BackendReporter() = default;
+    virtual ~ReportFormat() = default;
+
+    virtual std::string loadPath() const = 0;
 
     /** @brief Reads the load, or nothing when the backend server does not tell. */
-    virtual std::optional<messages::LoadReported> readLoad(const platform::BackendServer &server) = 0;
+    virtual std::optional<messages::LoadReported> readLoad(const core::BackendServerId &server, const std::string &body) const = 0;
+
+    /** @brief Where cache events after a sequence number are. */
+    virtual std::string cacheEventsPath(std::uint64_t after) const = 0;
 
-    /** @brief Reads cache events after a sequence number, oldest first. */
-    virtual std::vector<messages::CacheReported> readCacheEvents(const platform::BackendServer &server, std::uint64_t after) = 0;
+    /** @brief Reads cache events, oldest first. */
+    virtual std::vector<messages::CacheReported> readCacheEvents(const core::BackendServerId &server, const std::string &body) const = 0;
 };
 
 /** @brief The stand-ins' dialect: GET /load and GET /cache-events?after=N. */
-std::unique_ptr<BackendReporter> makeJsonReporter(const BackendMonitorSettings &settings);
+std::unique_ptr<ReportFormat> makeJsonReports();
 
 /** Polls the backend servers of this data centre and posts LoadReported and CacheReported. */
 class BackendMonitor
 {
 public:
-    BackendMonitor(BackendMonitorSettings settings, std::unique_ptr<BackendReporter> reporter, messages::EventSink sink);
+    BackendMonitor(net::EventLoop &loop, BackendMonitorSettings settings, std::unique_ptr<ReportFormat> format, messages::EventSink sink);
     ~BackendMonitor();
 
     void start();
     void stop();
-    bool isRunning() const;
 
     /** @brief Replaces the list of backend servers; those of other data centres are left out. */
     void setServers(const std::vector<platform::BackendServer> &servers);
 
 private:
-    class Impl;
-    std::unique_ptr<Impl> m_impl;
+    class Watched;
+
+    net::EventLoop &m_loop;
+    const BackendMonitorSettings m_settings;
+    const std::unique_ptr<ReportFormat> m_format;
+    const messages::EventSink m_sink;
+    bool m_isRunning = false;
+    std::map<core::BackendServerId, std::shared_ptr<Watched>> m_watched;
 };
 
 } // namespace snipeferry::http
--- a/include/snipeferry/http/callerkey.h
+++ b/include/snipeferry/http/callerkey.h
@@ -19,7 +19,7 @@
     std::string keyDigest;
     Target target;
     /** Without headers of keys, cookies and single connections. */
-    std::vector<node::Header> headers;
+    core::Headers headers;
     /** The body; where it holds the key's bytes they are overwritten. */
     std::string body;
 };
--- a/include/snipeferry/http/httpclient.h
+++ b/include/snipeferry/http/httpclient.h
@@ -17,7 +17,7 @@
     std::string address;
     std::string method = "GET";
     std::string path = "/";
-    std::vector<node::Header> headers;
+    core::Headers headers;
     std::string body;
     absl::Duration connectTimeout = absl::Seconds(2);
     /** Longest silence while the answer is awaited. */
@@ -44,7 +44,7 @@
 /** Where the answer goes; returning false ends the request. Called on the thread of run(). */
 struct ClientHandlers
 {
-    std::function<bool(int status, const std::vector<node::Header> &headers)> onHead;
+    std::function<bool(int status, const core::Headers &headers)> onHead;
     std::function<bool(const char *data, std::size_t size)> onData;
 };
 
@@ -73,7 +73,7 @@
 {
     ClientResult result;
     int status = 0;
-    std::vector<node::Header> headers;
+    core::Headers headers;
     std::string body;
 };
 
--- a/include/snipeferry/http/requestparser.h
+++ b/include/snipeferry/http/requestparser.h
@@ -3,6 +3,7 @@
 #include "snipeferry/configuration/configuration.h"
 #include "snipeferry/core/error.h"
 #include "snipeferry/http/callerkey.h"
+#include "snipeferry/node/messages.h"
 
 #include <string>
 
--- a/include/snipeferry/net/backendpool.h
+++ b/include/snipeferry/net/backendpool.h
@@ -19,6 +19,8 @@
     /** Longest idle time of a connection that takes a request which must not be repeated. */
     absl::Duration maxIdleUnrepeatable = absl::Seconds(1);
     int maxConnectionsPerServer = 100;
+    /** Without it each run has a connection of its own, which is closed behind its answer. */
+    bool reusesConnections = true;
 };
 
 /** Connections to backend servers; each serves one run at a time. */
--- a/include/snipeferry/net/eventloop.h
+++ b/include/snipeferry/net/eventloop.h
@@ -4,6 +4,8 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <functional>
+
 /**
  * The transport of the gateway: everything runs on one thread and one io_context.
  */
@@ -22,6 +24,9 @@
     core::TimerService &timers();
     const core::TimerService &timers() const;
 
+    /** @brief Calls a function from run(); the one member that any thread may call. */
+    void post(std::function<void()> action);
+
     /** @brief Runs until stop(). */
     void run();
     void stop();
--- a/include/snipeferry/net/httpserver.h
+++ b/include/snipeferry/net/httpserver.h
@@ -6,11 +6,57 @@
 #include "snipeferry/net/eventloop.h"
 
 #include <functional>
+#include <limits>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace snipeferry::net {
 
+/** Why the server answers a request itself, or closes its connection. */
+enum class Refused {
+    HeaderTooLarge,
+    BodyTooLarge,
+    TargetTooLong,
+    /** No HTTP request. */
+    Malformed,
+    /** Two readers could take different bytes for its body. */
+    AmbiguousLength,
+    /** It did not arrive whole in time. */
+    TooSlow,
+    /** Bodies of all open requests together pass the bound. */
+    TooManyBytes,
+    TooManyConnections,
+};
+
+/** An answer of the server's own. */
+struct Refusal
+{
+    gateway::HttpHead head;
+    std::string body;
+};
+
+/** Writes the answer to a request that is refused; without a value the connection is closed. */
+using RefusalWriter = std::function<std::optional<Refusal>(Refused reason)>;
+
+/** Bounds of one server beside those of single requests. */
+struct HttpServerSettings
+{
+    static constexpr std::size_t NO_BOUND = std::numeric_limits<std::size_t>::max();
+
+    /** Open connections; beyond them the one that has been idle for longest gives way, or the new one is refused. */
+    std::size_t maxConnections = NO_BOUND;
+    std::size_t maxTargetBytes = NO_BOUND;
+    /** Bodies of all open requests together, until their answers are complete. */
+    std::size_t maxBufferedBytes = NO_BOUND;
+    /** Bytes of an answer that wait for a slow client; beyond them it is cut off. */
+    std::size_t maxUnsentBytes = 4U << 20U;
+    /** Time for a request's body when its header has arrived. */
+    absl::Duration bodyTimeout = absl::Seconds(15);
+    /** Longest time without progress while an answer is written. */
+    absl::Duration writeTimeout = absl::InfiniteDuration();
+};
+
 /** One request on a connection of HttpServer, and the way to answer it. */
 class HttpExchange
 {
@@ -41,12 +87,15 @@
 public:
     class Impl;
 
-    HttpServer(EventLoop &loop, HttpHandler handler);
+    HttpServer(EventLoop &loop, HttpHandler handler, HttpServerSettings settings = HttpServerSettings());
     ~HttpServer();
 
     /** @brief Listens on "a.b.c.d:port"; port 0 lets the kernel choose. @return the port */
     core::Expected<int> listen(const std::string &address);
 
+    /** @brief Replaces the answers to refused requests; without it they carry a status only, and slow ones are closed. */
+    void setRefusals(RefusalWriter writer);
+
     /** @brief Replaces the bounds for requests that begin from now on. */
     void setLimits(const gateway::CallerLimits &limits);
 
@@ -58,6 +107,12 @@
 
     std::size_t connectionCount() const;
 
+    /** @brief Connections whose request is being read or whose answer is not sent completely. */
+    std::size_t busyCount() const;
+
+    /** @brief Whether it listens. */
+    bool isListening() const;
+
 private:
     std::shared_ptr<Impl> m_impl;
 };
--- a/include/snipeferry/net/stdoutjournal.h
+++ b/include/snipeferry/net/stdoutjournal.h
@@ -8,6 +8,7 @@
 #include <prometheus/gauge.h>
 #include <prometheus/registry.h>
 
+#include <set>
 #include <string>
 
 namespace snipeferry::net {
@@ -56,6 +57,7 @@
     absl::flat_hash_map<std::string, Kind> m_kinds;
     prometheus::Registry m_registry;
     absl::flat_hash_map<std::string, prometheus::Family<prometheus::Counter> *> m_counters;
+    absl::flat_hash_map<std::string, std::set<std::string>> m_labels;
     absl::flat_hash_map<std::string, prometheus::Family<prometheus::Gauge> *> m_gauges;
     core::Subscription m_flushTimer;
     core::Subscription m_secondTimer;
--- a/include/snipeferry/node/messages.h
+++ b/include/snipeferry/node/messages.h
@@ -2,6 +2,7 @@
 
 #include "snipeferry/configuration/configuration.h"
 #include "snipeferry/core/error.h"
+#include "snipeferry/core/header.h"
 #include "snipeferry/core/value.h"
 
 #include <string>
@@ -12,14 +13,7 @@
  */
 namespace snipeferry::node {
 
-/** One header of a request or an answer. */
-struct Header
-{
-    std::string name;
-    std::string value;
-
-    SNIPEFERRY_VALUE(Header, name, value)
-};
+using core::Header;
 
 /** A caller's request after parsing. Keys of callers are already replaced by the digest and stripped from every part. */
 struct CallerRequest
--- a/include/snipeferry/observability/decisionjournal.h
+++ b/include/snipeferry/observability/decisionjournal.h
@@ -3,14 +3,13 @@
 #include "snipeferry/core/logevent.h"
 
 #include <deque>
-#include <mutex>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 namespace snipeferry::observability {
 
-/** Keeps the newest log lines that name a request, so that operators can ask what was decided about it. Thread-safe. */
+/** Keeps the newest log lines that name a request, so that operators can ask what was decided about it. */
 class DecisionJournal
 {
 public:
@@ -24,7 +23,6 @@
 
 private:
     const std::size_t m_maxLines;
-    mutable std::mutex m_mutex;
     /** Requests in the order of their lines. */
     std::deque<std::string> m_order;
     std::unordered_map<std::string, std::deque<std::string>> m_lines;
--- a/include/snipeferry/observability/operationsserver.h
+++ b/include/snipeferry/observability/operationsserver.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "snipeferry/http/httpserver.h"
+#include "snipeferry/http/callerserver.h"
 #include "snipeferry/observability/decisionjournal.h"
 #include "snipeferry/supervision/coreloop.h"
 
@@ -24,7 +24,7 @@
 class OperationsServer
 {
 public:
-    OperationsServer(OperationsSettings settings, supervision::CoreLoop &loop, const DecisionJournal &journal);
+    OperationsServer(net::EventLoop &loop, OperationsSettings settings, supervision::CoreLoop &core, const DecisionJournal &journal);
     ~OperationsServer();
 
     core::Expected<std::string> start();
--- a/include/snipeferry/peers/peertransport.h
+++ b/include/snipeferry/peers/peertransport.h
@@ -3,6 +3,7 @@
 #include "snipeferry/core/error.h"
 #include "snipeferry/membership/messages.h"
 #include "snipeferry/messages/eventsink.h"
+#include "snipeferry/net/eventloop.h"
 
 #include <memory>
 #include <string>
@@ -30,14 +31,16 @@
 class PeerTransport
 {
 public:
-    PeerTransport(PeerSettings settings, messages::EventSink sink);
+    PeerTransport(net::EventLoop &loop, PeerSettings settings, messages::EventSink sink);
     ~PeerTransport();
 
     /**
-     * @brief Opens the listening socket and starts the transport's thread.
+     * @brief Opens the listening socket.
      * @return the address listened on; or an error that names a missing, expired or foreign key
      */
     core::Expected<std::string> start(const membership::InstanceDescription &self);
+
+    /** @brief Closes all links after what is queued has left; for that the event loop must go on. */
     void stop();
 
     /** @brief Replaces the list of links that are kept. */
--- a/include/snipeferry/platform/platformclient.h
+++ b/include/snipeferry/platform/platformclient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "snipeferry/messages/eventsink.h"
+#include "snipeferry/net/eventloop.h"
 #include "snipeferry/platform/keys.h"
 #include "snipeferry/platform/messages.h"
 
@@ -21,7 +22,7 @@
     absl::Duration watchTimeout = absl::Seconds(30);
     /** Calls that may wait to be sent; more are answered NotSent at once. */
     std::size_t maxPendingCalls = 256;
-    /** Calls that are under way at once. */
+    /** Calls that are under way at once, each on a connection of its own. */
     int workers = 4;
     /** Each is watched by one waiting call; changes are posted as PlatformWatched. */
     std::vector<std::string> watchedPrefixes = {CONFIGURATION_KEY, LIMITS_PREFIX, ROLLOUT_PREFIX};
@@ -39,24 +40,25 @@
 };
 
 /**
- * Carries out platform calls on threads of its own and posts PlatformReplied, PlatformWatched and DirectoryChanged.
+ * Carries out platform calls on the event loop and posts PlatformReplied, PlatformWatched and DirectoryChanged.
  *
  * Reconnects by itself with backoff; after a gap in a watch it reads the watched keys again. What a lagging answer says
- * of a key that is known at a later store revision is dropped. No event is posted after stop() has returned.
+ * of a key that is known at a later store revision is dropped. No event is posted after stop(), nor from within a call.
  */
 class PlatformClient
 {
 public:
-    PlatformClient(PlatformSettings settings, messages::EventSink sink);
+    PlatformClient(net::EventLoop &loop, PlatformSettings settings, messages::EventSink sink);
     ~PlatformClient();
 
+    /** @brief Begins to watch; calls are taken before as well. */
     void start();
     void stop();
 
     /** @brief Sends a call; the reply is always posted, within the call's timeout. */
     void call(Call call);
 
-    /** @brief Counts for the metrics page; callable from any thread. */
+    /** @brief Counts for the metrics page. */
     std::vector<CallCount> callCounts() const;
 
 private:
--- a/include/snipeferry/settings/daemonsettings.h
+++ b/include/snipeferry/settings/daemonsettings.h
@@ -28,8 +28,6 @@
     platform::PlatformSettings platform;
     std::string operationsAddress;
     std::string metricsAddress;
-    /** Bytes of one answer that wait for a slow caller. */
-    std::size_t slowReaderBytes = std::size_t{4} << 20;
     /** Log lines kept for explanations. */
     std::size_t journalLines = 20'000;
     /** Longest time that a drain waits for open requests. */
--- a/include/snipeferry/supervision/coreloop.h
+++ b/include/snipeferry/supervision/coreloop.h
@@ -1,20 +1,16 @@
 #pragma once
 
+#include "snipeferry/core/signal.h"
 #include "snipeferry/core/timerservice.h"
 #include "snipeferry/messages/event.h"
+#include "snipeferry/net/eventloop.h"
 #include "snipeferry/supervision/actionsinks.h"
 #include "snipeferry/supervision/decisioncore.h"
 
-#include <atomic>
-#include <condition_variable>
 #include <deque>
 #include <functional>
-#include <future>
 #include <memory>
-#include <mutex>
 #include <optional>
-#include <thread>
-#include <variant>
 
 namespace snipeferry::supervision {
 
@@ -22,59 +18,63 @@
 {
     /** Requests are refused while more events than this wait. */
     std::size_t maxWaitingForRequests = 4096;
-    /** Adapters wait while more events than this wait. */
-    std::size_t maxWaiting = 16384;
-    absl::Duration queryTimeout = absl::Seconds(2);
+};
+
+/** The decision parts failed. */
+struct CoreFailed
+{
+    std::string reason;
 };
 
 /**
- * The one thread that drives the decision parts: events in order, timers, and the actions that follow.
+ * Drives the decision parts on the event loop: events in order, timers, and the actions that follow.
  *
- * All members may be called from any thread.
+ * An event is never handled from within the call that posts it, so actions may post events.
  */
 class CoreLoop
 {
 public:
     using CoreFactory = std::function<std::unique_ptr<DecisionCore>(core::TimerService &timers)>;
 
-    CoreLoop(CoreLoopSettings settings, CoreFactory factory, ActionSinks &sinks);
+    CoreLoop(net::EventLoop &loop, CoreLoopSettings settings, CoreFactory factory, ActionSinks &sinks);
     ~CoreLoop();
     CoreLoop(const CoreLoop &) = delete;
     CoreLoop &operator=(const CoreLoop &) = delete;
 
+    /** @brief Makes the decision parts; events that were posted before are handled then. */
     void start();
     void stop();
 
-    /** @brief Adds an event; waits while the queue is full, unless called on the loop's thread. */
+    /** @brief Adds an event. */
     void post(messages::Event event);
 
     /** @brief Adds a request; false when too much waits already, or the loop does not run. */
     bool tryPost(messages::Event event);
 
     /**
-     * @brief Runs a query on the loop's thread.
-     * @return its result, or nothing when the loop does not answer in time
+     * @brief Asks the decision parts.
+     * @return the answer, or nothing when they do not run
      */
     template<typename Result>
-    std::optional<Result> query(std::function<Result(DecisionCore &)> question)
+    std::optional<Result> query(const std::function<Result(DecisionCore &)> &question)
     {
-        const std::shared_ptr<std::promise<Result>> promise = std::make_shared<std::promise<Result>>();
-        std::future<Result> future = promise->get_future();
-        const bool isPosted = push([promise, question = std::move(question)](DecisionCore &core) { promise->set_value(question(core)); }, false);
-        if (!isPosted || future.wait_for(absl::ToChronoMilliseconds(m_settings.queryTimeout)) != std::future_status::ready) {
+        if (m_core == nullptr) {
             return std::nullopt;
         }
-        return future.get();
+        std::optional<Result> result;
+        guarded([&] { result = question(*m_core); });
+        schedule();
+        return result;
     }
 
-    /** @brief Configuration in force after the last event, or nullptr. */
+    /** @brief Configuration in force, or nullptr. */
     std::shared_ptr<const configuration::Configuration> configuration() const;
 
-    /** @brief The loop runs and the instance serves callers. */
+    /** @brief The decision parts run and the instance serves callers. */
     bool isReady() const;
     bool isDrained() const;
 
-    /** @brief The decision parts failed; the loop has ended. */
+    /** @brief The decision parts failed and are gone. */
     bool hasFailed() const;
 
     /** @brief Events are still taken: neither stopped nor failed. */
@@ -83,36 +83,30 @@
     /** @brief Events that wait. */
     std::size_t waiting() const;
 
-private:
-    using Question = std::function<void(DecisionCore &)>;
-    using Item = std::variant<messages::Event, Question>;
+    core::Signal<CoreFailed> &failed();
 
-    bool push(Item item, bool mayWait);
-    void run();
-    void runSteps(DecisionCore &core, core::SteadyTimerService &timers);
+private:
+    void schedule();
+    void handleWaiting();
+    void runTimers();
     void carryOut(const std::vector<messages::Action> &actions);
-    void publish(const DecisionCore &core);
-    std::deque<Item> waitForItems(absl::Time until, const core::TimerService &timers);
-
-    static constexpr absl::Duration MAX_SLEEP = absl::Seconds(1);
+    void guarded(const std::function<void()> &step);
 
+    net::EventLoop &m_loop;
     const CoreLoopSettings m_settings;
     const CoreFactory m_factory;
     ActionSinks &m_sinks;
-
-    mutable std::mutex m_mutex;
-    std::condition_variable m_hasItems;
-    std::condition_variable m_hasRoom;
-    std::deque<Item> m_items;
+    core::SteadyTimerService m_timers;
+    std::unique_ptr<DecisionCore> m_core;
+    std::deque<messages::Event> m_events;
+    core::Signal<CoreFailed> m_failed;
+    core::Subscription m_wake;
     /** Events are taken from construction on, so that adapters may start first. */
     bool m_isRunning = true;
-    std::shared_ptr<const configuration::Configuration> m_configuration;
-
-    std::atomic<bool> m_isReady = false;
-    std::atomic<bool> m_isDrained = false;
-    std::atomic<bool> m_hasFailed = false;
-    std::atomic<std::thread::id> m_loopThread;
-    std::thread m_thread;
+    bool m_isScheduled = false;
+    bool m_hasFailed = false;
+    /** Ends with this object; what was posted to the event loop finds it gone. */
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
 } // namespace snipeferry::supervision
--- a/include/snipeferry/supervision/instance.h
+++ b/include/snipeferry/supervision/instance.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "snipeferry/core/error.h"
+#include "snipeferry/core/logevent.h"
 #include "snipeferry/settings/daemonsettings.h"
 
 #include <memory>
@@ -21,7 +22,7 @@
 class Instance
 {
 public:
-    explicit Instance(settings::DaemonSettings settings);
+    Instance(net::EventLoop &loop, settings::DaemonSettings settings);
     ~Instance();
     Instance(const Instance &) = delete;
     Instance &operator=(const Instance &) = delete;
@@ -40,7 +41,13 @@
     /** @brief The decision parts failed; the process should end. */
     bool hasFailed() const;
 
-    /** @brief Ends requests that are still open with an error, and stops all parts. */
+    /** @brief Ends requests that are still open with an error; their answers are sent by the event loop. */
+    void endRequests();
+
+    /** @brief Whether an answer is not sent completely. */
+    bool hasUnsentAnswers() const;
+
+    /** @brief Stops all parts. */
     void stop();
 
     /** @brief Reads the peer links' key files again. */
@@ -48,6 +55,9 @@
 
     const InstanceAddresses &addresses() const;
 
+    /** @brief Writes a line about the process. */
+    void log(const core::LogEvent &event);
+
 private:
     class Impl;
     std::unique_ptr<Impl> m_impl;
--- a/include/snipeferry/supervision/supervisor.h
+++ b/include/snipeferry/supervision/supervisor.h
@@ -2,15 +2,12 @@
 
 #include "snipeferry/core/error.h"
 #include "snipeferry/core/logevent.h"
+#include "snipeferry/core/timerservice.h"
 
 #include <absl/time/time.h>
 
-#include <atomic>
-#include <condition_variable>
 #include <functional>
-#include <mutex>
 #include <string>
-#include <thread>
 #include <vector>
 
 namespace snipeferry::supervision {
@@ -46,7 +43,7 @@
 public:
     using LogSink = std::function<void(const core::LogEvent &)>;
 
-    Supervisor(SupervisorSettings settings, LogSink log);
+    Supervisor(core::TimerService &timers, SupervisorSettings settings, LogSink log);
     ~Supervisor();
     Supervisor(const Supervisor &) = delete;
     Supervisor &operator=(const Supervisor &) = delete;
@@ -74,20 +71,18 @@
         absl::Time retryAt;
     };
 
-    void watch();
+    void checkAll();
     void check(State &state);
     void restart(State &state);
     void logChild(const char *event, const State &state, const std::string &reason) const;
 
+    core::TimerService &m_timers;
     const SupervisorSettings m_settings;
     const LogSink m_log;
     std::vector<State> m_states;
-    std::mutex m_mutex;
-    std::condition_variable m_wakeUp;
-    bool m_isStopping = false;
-    std::atomic<bool> m_isHealthy = false;
-    std::atomic<bool> m_hasFailed = false;
-    std::thread m_thread;
+    core::Subscription m_checkTimer;
+    bool m_isHealthy = false;
+    bool m_hasFailed = false;
 };
 
 } // namespace snipeferry::supervision
--- a/source/http/backendclient.cpp
+++ b/source/http/backendclient.cpp
@@ -1,66 +1,44 @@
 #include "snipeferry/http/backendclient.h"
 
-#include "snipeferry/http/httpclient.h"
-#include "snipeferry/supervision/workerpool.h"
+#include "snipeferry/http/httpmessage.h"
+#include "snipeferry/net/backendpool.h"
 
-#include <atomic>
+#include <algorithm>
 #include <map>
-#include <mutex>
+#include <utility>
 
 namespace snipeferry::http {
 
 namespace {
 
-/** One attempt while it is in progress. */
-struct Attempt
+net::BackendPoolSettings poolSettings(const BackendClientSettings &settings)
 {
-    explicit Attempt(ClientRequest request)
-        : client(std::move(request))
-    {
-    }
-
-    HttpClient client;
-    std::atomic<bool> isCancelled = false;
-};
-
-ClientRequest clientRequest(const messages::Dispatch &dispatch, const BackendClientSettings &settings)
-{
-    ClientRequest request;
-    request.address = dispatch.address;
-    request.method = dispatch.method;
-    request.path = dispatch.path;
-    for (const node::Header &header : dispatch.headers) {
-        if (!isConnectionHeader(header.name)) {
-            request.headers.push_back(header);
-        }
-    }
-    request.body = dispatch.body;
-    request.connectTimeout = std::min(settings.connectTimeout, dispatch.firstByteTimeout);
-    request.readTimeout = dispatch.isStream ? std::max(dispatch.firstByteTimeout, settings.silenceTimeout) : dispatch.firstByteTimeout;
-    return request;
+    net::BackendPoolSettings pool;
+    pool.connectTimeout = settings.connectTimeout;
+    pool.reusesConnections = false;
+    pool.maxConnectionsPerServer = static_cast<int>(settings.maxAttempts);
+    return pool;
 }
 
-std::vector<node::Header> passedOn(const std::vector<node::Header> &headers)
+core::Headers passedOn(const core::Headers &headers)
 {
-    std::vector<node::Header> result;
-    for (const node::Header &header : headers) {
-        if (!isConnectionHeader(header.name)) {
-            result.push_back(header);
-        }
-    }
+    core::Headers result;
+    std::copy_if(headers.begin(), headers.end(), std::back_inserter(result), [](const core::Header &header) { return !isConnectionHeader(header.name); });
     return result;
 }
 
 } // namespace
 
-class BackendClient::Impl
+class BackendClient::Impl : private gateway::RunEvents
 {
 public:
-    Impl(BackendClientSettings settings, messages::EventSink sink)
-        : m_settings(settings),
+    Impl(net::EventLoop &loop, BackendClientSettings settings, messages::EventSink sink)
+        : m_loop(loop),
+          m_settings(settings),
           m_sink(std::move(sink)),
-          m_pool(settings.maxAttempts)
+          m_pool(loop, poolSettings(settings), [](const gateway::HttpHead & /*head*/) { return core::RequestId(); })
     {
+        m_pool.setEvents(*this);
     }
 
     void dispatch(const messages::Dispatch &dispatch);
@@ -69,101 +47,131 @@
 
     std::size_t openAttempts() const
     {
-        const std::lock_guard<std::mutex> lock(m_mutex);
         return m_attempts.size();
     }
 
 private:
     using Key = std::pair<core::RequestId, int>;
 
-    void run(const Key &key, const std::shared_ptr<Attempt> &attempt);
-    void remove(const Key &key);
+    /** One attempt while it is in progress. */
+    struct Attempt
+    {
+        Key key;
+        /** Longest silence of the backend server. */
+        absl::Duration patience;
+        core::Subscription timer;
+    };
+
+    void runHead(gateway::Number run, const gateway::HttpHead &head) override;
+    void runData(gateway::Number run, const std::string &data) override;
+    void runEnd(gateway::Number run) override;
+    void runFailed(gateway::Number run, bool mayHaveRun, const std::string &reason) override;
+
+    void awaitMore(gateway::Number run, Attempt &attempt);
+    Key remove(gateway::Number run);
 
+    net::EventLoop &m_loop;
     const BackendClientSettings m_settings;
     const messages::EventSink m_sink;
-    mutable std::mutex m_mutex;
-    std::map<Key, std::shared_ptr<Attempt>> m_attempts;
-    supervision::WorkerPool m_pool;
+    net::BackendPool m_pool;
+    gateway::Number m_lastRun = 0;
+    std::map<gateway::Number, Attempt> m_attempts;
+    std::map<Key, gateway::Number> m_runs;
 };
 
 void BackendClient::Impl::dispatch(const messages::Dispatch &dispatch)
 {
-    const Key key = {dispatch.request, dispatch.attempt};
-    const std::shared_ptr<Attempt> attempt = std::make_shared<Attempt>(clientRequest(dispatch, m_settings));
-    {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        m_attempts[key] = attempt;
-    }
-    if (!m_pool.tryRun([this, key, attempt] { run(key, attempt); })) {
-        remove(key);
+    if (m_attempts.size() >= m_settings.maxAttempts) {
         m_sink(messages::BackendFailure{dispatch.request, dispatch.attempt, false, "too many attempts at once"});
+        return;
     }
+    const gateway::Number run = ++m_lastRun;
+    const Key key = {dispatch.request, dispatch.attempt};
+    Attempt &attempt = m_attempts[run];
+    attempt.key = key;
+    attempt.patience = dispatch.isStream ? std::max(dispatch.firstByteTimeout, m_settings.silenceTimeout) : dispatch.firstByteTimeout;
+    m_runs[key] = run;
+    awaitMore(run, attempt);
+    gateway::BackendServer server;
+    server.id = dispatch.backendServer;
+    server.address = dispatch.address;
+    m_pool.start(run, server, {dispatch.method, dispatch.path, passedOn(dispatch.headers), dispatch.body}, dispatch.request, false);
 }
 
 void BackendClient::Impl::cancel(const messages::CancelDispatch &cancel)
 {
-    std::shared_ptr<Attempt> attempt;
-    {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        const auto it = m_attempts.find({cancel.request, cancel.attempt});
-        if (it == m_attempts.end()) {
-            return;
-        }
-        attempt = it->second;
+    const auto it = m_runs.find({cancel.request, cancel.attempt});
+    if (it != m_runs.end()) {
+        const gateway::Number run = it->second;
+        remove(run);
+        m_pool.cancel(run);
     }
-    attempt->isCancelled = true;
-    attempt->client.cancel();
 }
 
 void BackendClient::Impl::stop()
 {
-    std::map<Key, std::shared_ptr<Attempt>> attempts;
-    {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        attempts = m_attempts;
+    const std::map<Key, gateway::Number> runs = m_runs;
+    for (const auto &entry : runs) {
+        remove(entry.second);
+        m_pool.cancel(entry.second);
     }
-    for (const auto &entry : attempts) {
-        entry.second->isCancelled = true;
-        entry.second->client.cancel();
+}
+
+void BackendClient::Impl::awaitMore(gateway::Number run, Attempt &attempt)
+{
+    attempt.timer = m_loop.timers().after(attempt.patience, [this, run] {
+        m_pool.cancel(run);
+        runFailed(run, true, "silent");
+    });
+}
+
+BackendClient::Impl::Key BackendClient::Impl::remove(gateway::Number run)
+{
+    const auto it = m_attempts.find(run);
+    Key key = it->second.key;
+    m_attempts.erase(it);
+    m_runs.erase(key);
+    return key;
+}
+
+void BackendClient::Impl::runHead(gateway::Number run, const gateway::HttpHead &head)
+{
+    const auto it = m_attempts.find(run);
+    if (it != m_attempts.end()) {
+        awaitMore(run, it->second);
+        const Key key = it->second.key;
+        m_sink(messages::BackendHead{key.first, key.second, head.status, passedOn(head.headers)});
     }
-    m_pool.stop();
 }
 
-void BackendClient::Impl::run(const Key &key, const std::shared_ptr<Attempt> &attempt)
+void BackendClient::Impl::runData(gateway::Number run, const std::string &data)
 {
-    ClientHandlers handlers;
-    handlers.onHead = [&](int status, const std::vector<node::Header> &headers) {
-        if (!attempt->isCancelled) {
-            m_sink(messages::BackendHead{key.first, key.second, status, passedOn(headers)});
-        }
-        return !attempt->isCancelled;
-    };
-    handlers.onData = [&](const char *data, std::size_t size) {
-        if (!attempt->isCancelled) {
-            m_sink(messages::BackendChunk{key.first, key.second, std::string(data, size)});
-        }
-        return !attempt->isCancelled;
-    };
-    const ClientResult result = attempt->client.run(handlers);
-    remove(key);
-    if (attempt->isCancelled) {
-        return;
+    const auto it = m_attempts.find(run);
+    if (it != m_attempts.end()) {
+        awaitMore(run, it->second);
+        const Key key = it->second.key;
+        m_sink(messages::BackendChunk{key.first, key.second, data});
     }
-    if (result.outcome == ClientOutcome::Whole) {
+}
+
+void BackendClient::Impl::runEnd(gateway::Number run)
+{
+    if (m_attempts.count(run) > 0) {
+        const Key key = remove(run);
         m_sink(messages::BackendEnd{key.first, key.second});
-    } else {
-        m_sink(messages::BackendFailure{key.first, key.second, result.outcome != ClientOutcome::NotConnected, result.reason});
     }
 }
 
-void BackendClient::Impl::remove(const Key &key)
+void BackendClient::Impl::runFailed(gateway::Number run, bool mayHaveRun, const std::string &reason)
 {
-    const std::lock_guard<std::mutex> lock(m_mutex);
-    m_attempts.erase(key);
+    if (m_attempts.count(run) > 0) {
+        const Key key = remove(run);
+        m_sink(messages::BackendFailure{key.first, key.second, mayHaveRun, reason});
+    }
 }
 
-BackendClient::BackendClient(BackendClientSettings settings, messages::EventSink sink)
-    : m_impl(std::make_unique<Impl>(settings, std::move(sink)))
+BackendClient::BackendClient(net::EventLoop &loop, BackendClientSettings settings, messages::EventSink sink)
+    : m_impl(std::make_unique<Impl>(loop, settings, std::move(sink)))
 {
 }
 
--- a/source/http/backendmonitor.cpp
+++ b/source/http/backendmonitor.cpp
@@ -1,150 +1,113 @@
 #include "snipeferry/http/backendmonitor.h"
 
-#include <absl/time/clock.h>
+#include "../net/httpcaller.h"
 
 #include <algorithm>
-#include <atomic>
-#include <condition_variable>
-#include <map>
-#include <mutex>
-#include <thread>
+#include <utility>
 
 namespace snipeferry::http {
 
-class BackendMonitor::Impl
+namespace {
+
+constexpr int OK = 200;
+
+} // namespace
+
+/** One backend server, read again and again on a kept connection. */
+class BackendMonitor::Watched : public std::enable_shared_from_this<BackendMonitor::Watched>
 {
 public:
-    Impl(BackendMonitorSettings settings, std::unique_ptr<BackendReporter> reporter, messages::EventSink sink)
-        : m_settings(std::move(settings)),
-          m_reporter(std::move(reporter)),
-          m_sink(std::move(sink))
+    Watched(BackendMonitor &monitor, const platform::BackendServer &server)
+        : m_loop(monitor.m_loop),
+          m_settings(monitor.m_settings),
+          m_format(*monitor.m_format),
+          m_sink(monitor.m_sink),
+          m_id(server.id),
+          m_address(server.address),
+          m_caller(std::make_shared<net::HttpCaller>(monitor.m_loop, server.address))
     {
     }
 
-    void start();
-    void stop();
-    void setServers(const std::vector<platform::BackendServer> &servers);
-
-    bool isRunning() const
+    const std::string &address() const
     {
-        return m_isRunning;
+        return m_address;
     }
 
-private:
-    /** One backend server and what was read of it. */
-    struct Watched
+    void start()
     {
-        platform::BackendServer server;
-        absl::Time due;
-        bool isBeingRead = false;
-        std::uint64_t lastSequence = 0;
-    };
-
-    void runReader();
-    std::optional<Watched> nextDue(std::unique_lock<std::mutex> &lock);
-    std::uint64_t readOne(const Watched &watched);
-
-    const BackendMonitorSettings m_settings;
-    const std::unique_ptr<BackendReporter> m_reporter;
-    const messages::EventSink m_sink;
-    std::mutex m_mutex;
-    std::condition_variable m_wakeUp;
-    std::map<core::BackendServerId, Watched> m_watched;
-    std::atomic<bool> m_isRunning = false;
-    std::vector<std::thread> m_readers;
-};
-
-void BackendMonitor::Impl::start()
-{
-    m_isRunning = true;
-    for (std::size_t i = 0; i < m_settings.maxReaders; ++i) {
-        m_readers.emplace_back([this] { runReader(); });
+        m_timer = m_loop.timers().every(m_settings.interval, [self = weak_from_this()] {
+            if (const std::shared_ptr<Watched> watched = self.lock()) {
+                watched->readLoad();
+            }
+        });
+        readLoad();
     }
-}
 
-void BackendMonitor::Impl::stop()
-{
+    void stop()
     {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        m_isRunning = false;
+        m_isStopped = true;
+        m_timer.cancel();
+        m_caller->close();
     }
-    m_wakeUp.notify_all();
-    for (std::thread &reader : m_readers) {
-        reader.join();
-    }
-    m_readers.clear();
-}
 
-void BackendMonitor::Impl::setServers(const std::vector<platform::BackendServer> &servers)
-{
-    const std::lock_guard<std::mutex> lock(m_mutex);
-    std::map<core::BackendServerId, Watched> watched;
-    for (const platform::BackendServer &server : servers) {
-        if (server.dataCentre != m_settings.dataCentre) {
-            continue;
+private:
+    void readLoad()
+    {
+        if (m_isBeingRead) {
+            return;
         }
-        const auto it = m_watched.find(server.id);
-        const bool isKnown = it != m_watched.end() && it->second.server.address == server.address;
-        Watched entry = isKnown ? it->second : Watched{server, absl::Now(), false, 0};
-        entry.server = server;
-        watched.emplace(server.id, std::move(entry));
+        m_isBeingRead = true;
+        read(m_format.loadPath(), [this](const std::string &body) {
+            const std::optional<messages::LoadReported> load = m_format.readLoad(m_id, body);
+            if (!load.has_value()) {
+                m_isBeingRead = false;
+                return;
+            }
+            m_sink(*load);
+            readCacheEvents();
+        });
     }
-    m_watched = std::move(watched);
-    m_wakeUp.notify_all();
-}
 
-std::optional<BackendMonitor::Impl::Watched> BackendMonitor::Impl::nextDue(std::unique_lock<std::mutex> &lock)
-{
-    while (m_isRunning) {
-        absl::Time earliest = absl::Now() + m_settings.interval;
-        for (auto &entry : m_watched) {
-            Watched &watched = entry.second;
-            if (!watched.isBeingRead && watched.due <= absl::Now()) {
-                watched.isBeingRead = true;
-                return watched;
+    void readCacheEvents()
+    {
+        read(m_format.cacheEventsPath(m_lastSequence), [this](const std::string &body) {
+            m_isBeingRead = false;
+            for (const messages::CacheReported &event : m_format.readCacheEvents(m_id, body)) {
+                m_lastSequence = std::max(m_lastSequence, event.sequence);
+                m_sink(event);
             }
-            earliest = watched.isBeingRead ? earliest : std::min(earliest, watched.due);
-        }
-        m_wakeUp.wait_for(lock, absl::ToChronoNanoseconds(earliest - absl::Now()));
+        });
     }
-    return std::nullopt;
-}
 
-void BackendMonitor::Impl::runReader()
-{
-    std::unique_lock<std::mutex> lock(m_mutex);
-    std::optional<Watched> watched = nextDue(lock);
-    while (watched.has_value()) {
-        lock.unlock();
-        const std::uint64_t lastSequence = readOne(*watched);
-        lock.lock();
-        const auto it = m_watched.find(watched->server.id);
-        if (it != m_watched.end()) {
-            it->second.isBeingRead = false;
-            it->second.due = absl::Now() + m_settings.interval;
-            it->second.lastSequence = it->second.server.address == watched->server.address ? lastSequence : 0;
-        }
-        watched = nextDue(lock);
+    /** Reads a page; a page that does not come whole in time is taken for an empty one. */
+    void read(const std::string &path, std::function<void(const std::string &)> take)
+    {
+        m_caller->call(
+            {"GET", path, {}, {}}, m_settings.timeout, [self = shared_from_this(), take = std::move(take)](const core::Expected<net::CallAnswer> &answer) {
+                if (!self->m_isStopped) {
+                    take(answer && answer->status == OK ? answer->body : std::string());
+                }
+            });
     }
-}
 
-std::uint64_t BackendMonitor::Impl::readOne(const Watched &watched)
-{
-    const std::optional<messages::LoadReported> load = m_reporter->readLoad(watched.server);
-    if (!load.has_value()) {
-        return watched.lastSequence;
-    }
-    m_sink(*load);
-    std::uint64_t last = watched.lastSequence;
-    for (const messages::CacheReported &event : m_reporter->readCacheEvents(watched.server, last)) {
-        last = std::max(last, event.sequence);
-        m_sink(event);
-    }
-    return last;
-}
+    net::EventLoop &m_loop;
+    const BackendMonitorSettings m_settings;
+    const ReportFormat &m_format;
+    const messages::EventSink m_sink;
+    const core::BackendServerId m_id;
+    const std::string m_address;
+    std::shared_ptr<net::HttpCaller> m_caller;
+    std::uint64_t m_lastSequence = 0;
+    bool m_isBeingRead = false;
+    bool m_isStopped = false;
+    core::Subscription m_timer;
+};
 
-BackendMonitor::BackendMonitor(BackendMonitorSettings settings, std::unique_ptr<BackendReporter> reporter, messages::EventSink sink)
-    : m_impl(std::make_unique<Impl>(std::move(settings), std::move(reporter), std::move(sink)))
+BackendMonitor::BackendMonitor(net::EventLoop &loop, BackendMonitorSettings settings, std::unique_ptr<ReportFormat> format, messages::EventSink sink)
+    : m_loop(loop),
+      m_settings(std::move(settings)),
+      m_format(std::move(format)),
+      m_sink(std::move(sink))
 {
 }
 
@@ -155,22 +118,43 @@
 
 void BackendMonitor::start()
 {
-    m_impl->start();
+    m_isRunning = true;
+    for (const auto &entry : m_watched) {
+        entry.second->start();
+    }
 }
 
 void BackendMonitor::stop()
 {
-    m_impl->stop();
-}
-
-bool BackendMonitor::isRunning() const
-{
-    return m_impl->isRunning();
+    m_isRunning = false;
+    for (const auto &entry : m_watched) {
+        entry.second->stop();
+    }
+    m_watched.clear();
 }
 
 void BackendMonitor::setServers(const std::vector<platform::BackendServer> &servers)
 {
-    m_impl->setServers(servers);
+    std::map<core::BackendServerId, std::shared_ptr<Watched>> before = std::exchange(m_watched, {});
+    for (const platform::BackendServer &server : servers) {
+        if (server.dataCentre != m_settings.dataCentre) {
+            continue;
+        }
+        const auto known = before.find(server.id);
+        if (known != before.end() && known->second->address() == server.address) {
+            m_watched[server.id] = known->second;
+            before.erase(known);
+            continue;
+        }
+        const std::shared_ptr<Watched> watched = std::make_shared<Watched>(*this, server);
+        m_watched[server.id] = watched;
+        if (m_isRunning) {
+            watched->start();
+        }
+    }
+    for (const auto &entry : before) {
+        entry.second->stop();
+    }
 }
 
 } // namespace snipeferry::http
--- a/source/http/callerkey.cpp
+++ b/source/http/callerkey.cpp
@@ -86,7 +86,7 @@
 std::set<std::string> findKeys(const HttpRequest &request, const Target &target)
 {
     std::set<std::string> keys;
-    for (const node::Header &header : request.headers) {
+    for (const core::Header &header : request.headers) {
         if (isHeaderName(header.name, "Proxy-Authorization") || isCredentialHeader(header.name)) {
             keys.insert(keyOfCredentials(header.value));
         } else if (isHeaderName(header.name, "Cookie")) {
@@ -159,7 +159,7 @@
             result.target.query.push_back(parameter);
         }
     }
-    for (const node::Header &header : request.headers) {
+    for (const core::Header &header : request.headers) {
         if (!isKeyPlace(header.name) && !isConnectionHeader(header.name) && !holdsKey(header.value, key) && !holdsKey(header.name, key)) {
             result.headers.push_back(header);
         }
--- a/source/http/callerserver.cpp
+++ b/source/http/callerserver.cpp
@@ -1,6 +1,5 @@
 #include "snipeferry/http/callerserver.h"
 
-#include "answerpump.h"
 #include "snipeferry/http/callerkey.h"
 #include "snipeferry/http/erroranswer.h"
 #include "snipeferry/http/requestparser.h"
@@ -16,6 +15,47 @@
 
 constexpr int CREATED = 201;
 
+/** Errors of requests that the server refuses by itself. */
+core::Error refusedError(net::Refused reason)
+{
+    switch (reason) {
+    case net::Refused::HeaderTooLarge:
+        return core::makeError(core::ErrorKind::BadRequest, "The header is too large.");
+    case net::Refused::BodyTooLarge:
+        return core::makeError(core::ErrorKind::RequestTooLarge, "The body is too large.");
+    case net::Refused::TargetTooLong:
+        return core::makeError(core::ErrorKind::BadRequest, "The path is too long.");
+    case net::Refused::Malformed:
+        break;
+    case net::Refused::AmbiguousLength:
+        return core::makeError(core::ErrorKind::BadRequest, "The length of the body is ambiguous.");
+    case net::Refused::TooSlow:
+        return core::makeError(core::ErrorKind::BadRequest, "The request did not arrive whole.");
+    case net::Refused::TooManyBytes:
+        return core::makeError(core::ErrorKind::Overloaded, "Too many large requests at once.", absl::Seconds(1));
+    case net::Refused::TooManyConnections:
+        return core::makeError(core::ErrorKind::Overloaded, "Too many open connections.", absl::Seconds(1));
+    }
+    return core::makeError(core::ErrorKind::BadRequest, "The request cannot be read.");
+}
+
+std::optional<net::Refusal> refusal(net::Refused reason)
+{
+    const HttpAnswer answer = errorAnswer(refusedError(reason), "");
+    return net::Refusal{{answer.status, answer.headers}, answer.body};
+}
+
+/** Methods whose requests have a body that means something; any other body is dropped. */
+bool carriesBody(const std::string &method)
+{
+    return method == "POST" || method == "PUT" || method == "PATCH" || method == "DELETE";
+}
+
+void send(net::HttpExchange &exchange, const HttpAnswer &answer)
+{
+    exchange.answer({answer.status, answer.headers}, answer.body);
+}
+
 core::Error unavailable()
 {
     return core::makeError(core::ErrorKind::Overloaded, "The instance is overloaded.", absl::Seconds(1));
@@ -23,18 +63,48 @@
 
 } // namespace
 
+std::unique_ptr<net::HttpServer> makeServer(net::EventLoop &loop, net::HttpHandler handler, const ListenSettings &settings)
+{
+    net::HttpServerSettings bounds;
+    bounds.maxConnections = settings.maxConnections;
+    bounds.maxTargetBytes = settings.maxTargetBytes;
+    bounds.maxBufferedBytes = settings.maxBufferedBytes;
+    bounds.maxUnsentBytes = settings.slowReaderBytes;
+    bounds.bodyTimeout = settings.requestTimeout;
+    bounds.writeTimeout = settings.writeTimeout;
+    std::unique_ptr<net::HttpServer> server = std::make_unique<net::HttpServer>(loop, std::move(handler), bounds);
+    server->setLimits({settings.maxHeaderBytes, settings.maxBodyBytes, settings.requestTimeout, settings.keepAliveTimeout});
+    server->setRefusals(&refusal);
+    return server;
+}
+
+core::Expected<std::string> listenOn(net::HttpServer &server, const std::string &address)
+{
+    return server.listen(address).map([&](int port) { return address.substr(0, address.find(':')) + ":" + std::to_string(port); });
+}
+
 class CallerServer::Impl
 {
 public:
-    Impl(CallerServerSettings settings, supervision::CoreLoop &loop, CallerRegistry &registry)
-        : m_settings(std::move(settings)),
-          m_loop(loop),
-          m_registry(registry),
-          m_server(m_settings.server, [this](HttpRequest &request, const HttpConnection &connection) { return handle(request, connection); })
+    Impl(net::EventLoop &loop, CallerServerSettings settings, supervision::CoreLoop &core, CallerRegistry &registry)
+        : m_loop(loop),
+          m_settings(std::move(settings)),
+          m_core(core),
+          m_registry(registry)
+    {
+        core.failed().subscribe(
+            [this](const supervision::CoreFailed & /*event*/) { m_registry.failAll(core::makeError(core::ErrorKind::Internal, "The instance has stopped.")); });
+    }
+
+    core::Expected<std::string> start()
     {
+        m_server = makeServer(
+            m_loop, [this](HttpRequest request, const std::shared_ptr<net::HttpExchange> &exchange) { handle(std::move(request), exchange); },
+            m_settings.server);
+        return listenOn(*m_server, m_settings.server.listenAddress);
     }
 
-    HttpServer &server()
+    const std::unique_ptr<net::HttpServer> &server() const
     {
         return m_server;
     }
@@ -48,8 +118,9 @@
         HttpAnswer (Impl::*answer)(const std::string &keyDigest, const std::string &requestId);
     };
 
-    HttpAnswer handle(HttpRequest &request, const HttpConnection &connection);
-    HttpAnswer runRequest(node::CallerRequest request, const HttpConnection &connection);
+    void handle(HttpRequest request, const std::shared_ptr<net::HttpExchange> &exchange);
+    std::optional<HttpAnswer> answerQuery(const std::string &method, const KeylessRequest &request, const core::RequestId &id);
+    core::Expected<node::CallerRequest> parse(const std::string &method, KeylessRequest request, const core::RequestId &id) const;
     HttpAnswer entries(const std::string &keyDigest, const std::string &requestId);
     HttpAnswer models(const std::string &keyDigest, const std::string &requestId);
     HttpAnswer operationNumber(const std::string &keyDigest, const std::string &requestId);
@@ -57,63 +128,72 @@
     template<typename Result>
     core::Expected<Result> ask(std::function<core::Expected<Result>(supervision::DecisionCore &)> question)
     {
-        return m_loop.query<core::Expected<Result>>(std::move(question)).value_or(tl::make_unexpected(unavailable()));
+        return m_core.query<core::Expected<Result>>(std::move(question)).value_or(tl::make_unexpected(unavailable()));
     }
 
+    net::EventLoop &m_loop;
     const CallerServerSettings m_settings;
-    supervision::CoreLoop &m_loop;
+    supervision::CoreLoop &m_core;
     CallerRegistry &m_registry;
-    HttpServer m_server;
+    std::unique_ptr<net::HttpServer> m_server;
 };
 
-HttpAnswer CallerServer::Impl::handle(HttpRequest &request, const HttpConnection &connection)
+void CallerServer::Impl::handle(HttpRequest request, const std::shared_ptr<net::HttpExchange> &exchange)
 {
     const core::RequestId id = newRequestId();
+    if (!carriesBody(request.method)) {
+        request.body.clear();
+    }
     core::Expected<KeylessRequest> keyless = takeCallerKey(request);
     if (!keyless.has_value()) {
-        return errorAnswer(keyless.error(), id.value());
+        send(*exchange, errorAnswer(keyless.error(), id.value()));
+        return;
+    }
+    const std::optional<HttpAnswer> answer = answerQuery(request.method, *keyless, id);
+    if (answer.has_value()) {
+        send(*exchange, *answer);
+        return;
     }
+
+    // Everything else runs at a backend server.
+    core::Expected<node::CallerRequest> parsed = parse(request.method, std::move(*keyless), id);
+    if (!parsed.has_value()) {
+        send(*exchange, errorAnswer(parsed.error(), id.value()));
+        return;
+    }
+    m_registry.open(id, exchange, parsed->isStream);
+    if (!m_core.tryPost(messages::RequestArrived{std::move(*parsed)})) {
+        m_registry.refuse(id, unavailable());
+    }
+}
+
+std::optional<HttpAnswer> CallerServer::Impl::answerQuery(const std::string &method, const KeylessRequest &request, const core::RequestId &id)
+{
     static constexpr Query QUERIES[] = {
         {"GET", MODELS_PATH, &Impl::models},
         {"GET", ENTRIES_PATH, &Impl::entries},
         {"POST", OPERATIONS_PATH, &Impl::operationNumber},
     };
     for (const Query &query : QUERIES) {
-        if (request.method == query.method && keyless->target.path == query.path) {
-            return (this->*query.answer)(keyless->keyDigest, id.value());
+        if (method == query.method && request.target.path == query.path) {
+            return (this->*query.answer)(request.keyDigest, id.value());
         }
     }
+    return std::nullopt;
+}
 
-    // Everything else runs at a backend server.
-    const std::string path = keyless->target.path;
-    const bool isChat = path == CHAT_PATH && request.method == "POST";
-    if (!isChat && !absl::StartsWith(path, SERVICES_PREFIX)) {
-        return errorAnswer(core::makeError(core::ErrorKind::UnknownService, "Nothing is served under this method and path."), id.value());
+core::Expected<node::CallerRequest> CallerServer::Impl::parse(const std::string &method, KeylessRequest request, const core::RequestId &id) const
+{
+    const bool isChat = request.target.path == CHAT_PATH && method == "POST";
+    if (!isChat && !absl::StartsWith(request.target.path, SERVICES_PREFIX)) {
+        return tl::make_unexpected(core::makeError(core::ErrorKind::UnknownService, "Nothing is served under this method and path."));
     }
-    const std::shared_ptr<const configuration::Configuration> configuration = m_loop.configuration();
+    const std::shared_ptr<const configuration::Configuration> configuration = m_core.configuration();
     if (configuration == nullptr) {
-        return errorAnswer(core::makeError(core::ErrorKind::ConfigurationMissing, "The instance has no configuration yet.", absl::Seconds(1)), id.value());
+        return tl::make_unexpected(core::makeError(core::ErrorKind::ConfigurationMissing, "The instance has no configuration yet.", absl::Seconds(1)));
     }
     const ParseContext context = {*configuration, id};
-    core::Expected<node::CallerRequest> parsed = isChat ? parseChat(*keyless, context) : parseServiceCall(request.method, std::move(*keyless), context);
-    if (!parsed.has_value()) {
-        return errorAnswer(parsed.error(), id.value());
-    }
-    request.body.clear();
-    request.body.shrink_to_fit();
-    return runRequest(std::move(*parsed), connection);
-}
-
-HttpAnswer CallerServer::Impl::runRequest(node::CallerRequest request, const HttpConnection &connection)
-{
-    const core::RequestId id = request.id;
-    const bool isStream = request.isStream;
-    const std::shared_ptr<AnswerPump> pump = std::make_shared<AnswerPump>(id, connection, m_loop, m_registry, m_settings.maxCollectedBytes);
-    if (!m_loop.tryPost(messages::RequestArrived{std::move(request)})) {
-        pump->dismiss();
-        return errorAnswer(unavailable(), id.value());
-    }
-    return AnswerPump::answer(pump, isStream);
+    return isChat ? parseChat(request, context) : parseServiceCall(method, std::move(request), context);
 }
 
 HttpAnswer CallerServer::Impl::entries(const std::string &keyDigest, const std::string &requestId)
@@ -156,8 +236,8 @@
     return jsonAnswer(CREATED, json{{"operation_number", *number}}.dump());
 }
 
-CallerServer::CallerServer(CallerServerSettings settings, supervision::CoreLoop &loop, CallerRegistry &registry)
-    : m_impl(std::make_unique<Impl>(std::move(settings), loop, registry))
+CallerServer::CallerServer(net::EventLoop &loop, CallerServerSettings settings, supervision::CoreLoop &core, CallerRegistry &registry)
+    : m_impl(std::make_unique<Impl>(loop, std::move(settings), core, registry))
 {
 }
 
@@ -168,22 +248,24 @@
 
 core::Expected<std::string> CallerServer::start()
 {
-    return m_impl->server().start();
+    return m_impl->start();
 }
 
 void CallerServer::stop()
 {
-    m_impl->server().stop();
+    if (m_impl->server() != nullptr) {
+        m_impl->server()->stop();
+    }
 }
 
 bool CallerServer::isRunning() const
 {
-    return m_impl->server().isRunning();
+    return m_impl->server() != nullptr && m_impl->server()->isListening();
 }
 
-std::size_t CallerServer::openConnections() const
+std::size_t CallerServer::busyConnections() const
 {
-    return m_impl->server().openConnections();
+    return m_impl->server() == nullptr ? 0 : m_impl->server()->busyCount();
 }
 
 } // namespace snipeferry::http
--- a/source/http/httpclient.cpp
+++ b/source/http/httpclient.cpp
@@ -21,9 +21,9 @@
     return colon != std::string::npos && absl::SimpleAtoi(address.substr(colon + 1), &port) ? port : 0;
 }
 
-std::vector<node::Header> headersOf(const httplib::Response &response)
+core::Headers headersOf(const httplib::Response &response)
 {
-    std::vector<node::Header> headers;
+    core::Headers headers;
     for (const auto &header : response.headers) {
         headers.push_back({header.first, header.second});
     }
@@ -69,7 +69,7 @@
     httplib::Request request;
     request.method = m_request.method;
     request.path = m_request.path;
-    for (const node::Header &header : m_request.headers) {
+    for (const core::Header &header : m_request.headers) {
         request.headers.emplace(header.name, header.value);
     }
     // The body is asked for after the connection is up: from then on cancel() reaches it, before then this check does.
@@ -121,7 +121,7 @@
 {
     ClientAnswer answer;
     ClientHandlers handlers;
-    handlers.onHead = [&](int status, const std::vector<node::Header> &headers) {
+    handlers.onHead = [&](int status, const core::Headers &headers) {
         answer.status = status;
         answer.headers = headers;
         return true;
--- a/source/http/httpmessage.cpp
+++ b/source/http/httpmessage.cpp
@@ -19,9 +19,9 @@
     return strcasecmp(left.c_str(), right.c_str()) == 0;
 }
 
-std::string headerValue(const std::vector<node::Header> &headers, const std::string &name)
+std::string headerValue(const core::Headers &headers, const std::string &name)
 {
-    const auto it = std::find_if(headers.begin(), headers.end(), [&](const node::Header &header) { return isHeaderName(header.name, name); });
+    const auto it = std::find_if(headers.begin(), headers.end(), [&](const core::Header &header) { return isHeaderName(header.name, name); });
     return it == headers.end() ? "" : it->value;
 }
 
--- a/source/http/requestparser.cpp
+++ b/source/http/requestparser.cpp
@@ -34,9 +34,9 @@
 }
 
 /** Reads a header that may stand once only and holds visible characters. */
-core::Expected<std::string> singleHeader(const std::vector<node::Header> &headers, const std::string &name)
+core::Expected<std::string> singleHeader(const core::Headers &headers, const std::string &name)
 {
-    const auto count = std::count_if(headers.begin(), headers.end(), [&](const node::Header &header) { return isHeaderName(header.name, name); });
+    const auto count = std::count_if(headers.begin(), headers.end(), [&](const core::Header &header) { return isHeaderName(header.name, name); });
     const std::string value = headerValue(headers, name);
     const bool isVisible = std::all_of(value.begin(), value.end(), [](char c) { return c > ' ' && c < 0x7f; });
     if (count > 1 || (count == 1 && (value.empty() || value.size() > MAX_KEY_CHARACTERS || !isVisible))) {
@@ -62,7 +62,7 @@
     result.keyDigest = request.keyDigest;
     result.idempotencyKey = *idempotencyKey;
     result.operationNumber = *operationNumber;
-    for (const node::Header &header : request.headers) {
+    for (const core::Header &header : request.headers) {
         if (!isReserved(header.name)) {
             result.headers.push_back(header);
         }
--- a/source/net/backendpool.cpp
+++ b/source/net/backendpool.cpp
@@ -282,7 +282,8 @@
         const std::shared_ptr<BackendPool::Impl> pool = m_pool.lock();
         const gateway::Number run = m_run;
         // Bytes behind the answer belong to no request, and a request that was not read whole would be read on later.
-        const bool isReusable = m_parser->keep_alive() && m_isWritten && m_buffer.size() == 0 && !m_parser->need_eof();
+        const bool isSpent = !m_parser->keep_alive() || m_parser->need_eof() || pool == nullptr || !pool->settings.reusesConnections;
+        const bool isReusable = !isSpent && m_isWritten && m_buffer.size() == 0;
         m_parser.reset();
         if (pool == nullptr) {
             close();
--- a/source/net/eventloop.cpp
+++ b/source/net/eventloop.cpp
@@ -1,5 +1,7 @@
 #include "snipeferry/net/eventloop.h"
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
 #include <chrono>
 
@@ -35,6 +37,11 @@
     return m_timers;
 }
 
+void EventLoop::post(std::function<void()> action)
+{
+    boost::asio::post(m_context, std::move(action));
+}
+
 void EventLoop::run()
 {
     while (!m_isStopped) {
--- a/source/net/httpcaller.cpp
+++ b/source/net/httpcaller.cpp
@@ -22,9 +22,10 @@
 
 } // namespace
 
-HttpCaller::HttpCaller(EventLoop &loop, std::string address)
+HttpCaller::HttpCaller(EventLoop &loop, std::string address, absl::Duration connectTimeout)
     : m_loop(loop),
-      m_address(std::move(address))
+      m_address(std::move(address)),
+      m_connectTimeout(connectTimeout)
 {
 }
 
@@ -40,20 +41,34 @@
     });
     if (m_isConnected) {
         send();
-        return;
+    } else {
+        connect();
     }
+}
+
+void HttpCaller::connect()
+{
+    const std::uint64_t generation = m_generation;
     const core::Expected<std::pair<std::string, int>> parts = splitAddress(m_address);
     ErrorCode error;
     const asio::ip::address ip = parts ? asio::ip::make_address(parts->first, error) : asio::ip::address();
     if (!parts || error) {
-        asio::post(m_loop.context(), [self = shared_from_this()] { self->fail("bad address"); });
+        m_loop.post([self = shared_from_this()] { self->fail("bad address"); });
         return;
     }
+    if (m_connectTimeout != absl::InfiniteDuration()) {
+        m_connectTimer = m_loop.timers().after(m_connectTimeout, [self = shared_from_this(), generation] {
+            if (self->m_generation == generation && !self->m_isConnected) {
+                self->fail("cannot connect in time");
+            }
+        });
+    }
     m_socket.emplace(m_loop.context());
     m_socket->async_connect(Tcp::endpoint(ip, static_cast<unsigned short>(parts->second)), [self = shared_from_this(), generation](ErrorCode connectError) {
         if (self->m_generation != generation) {
             return;
         }
+        self->m_connectTimer.cancel();
         if (connectError) {
             self->fail("cannot connect");
             return;
@@ -64,6 +79,22 @@
     });
 }
 
+/** A server that closes an idle connection is seen before the next call, which then opens another one. */
+void HttpCaller::watchIdle()
+{
+    if (m_isWatching || !m_isConnected) {
+        return;
+    }
+    m_isWatching = true;
+    const std::uint64_t generation = m_generation;
+    m_socket->async_wait(Tcp::socket::wait_read, [self = shared_from_this(), generation](ErrorCode /*error*/) {
+        self->m_isWatching = false;
+        if (self->m_generation == generation) {
+            self->close();
+        }
+    });
+}
+
 void HttpCaller::send()
 {
     const std::uint64_t generation = m_generation;
@@ -88,6 +119,7 @@
         }
         self->m_parser.reset();
         self->m_buffer = boost::beast::flat_buffer();
+        self->watchIdle();
         self->finish(answer);
     });
 }
@@ -103,14 +135,17 @@
 
 void HttpCaller::fail(const std::string &reason)
 {
+    core::Error error = core::makeError(core::ErrorKind::PlatformUnavailable, reason);
+    error.ranState = m_isConnected ? core::RanState::Unknown : core::RanState::NotRun;
     close();
-    finish(tl::make_unexpected(core::makeError(core::ErrorKind::PlatformUnavailable, reason)));
+    finish(tl::make_unexpected(error));
 }
 
 void HttpCaller::close()
 {
     ++m_generation;
     m_isConnected = false;
+    m_connectTimer.cancel();
     m_buffer = boost::beast::flat_buffer();
     if (m_socket.has_value()) {
         ErrorCode ignored;
--- a/source/net/httpcaller.h
+++ b/source/net/httpcaller.h
@@ -32,9 +32,13 @@
 public:
     using Callback = std::function<void(const core::Expected<CallAnswer> &)>;
 
-    HttpCaller(EventLoop &loop, std::string address);
+    HttpCaller(EventLoop &loop, std::string address, absl::Duration connectTimeout = absl::InfiniteDuration());
 
-    /** @brief Makes a call; only one at a time. The callback gets PlatformUnavailable without an answer in time. */
+    /**
+     * @brief Makes a call; only one at a time.
+     *
+     * Without an answer in time the callback gets PlatformUnavailable, which says whether a byte of the request may have left.
+     */
     void call(const gateway::HttpRequest &request, absl::Duration timeout, Callback callback);
 
     void close();
@@ -43,11 +47,15 @@
     void send();
     void finish(const core::Expected<CallAnswer> &answer);
     void fail(const std::string &reason);
+    void connect();
+    void watchIdle();
 
     EventLoop &m_loop;
     std::string m_address;
+    absl::Duration m_connectTimeout;
     std::optional<boost::asio::ip::tcp::socket> m_socket;
     bool m_isConnected = false;
+    bool m_isWatching = false;
     /** Tells callbacks of earlier connections and calls apart. */
     std::uint64_t m_generation = 0;
     std::string m_bytes;
@@ -55,6 +63,7 @@
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> m_parser;
     Callback m_callback;
     core::Subscription m_timer;
+    core::Subscription m_connectTimer;
 };
 
 } // namespace snipeferry::net
--- a/source/net/httpserver.cpp
+++ b/source/net/httpserver.cpp
@@ -28,13 +28,48 @@
 using Tcp = asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
 
-/** A client that reads its answer more slowly than this much behind is cut off. */
-constexpr std::size_t MAX_UNSENT_BYTES = 4U << 20U;
 /** After the last answer the client gets this long to read it before the socket closes. */
 constexpr absl::Duration LINGER_TIME = absl::Seconds(1);
 constexpr std::size_t READ_BUFFER_BYTES = 8192;
-/** Time for a request's body when the client has begun to send it. */
-constexpr absl::Duration BODY_TIMEOUT = absl::Seconds(15);
+/** Refused connections that are told why at once; further ones are closed. */
+constexpr std::size_t MAX_REFUSED_CONNECTIONS = 32;
+
+/** Refusals without a body, for servers whose clients read the status only. */
+std::optional<Refusal> statusOnly(Refused reason)
+{
+    switch (reason) {
+    case Refused::HeaderTooLarge:
+        return Refusal{{431, {}}, {}};
+    case Refused::BodyTooLarge:
+        return Refusal{{413, {}}, {}};
+    case Refused::TargetTooLong:
+        return Refusal{{414, {}}, {}};
+    case Refused::Malformed:
+    case Refused::AmbiguousLength:
+        return Refusal{{400, {}}, {}};
+    case Refused::TooManyBytes:
+    case Refused::TooManyConnections:
+        return Refusal{{503, {}}, {}};
+    case Refused::TooSlow:
+        break;
+    }
+    return std::nullopt;
+}
+
+/** Two lengths, a length beside a transfer encoding, or another encoding would let two readers see different requests. */
+template<typename Message>
+bool isLengthAmbiguous(const Message &message)
+{
+    const std::size_t lengths = message.count(http::field::content_length);
+    const std::size_t encodings = message.count(http::field::transfer_encoding);
+    const bool isChunkedOnly = encodings == 0 || absl::EqualsIgnoreCase(std::string(message[http::field::transfer_encoding]), "chunked");
+    return lengths > 1 || encodings > 1 || (lengths > 0 && encodings > 0) || !isChunkedOnly;
+}
+
+bool isLengthError(ErrorCode error)
+{
+    return error == http::error::bad_content_length || error == http::error::bad_transfer_encoding;
+}
 
 } // namespace
 
@@ -43,20 +78,27 @@
 class HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl>
 {
 public:
-    Impl(EventLoop &eventLoop, HttpHandler requestHandler)
+    Impl(EventLoop &eventLoop, HttpHandler requestHandler, HttpServerSettings bounds)
         : loop(eventLoop),
           handler(std::move(requestHandler)),
+          settings(bounds),
           acceptor(eventLoop.context())
     {
     }
 
     void accept();
+    void take(Tcp::socket socket);
+    bool makeRoom();
 
     EventLoop &loop;
     HttpHandler handler;
+    HttpServerSettings settings;
+    RefusalWriter refusals = &statusOnly;
     Tcp::acceptor acceptor;
     gateway::CallerLimits limits;
     bool isClosing = false;
+    std::size_t bufferedBytes = 0;
+    std::size_t refusedConnections = 0;
     std::set<std::shared_ptr<Connection>> connections;
 };
 
@@ -66,6 +108,7 @@
 public:
     Connection(HttpServer::Impl &server, Tcp::socket socket)
         : m_server(server.weak_from_this()),
+          m_settings(server.settings),
           m_loop(server.loop),
           m_socket(std::move(socket))
     {
@@ -78,6 +121,29 @@
         awaitRequest();
     }
 
+    /** Answers a connection for which there is no room. */
+    void startRefused()
+    {
+        m_isOverBound = true;
+        refuse(Refused::TooManyConnections);
+    }
+
+    /** When it began to wait for a request; never while it has one. */
+    absl::Time idleSince() const
+    {
+        return m_state == State::Idle ? m_idleSince : absl::InfiniteFuture();
+    }
+
+    bool isBusy() const
+    {
+        return m_state != State::Idle && m_state != State::Lingering && m_state != State::Closed;
+    }
+
+    bool isOverBound() const
+    {
+        return m_isOverBound;
+    }
+
     void closeIfIdle()
     {
         if (m_state == State::Idle) {
@@ -113,7 +179,7 @@
             return;
         }
         m_unsent += m_version < 11 ? data : chunkBytes(data);
-        if (m_unsent.size() > MAX_UNSENT_BYTES) {
+        if (m_unsent.size() > m_settings.maxUnsentBytes) {
             clientGone();
             return;
         }
@@ -178,6 +244,7 @@
     void awaitRequest()
     {
         m_state = State::Idle;
+        m_idleSince = m_loop.timers().now();
         m_parser.reset();
         if (m_buffer.size() > 0) {
             read();
@@ -236,20 +303,28 @@
         m_parser.emplace();
         m_parser->header_limit(static_cast<std::uint32_t>(bounds.maxHeaderBytes));
         m_parser->body_limit(static_cast<std::uint64_t>(bounds.maxBodyBytes));
-        m_timer = m_loop.timers().after(bounds.headerTimeout, [self = shared_from_this()] { self->close(); });
+        m_timer = m_loop.timers().after(bounds.headerTimeout, [self = shared_from_this()] { self->tooSlow(); });
         http::async_read_header(
             m_socket, m_buffer, *m_parser, [self = shared_from_this()](ErrorCode error, std::size_t /*bytes*/) { self->headerRead(error); });
     }
 
     void headerRead(ErrorCode error)
     {
-        if (m_state == State::Closed) {
+        if (m_state != State::Reading) {
             return;
         }
         if (error) {
             readFailed(error);
             return;
         }
+        if (isLengthAmbiguous(m_parser->get())) {
+            refuse(Refused::AmbiguousLength);
+            return;
+        }
+        if (m_parser->get().target().size() > m_settings.maxTargetBytes) {
+            refuse(Refused::TargetTooLong);
+            return;
+        }
         if (m_parser->is_done()) {
             requestRead();
             return;
@@ -258,37 +333,91 @@
             m_unsent += continueBytes();
             write();
         }
-        m_timer = m_loop.timers().after(BODY_TIMEOUT, [self = shared_from_this()] { self->close(); });
-        http::async_read(m_socket, m_buffer, *m_parser, [self = shared_from_this()](ErrorCode bodyError, std::size_t /*bytes*/) {
-            if (self->m_state == State::Closed) {
+        m_timer = m_loop.timers().after(m_settings.bodyTimeout, [self = shared_from_this()] { self->tooSlow(); });
+        readBody();
+    }
+
+    void readBody()
+    {
+        http::async_read_some(m_socket, m_buffer, *m_parser, [self = shared_from_this()](ErrorCode error, std::size_t /*bytes*/) {
+            if (self->m_state != State::Reading) {
                 return;
             }
-            if (bodyError) {
-                self->readFailed(bodyError);
-            } else {
+            if (error) {
+                self->readFailed(error);
+            } else if (!self->reserveBody()) {
+                self->refuse(Refused::TooManyBytes);
+            } else if (self->m_parser->is_done()) {
                 self->requestRead();
+            } else {
+                self->readBody();
             }
         });
     }
 
+    /** Counts what has arrived of the body until its answer is complete; false beyond the server's bound. */
+    bool reserveBody()
+    {
+        const std::shared_ptr<HttpServer::Impl> server = m_server.lock();
+        const std::size_t size = m_parser->get().body().size();
+        if (server == nullptr || size <= m_reserved) {
+            return true;
+        }
+        server->bufferedBytes += size - m_reserved;
+        m_reserved = size;
+        return server->bufferedBytes <= m_settings.maxBufferedBytes;
+    }
+
+    void releaseBody()
+    {
+        const std::shared_ptr<HttpServer::Impl> server = m_server.lock();
+        if (server != nullptr) {
+            server->bufferedBytes -= m_reserved;
+        }
+        m_reserved = 0;
+    }
+
     void readFailed(ErrorCode error)
     {
-        int status = 0;
+        const bool isHttpError = error.category() == make_error_code(http::error::bad_method).category();
         if (error == http::error::header_limit) {
-            status = 431;
+            refuse(Refused::HeaderTooLarge);
         } else if (error == http::error::body_limit) {
-            status = 413;
-        } else if (error.category() == make_error_code(http::error::bad_method).category() && error != http::error::end_of_stream
-            && error != http::error::partial_message) {
-            status = 400;
+            refuse(Refused::BodyTooLarge);
+        } else if (isLengthError(error)) {
+            refuse(Refused::AmbiguousLength);
+        } else if (isHttpError && error != http::error::end_of_stream && error != http::error::partial_message) {
+            refuse(Refused::Malformed);
+        } else {
+            close();
+        }
+    }
+
+    void tooSlow()
+    {
+        if (m_isWriting) {
+            close();
+            return;
         }
-        if (status == 0) {
+        // The read that still waits ends without effect.
+        m_state = State::Answering;
+        ErrorCode ignored;
+        m_socket.cancel(ignored);
+        refuse(Refused::TooSlow);
+    }
+
+    /** Answers in place of the handler; what is left of the request is not read as another one. */
+    void refuse(Refused reason)
+    {
+        const std::shared_ptr<HttpServer::Impl> server = m_server.lock();
+        const std::optional<Refusal> refusal = server == nullptr ? std::nullopt : server->refusals(reason);
+        if (!refusal.has_value()) {
             close();
             return;
         }
         m_isKeptAlive = false;
         m_state = State::Answering;
-        answer({status, {}}, {});
+        answer(refusal->head, refusal->body);
     }
 
     void requestRead()
@@ -323,19 +452,36 @@
         m_isWriting = true;
         m_sending.clear();
         m_sending.swap(m_unsent);
-        asio::async_write(m_socket, asio::buffer(m_sending), [self = shared_from_this()](ErrorCode error, std::size_t /*bytes*/) { self->written(error); });
+        m_sent = 0;
+        writeSome();
     }
 
-    void written(ErrorCode error)
+    void writeSome()
     {
-        m_isWriting = false;
+        if (m_settings.writeTimeout != absl::InfiniteDuration()) {
+            m_writeTimer = m_loop.timers().after(m_settings.writeTimeout, [self = shared_from_this()] { self->clientGone(); });
+        }
+        m_socket.async_write_some(asio::buffer(m_sending.data() + m_sent, m_sending.size() - m_sent),
+            [self = shared_from_this()](ErrorCode error, std::size_t bytes) { self->written(error, bytes); });
+    }
+
+    void written(ErrorCode error, std::size_t bytes)
+    {
+        m_writeTimer.cancel();
         if (m_state == State::Closed) {
             return;
         }
         if (error) {
+            m_isWriting = false;
             clientGone();
             return;
         }
+        m_sent += bytes;
+        if (m_sent < m_sending.size()) {
+            writeSome();
+            return;
+        }
+        m_isWriting = false;
         if (!m_unsent.empty()) {
             write();
             return;
@@ -351,6 +497,7 @@
     void answerSent()
     {
         m_onClosed = nullptr;
+        releaseBody();
         if (!m_closesAfterAnswer) {
             awaitRequest();
             return;
@@ -392,22 +539,31 @@
         }
         m_state = State::Closed;
         m_timer.cancel();
+        m_writeTimer.cancel();
+        releaseBody();
         ErrorCode ignored;
         m_socket.close(ignored);
         const std::shared_ptr<HttpServer::Impl> server = m_server.lock();
         if (server != nullptr) {
+            server->refusedConnections -= m_isOverBound ? 1 : 0;
             server->connections.erase(shared_from_this());
         }
     }
 
     std::weak_ptr<HttpServer::Impl> m_server;
+    const HttpServerSettings m_settings;
     EventLoop &m_loop;
     Tcp::socket m_socket;
     State m_state = State::Idle;
+    absl::Time m_idleSince;
+    /** Bytes of the request's body counted at the server. */
+    std::size_t m_reserved = 0;
+    bool m_isOverBound = false;
     beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::string_body>> m_parser;
     std::string m_unsent;
     std::string m_sending;
+    std::size_t m_sent = 0;
     bool m_isWriting = false;
     bool m_isAwaiting = false;
     bool m_isKeptAlive = true;
@@ -416,6 +572,7 @@
     unsigned m_version = 11;
     std::function<void()> m_onClosed;
     core::Subscription m_timer;
+    core::Subscription m_writeTimer;
 };
 
 void HttpServer::Impl::accept()
@@ -425,9 +582,7 @@
             return;
         }
         if (!error) {
-            const std::shared_ptr<Connection> connection = std::make_shared<Connection>(*self, std::move(socket));
-            self->connections.insert(connection);
-            connection->start();
+            self->take(std::move(socket));
         }
         if (self->acceptor.is_open()) {
             self->accept();
@@ -435,8 +590,40 @@
     });
 }
 
-HttpServer::HttpServer(EventLoop &loop, HttpHandler handler)
-    : m_impl(std::make_shared<Impl>(loop, std::move(handler)))
+void HttpServer::Impl::take(Tcp::socket socket)
+{
+    const bool hasRoom = makeRoom();
+    if (!hasRoom && refusedConnections >= MAX_REFUSED_CONNECTIONS) {
+        return;
+    }
+    const std::shared_ptr<Connection> connection = std::make_shared<Connection>(*this, std::move(socket));
+    connections.insert(connection);
+    if (hasRoom) {
+        connection->start();
+    } else {
+        ++refusedConnections;
+        connection->startRefused();
+    }
+}
+
+/** Closes the connection that has been idle for longest if there is no room for another. */
+bool HttpServer::Impl::makeRoom()
+{
+    if (connections.size() - refusedConnections < settings.maxConnections) {
+        return true;
+    }
+    const auto longest = std::min_element(connections.begin(), connections.end(),
+        [](const std::shared_ptr<Connection> &left, const std::shared_ptr<Connection> &right) { return left->idleSince() < right->idleSince(); });
+    if (longest == connections.end() || (*longest)->idleSince() == absl::InfiniteFuture()) {
+        return false;
+    }
+    const std::shared_ptr<Connection> connection = *longest;
+    connection->closeIfIdle();
+    return true;
+}
+
+HttpServer::HttpServer(EventLoop &loop, HttpHandler handler, HttpServerSettings settings)
+    : m_impl(std::make_shared<Impl>(loop, std::move(handler), settings))
 {
 }
 
@@ -472,6 +659,11 @@
     return m_impl->acceptor.local_endpoint().port();
 }
 
+void HttpServer::setRefusals(RefusalWriter writer)
+{
+    m_impl->refusals = std::move(writer);
+}
+
 void HttpServer::setLimits(const gateway::CallerLimits &limits)
 {
     m_impl->limits = limits;
@@ -498,6 +690,17 @@
     return m_impl->connections.size();
 }
 
+std::size_t HttpServer::busyCount() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_impl->connections.begin(), m_impl->connections.end(), [](const std::shared_ptr<Connection> &connection) { return connection->isBusy(); }));
+}
+
+bool HttpServer::isListening() const
+{
+    return m_impl->acceptor.is_open();
+}
+
 core::Expected<std::pair<std::string, int>> splitAddress(const std::string &address)
 {
     const std::vector<std::string> parts = absl::StrSplit(address, ':');
--- a/source/net/socketoptions.h
+++ b/source/net/socketoptions.h
@@ -8,7 +8,8 @@
 namespace snipeferry::net {
 
 /** @brief Sends small messages at once, and fails a connection whose other end is silent for the given time. */
-inline void setLinkOptions(boost::asio::ip::tcp::socket &socket, absl::Duration lossTimeout)
+template<typename Socket>
+void setLinkOptions(Socket &socket, absl::Duration lossTimeout)
 {
     boost::system::error_code ignored;
     socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
--- a/source/net/stdoutjournal.cpp
+++ b/source/net/stdoutjournal.cpp
@@ -1,5 +1,6 @@
 #include "snipeferry/net/stdoutjournal.h"
 
+#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <fcntl.h>
 #include <poll.h>
@@ -11,9 +12,27 @@
 namespace {
 
 constexpr absl::Duration FLUSH_PERIOD = absl::Milliseconds(200);
+/** Labels of one counter; further ones are counted under "other". */
+constexpr std::size_t MAX_LABELS = 200;
 /** Prefix of all names on the metrics page. */
 constexpr const char *METRIC_PREFIX = "snipeferry_";
 
+/** Events that somebody should look at carry a level; all others are information. */
+const char *levelOf(const std::string &event)
+{
+    for (const char *word : {"failed", "lost", "unreadable"}) {
+        if (absl::StrContains(event, word)) {
+            return "level=error ";
+        }
+    }
+    for (const char *word : {"refus", "retry", "rejected", "silent"}) {
+        if (absl::StrContains(event, word)) {
+            return "level=warning ";
+        }
+    }
+    return "";
+}
+
 } // namespace
 
 StdoutJournal::StdoutJournal(EventLoop &loop, JournalSettings settings, int descriptor)
@@ -42,7 +61,7 @@
         ++m_droppedLines;
         return;
     }
-    absl::StrAppend(&m_buffer, "time_ms=", absl::ToUnixMillis(m_loop.timers().wallNow()), " ", core::formatLogLine(event), "\n");
+    absl::StrAppend(&m_buffer, "time_ms=", absl::ToUnixMillis(m_loop.timers().wallNow()), " ", levelOf(event.name), core::formatLogLine(event), "\n");
 }
 
 void StdoutJournal::startSecond()
@@ -83,7 +102,14 @@
     if (family == nullptr) {
         family = &prometheus::BuildCounter().Name(METRIC_PREFIX + name).Register(m_registry);
     }
-    family->Add({{"label", label}}).Increment(amount);
+    std::set<std::string> &labels = m_labels[name];
+    const bool isKnown = labels.count(label) > 0;
+    const bool hasRoom = labels.size() < MAX_LABELS;
+    if (!isKnown && hasRoom) {
+        labels.insert(label);
+    }
+    const std::string bounded = isKnown || hasRoom ? label : "other";
+    family->Add(bounded.empty() ? prometheus::Labels() : prometheus::Labels{{"label", bounded}}).Increment(amount);
 }
 
 void StdoutJournal::gauge(const std::string &name, double value)
--- a/source/observability/decisionjournal.cpp
+++ b/source/observability/decisionjournal.cpp
@@ -15,7 +15,6 @@
     if (field == event.fields.end()) {
         return;
     }
-    const std::lock_guard<std::mutex> lock(m_mutex);
     m_order.push_back(field->value);
     m_lines[field->value].push_back(core::formatLogLine(event));
     if (m_order.size() <= m_maxLines) {
@@ -33,7 +32,6 @@
 
 std::vector<std::string> DecisionJournal::linesOf(const std::string &request) const
 {
-    const std::lock_guard<std::mutex> lock(m_mutex);
     const auto it = m_lines.find(request);
     return it == m_lines.end() ? std::vector<std::string>() : std::vector<std::string>(it->second.begin(), it->second.end());
 }
--- a/source/observability/operationsserver.cpp
+++ b/source/observability/operationsserver.cpp
@@ -21,10 +21,9 @@
 constexpr int NOT_FOUND = 404;
 constexpr int UNAVAILABLE = 503;
 
-http::HttpServerSettings serverSettings(const std::string &listenAddress)
+http::ListenSettings listenSettings()
 {
-    http::HttpServerSettings settings;
-    settings.listenAddress = listenAddress;
+    http::ListenSettings settings;
     settings.maxConnections = MAX_CONNECTIONS;
     settings.maxBodyBytes = MAX_BODY_BYTES;
     return settings;
@@ -35,15 +34,27 @@
 class OperationsServer::Impl
 {
 public:
-    Impl(OperationsSettings settings, supervision::CoreLoop &loop, const DecisionJournal &journal)
-        : m_settings(std::move(settings)),
-          m_loop(loop),
-          m_journal(journal),
-          m_server(serverSettings(m_settings.listenAddress), [this](http::HttpRequest &request, const http::HttpConnection &) { return handle(request); })
+    Impl(net::EventLoop &loop, OperationsSettings settings, supervision::CoreLoop &core, const DecisionJournal &journal)
+        : m_loop(loop),
+          m_settings(std::move(settings)),
+          m_core(core),
+          m_journal(journal)
     {
     }
 
-    http::HttpServer &server()
+    core::Expected<std::string> start()
+    {
+        m_server = http::makeServer(
+            m_loop,
+            [this](const http::HttpRequest &request, const std::shared_ptr<net::HttpExchange> &exchange) {
+                const HttpAnswer answer = handle(request);
+                exchange->answer({answer.status, answer.headers}, answer.body);
+            },
+            listenSettings());
+        return http::listenOn(*m_server, m_settings.listenAddress);
+    }
+
+    const std::unique_ptr<net::HttpServer> &server() const
     {
         return m_server;
     }
@@ -61,18 +72,18 @@
 
     HttpAnswer live(const http::Target &)
     {
-        return http::jsonAnswer(m_loop.hasFailed() ? UNAVAILABLE : OK, json{{"live", !m_loop.hasFailed()}}.dump());
+        return http::jsonAnswer(m_core.hasFailed() ? UNAVAILABLE : OK, json{{"live", !m_core.hasFailed()}}.dump());
     }
 
     HttpAnswer ready(const http::Target &)
     {
-        const bool isReady = m_loop.isReady() && m_settings.isHealthy();
+        const bool isReady = m_core.isReady() && m_settings.isHealthy();
         return http::jsonAnswer(isReady ? OK : UNAVAILABLE, json{{"ready", isReady}}.dump());
     }
 
     HttpAnswer status(const http::Target &)
     {
-        const std::optional<node::NodeStatus> status = m_loop.query<node::NodeStatus>([](supervision::DecisionCore &core) { return core.status(); });
+        const std::optional<node::NodeStatus> status = m_core.query<node::NodeStatus>([](supervision::DecisionCore &core) { return core.status(); });
         return status.has_value() ? http::jsonAnswer(OK, json(*status).dump())
                                   : http::errorAnswer(core::makeError(core::ErrorKind::Overloaded, "The instance does not answer in time."), "");
     }
@@ -85,10 +96,11 @@
         return http::jsonAnswer(ACCEPTED, json{{"draining", true}}.dump());
     }
 
+    net::EventLoop &m_loop;
     const OperationsSettings m_settings;
-    supervision::CoreLoop &m_loop;
+    supervision::CoreLoop &m_core;
     const DecisionJournal &m_journal;
-    http::HttpServer m_server;
+    std::unique_ptr<net::HttpServer> m_server;
 };
 
 HttpAnswer OperationsServer::Impl::handle(const http::HttpRequest &request)
@@ -119,8 +131,8 @@
     return http::jsonAnswer(lines.empty() ? NOT_FOUND : OK, json{{"lines", lines}}.dump());
 }
 
-OperationsServer::OperationsServer(OperationsSettings settings, supervision::CoreLoop &loop, const DecisionJournal &journal)
-    : m_impl(std::make_unique<Impl>(std::move(settings), loop, journal))
+OperationsServer::OperationsServer(net::EventLoop &loop, OperationsSettings settings, supervision::CoreLoop &core, const DecisionJournal &journal)
+    : m_impl(std::make_unique<Impl>(loop, std::move(settings), core, journal))
 {
 }
 
@@ -131,17 +143,19 @@
 
 core::Expected<std::string> OperationsServer::start()
 {
-    return m_impl->server().start();
+    return m_impl->start();
 }
 
 void OperationsServer::stop()
 {
-    m_impl->server().stop();
+    if (m_impl->server() != nullptr) {
+        m_impl->server()->stop();
+    }
 }
 
 bool OperationsServer::isRunning() const
 {
-    return m_impl->server().isRunning();
+    return m_impl->server() != nullptr && m_impl->server()->isListening();
 }
 
 } // namespace snipeferry::observability
--- a/source/peers/linkkeeper.cpp
+++ b/source/peers/linkkeeper.cpp
@@ -2,8 +2,6 @@
 
 #include "snipeferry/peers/codec.h"
 
-#include <absl/time/clock.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -19,15 +17,20 @@
 
 } // namespace
 
-LinkKeeper::LinkKeeper(PeerSettings settings, messages::EventSink sink, membership::InstanceDescription self, Connector connector)
-    : m_settings(std::move(settings)),
+LinkKeeper::LinkKeeper(const core::TimerService &timers, PeerSettings settings, messages::EventSink sink, membership::InstanceDescription self)
+    : m_timers(timers),
+      m_settings(std::move(settings)),
       m_sink(std::move(sink)),
       m_self(std::move(self)),
-      m_connector(std::move(connector)),
       m_table(m_self)
 {
 }
 
+void LinkKeeper::useEndpoint(net::LinkEndpoint &endpoint)
+{
+    m_endpoint = &endpoint;
+}
+
 void LinkKeeper::useAddress(const std::string &listenAddress)
 {
     if (m_self.peerAddress.empty()) {
@@ -35,37 +38,33 @@
     }
 }
 
-LinkId LinkKeeper::nextLink()
-{
-    return ++m_lastLink;
-}
-
-void LinkKeeper::attach(LinkId id, Wire wire)
-{
-    m_wires[id] = std::move(wire);
-}
-
-void LinkKeeper::opened(LinkId id, bool isOutgoing, const core::InstanceId &expected)
+void LinkKeeper::opened(LinkId id, bool isDialled)
 {
-    m_table.open({id, isOutgoing, expected, std::nullopt, absl::Now()});
+    const Kept *kept = keptBy(id);
+    m_table.open({id, isDialled, kept == nullptr ? core::InstanceId() : kept->peer.id, std::nullopt, m_timers.now()});
     transmit(id, membership::Hello{PROTOCOL_VERSION, m_self});
 }
 
 void LinkKeeper::beginStop()
 {
     m_isStopping = true;
-    for (const std::pair<const LinkId, Wire> &wire : std::map<LinkId, Wire>(m_wires)) {
-        if (m_table.find(wire.first) == nullptr) {
-            drop(wire.first);
-        } else {
-            wire.second.close();
+    std::vector<LinkId> opening;
+    for (const std::pair<const std::string, Kept> &kept : m_kept) {
+        if (kept.second.link != 0 && m_table.find(kept.second.link) == nullptr) {
+            opening.push_back(kept.second.link);
         }
     }
+    for (const LinkId id : opening) {
+        drop(id);
+    }
+    for (const std::pair<const LinkId, Link> &link : m_table.links()) {
+        m_endpoint->close(link.first);
+    }
 }
 
-bool LinkKeeper::hasConnections() const
+bool LinkKeeper::hasLinks() const
 {
-    return !m_wires.empty();
+    return !m_table.links().empty();
 }
 
 void LinkKeeper::received(LinkId id, bool isBinary, const std::string &bytes)
@@ -96,7 +95,7 @@
 void LinkKeeper::identify(LinkId id, const membership::Hello &hello)
 {
     const bool wasUp = m_table.isUp(hello.sender.id);
-    const core::Expected<std::vector<LinkId>> replaced = m_table.identify(id, hello, m_wires[id].certificateName());
+    const core::Expected<std::vector<LinkId>> replaced = m_table.identify(id, hello, m_endpoint->certificateName(id));
     if (!replaced) {
         drop(id);
         return;
@@ -117,7 +116,7 @@
 {
     Link *link = m_table.find(id);
     if (link != nullptr) {
-        link->lastReceived = absl::Now();
+        link->lastReceived = m_timers.now();
     }
 }
 
@@ -132,32 +131,25 @@
 void LinkKeeper::transmit(LinkId id, const messages::PeerMessage &message)
 {
     const std::string bytes = encode(message);
-    const Wire &wire = m_wires[id];
     if (bytes.size() > m_settings.maxFrameBytes) {
         return;
     }
-    if (wire.queuedBytes() + bytes.size() > m_settings.maxQueueBytes) {
+    if (m_endpoint->queuedBytes(id) + bytes.size() > m_settings.maxQueueBytes) {
         drop(id);
         return;
     }
-    wire.send(bytes);
+    m_endpoint->send(id, bytes);
 }
 
 /** Drops a connection at once; it is never used again. */
 void LinkKeeper::drop(LinkId id)
 {
-    const auto it = m_wires.find(id);
-    if (it == m_wires.end()) {
-        return;
-    }
-    const Wire wire = it->second;
     closed(id);
-    wire.terminate();
+    m_endpoint->terminate(id);
 }
 
 void LinkKeeper::closed(LinkId id)
 {
-    m_wires.erase(id);
     if (Kept *kept = keptBy(id); kept != nullptr) {
         fail(*kept);
     }
@@ -183,7 +175,7 @@
 {
     std::uniform_real_distribution<double> jitter(0.5, 1.0);
     kept.link = 0;
-    kept.nextAttempt = absl::Now() + kept.backoff * jitter(m_random);
+    kept.nextAttempt = m_timers.now() + kept.backoff * jitter(m_random);
     kept.backoff = std::min(kept.backoff * 2, MAX_BACKOFF);
 }
 
@@ -209,13 +201,15 @@
 
 void LinkKeeper::connectDue()
 {
-    const absl::Time now = absl::Now();
+    const absl::Time now = m_timers.now();
     for (std::pair<const std::string, Kept> &kept : m_kept) {
         if (!m_isStopping && kept.second.link == 0 && kept.second.nextAttempt <= now) {
-            kept.second.link = nextLink();
-            if (!m_connector(kept.second.link, kept.second.peer)) {
+            const std::optional<LinkId> link = m_endpoint->dial(kept.second.peer.peerAddress);
+            if (!link.has_value()) {
                 fail(kept.second);
+                continue;
             }
+            kept.second.link = *link;
         }
     }
 }
@@ -223,14 +217,14 @@
 void LinkKeeper::tick()
 {
     connectDue();
-    const absl::Time now = absl::Now();
+    const absl::Time now = m_timers.now();
     std::vector<LinkId> silent;
     for (const std::pair<const LinkId, Link> &link : m_table.links()) {
         const absl::Duration silence = now - link.second.lastReceived;
         if (silence > (link.second.peer.has_value() ? CLOSE_AFTER : HELLO_TIMEOUT)) {
             silent.push_back(link.first);
         } else if (silence > PING_AFTER) {
-            m_wires[link.first].ping();
+            m_endpoint->ping(link.first);
         }
     }
     for (const LinkId id : silent) {
--- a/source/peers/linkkeeper.h
+++ b/source/peers/linkkeeper.h
@@ -4,7 +4,6 @@
 #include "snipeferry/messages/eventsink.h"
 #include "snipeferry/peers/peertransport.h"
 
-#include <functional>
 #include <map>
 #include <random>
 #include <string>
@@ -18,19 +17,6 @@
 constexpr absl::Duration MIN_BACKOFF = absl::Milliseconds(100);
 constexpr absl::Duration MAX_BACKOFF = absl::Seconds(5);
 
-/** Operations on one connection, whatever its endpoint type. */
-struct Wire
-{
-    std::function<void(const std::string &)> send;
-    std::function<std::size_t()> queuedBytes;
-    std::function<std::string()> certificateName;
-    std::function<void()> ping;
-    /** Sends what is queued, then closes. */
-    std::function<void()> close;
-    /** Drops the connection with all that is queued. */
-    std::function<void()> terminate;
-};
-
 /** One address that a link is kept to. */
 struct Kept
 {
@@ -41,26 +27,20 @@
     absl::Time nextAttempt = absl::InfinitePast();
 };
 
-/** Keeps the links of one instance. Not thread-safe; runs on the transport's thread. */
+/** Keeps the links of one instance. */
 class LinkKeeper
 {
 public:
-    /** Starts connecting to an instance; false when that is impossible now. */
-    using Connector = std::function<bool(LinkId id, const membership::InstanceDescription &peer)>;
+    LinkKeeper(const core::TimerService &timers, PeerSettings settings, messages::EventSink sink, membership::InstanceDescription self);
 
-    LinkKeeper(PeerSettings settings, messages::EventSink sink, membership::InstanceDescription self, Connector connector);
+    /** @brief Sets what opens and closes connections; must be called first. */
+    void useEndpoint(net::LinkEndpoint &endpoint);
 
     /** @brief Says in hellos where this instance listens, unless its description does. */
     void useAddress(const std::string &listenAddress);
 
-    /** @brief A number for a new connection. */
-    LinkId nextLink();
-
-    /** @brief Knows a connection that is opening or open. */
-    void attach(LinkId id, Wire wire);
-
     /** @brief Takes a connection as open and sends the hello. */
-    void opened(LinkId id, bool isOutgoing, const core::InstanceId &expected);
+    void opened(LinkId id, bool isDialled);
 
     /** @brief Takes a frame; anything but valid messages after a hello closes the link. */
     void received(LinkId id, bool isBinary, const std::string &bytes);
@@ -78,7 +58,8 @@
     /** @brief Closes all links after what is queued has left; opens no more. */
     void beginStop();
 
-    bool hasConnections() const;
+    /** @brief Whether a link is open or being opened. */
+    bool hasLinks() const;
 
 private:
     void identify(LinkId id, const membership::Hello &hello);
@@ -88,15 +69,14 @@
     void fail(Kept &kept);
     void connectDue();
 
+    const core::TimerService &m_timers;
     const PeerSettings m_settings;
     const messages::EventSink m_sink;
     membership::InstanceDescription m_self;
-    const Connector m_connector;
+    net::LinkEndpoint *m_endpoint = nullptr;
     LinkTable m_table;
-    std::map<LinkId, Wire> m_wires;
     std::map<std::string, Kept> m_kept;
     std::mt19937 m_random{std::random_device{}()};
-    LinkId m_lastLink = 0;
     bool m_isStopping = false;
 };
 
--- a/source/peers/linktable.h
+++ b/source/peers/linktable.h
@@ -2,6 +2,7 @@
 
 #include "snipeferry/core/error.h"
 #include "snipeferry/membership/messages.h"
+#include "snipeferry/net/linkendpoint.h"
 
 #include <absl/time/time.h>
 
@@ -16,7 +17,7 @@
  */
 namespace snipeferry::peers {
 
-using LinkId = std::uint64_t;
+using net::LinkId;
 
 /** One open connection. */
 struct Link
--- a/source/platform/callqueue.cpp
+++ b/source/platform/callqueue.cpp
@@ -1,7 +1,8 @@
 #include "callqueue.h"
 
-#include <absl/time/clock.h>
+#include "../net/httpcaller.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace snipeferry::platform {
@@ -25,208 +26,202 @@
     return reply;
 }
 
+/** What a finished POST says about its call. */
+Reply replyOf(const Call &call, const PostResult &result)
+{
+    if (result.outcome != Outcome::Answered) {
+        return emptyReply(call.id, result.outcome);
+    }
+    // A server error may come after the effect; any other error status is a refusal of the request itself.
+    if (result.status != STATUS_OK) {
+        return emptyReply(call.id, result.status >= FIRST_SERVER_ERROR ? Outcome::Unknown : Outcome::NotSent);
+    }
+    const core::Expected<Reply> reply = decodeReply(call, result.body);
+    return reply.has_value() ? *reply : emptyReply(call.id, Outcome::Unknown);
+}
+
+PostResult resultOf(const core::Expected<net::CallAnswer> &answer)
+{
+    PostResult result;
+    if (answer) {
+        result.outcome = Outcome::Answered;
+        result.status = answer->status;
+        result.body = answer->body;
+    } else {
+        result.outcome = answer.error().ranState == core::RanState::NotRun ? Outcome::NotSent : Outcome::Unknown;
+    }
+    return result;
+}
+
 } // namespace
 
 void CallCounters::countSent(const std::string &kind)
 {
-    const absl::MutexLock lock(&m_mutex);
     ++m_counts[kind].sent;
 }
 
 void CallCounters::countFailed(const std::string &kind)
 {
-    const absl::MutexLock lock(&m_mutex);
     ++m_counts[kind].failed;
 }
 
 std::vector<CallCount> CallCounters::all() const
 {
-    const absl::MutexLock lock(&m_mutex);
     std::vector<CallCount> counts;
+    counts.reserve(m_counts.size());
     for (const auto &[kind, count] : m_counts) {
         counts.push_back({kind, count.sent, count.failed});
     }
     return counts;
 }
 
-CallQueue::CallQueue(PlatformSettings settings, messages::EventSink sink, CallCounters &counters)
-    : m_settings(std::move(settings)),
-      m_sink(std::move(sink)),
-      m_counters(counters),
-      m_connections(static_cast<std::size_t>(m_settings.workers))
+GatewayConnections::GatewayConnections(net::EventLoop &loop, const PlatformSettings &settings)
+    : m_loop(loop)
 {
-    for (std::vector<std::unique_ptr<GatewayConnection>> &connections : m_connections) {
-        for (const std::string &endpoint : m_settings.endpoints) {
-            connections.push_back(std::make_unique<GatewayConnection>(endpoint, m_settings.connectTimeout));
-        }
+    m_callers.reserve(settings.endpoints.size());
+    for (const std::string &endpoint : settings.endpoints) {
+        m_callers.push_back(std::make_shared<net::HttpCaller>(loop, endpoint, settings.connectTimeout));
     }
 }
 
-CallQueue::~CallQueue()
+GatewayConnections::~GatewayConnections()
 {
-    stop();
+    close();
 }
 
-void CallQueue::start()
+void GatewayConnections::close()
 {
-    for (std::size_t worker = 0; worker < m_connections.size(); ++worker) {
-        m_threads.emplace_back([this, worker] { work(worker); });
+    m_isClosed = true;
+    for (const std::shared_ptr<net::HttpCaller> &caller : m_callers) {
+        caller->close();
     }
-    m_threads.emplace_back([this] { watchDeadlines(); });
 }
 
-void CallQueue::stop()
+void GatewayConnections::post(const GatewayRequest &request, absl::Time deadline, std::size_t &endpoint, Callback callback)
 {
-    {
-        const absl::MutexLock lock(&m_mutex);
-        m_isStopping = true;
-        m_queue.clear();
-        m_deadlines.clear();
-    }
-    for (const std::vector<std::unique_ptr<GatewayConnection>> &connections : m_connections) {
-        for (const std::unique_ptr<GatewayConnection> &connection : connections) {
-            connection->abort();
-        }
-    }
-    for (std::thread &thread : m_threads) {
-        thread.join();
-    }
-    m_threads.clear();
+    tryNext(request, deadline, endpoint, 0, std::move(callback));
 }
 
-void CallQueue::add(Call call)
+void GatewayConnections::tryNext(const GatewayRequest &request, absl::Time deadline, std::size_t &endpoint, std::size_t attempt, Callback callback)
 {
-    const auto entry = std::make_shared<Entry>();
-    entry->deadline = absl::Now() + call.timeout;
-    entry->call = std::move(call);
-    {
-        const absl::MutexLock lock(&m_mutex);
-        if (m_isStopping) {
-            return;
-        }
-        if (!m_settings.endpoints.empty() && m_queue.size() < m_settings.maxPendingCalls) {
-            m_queue.push_back(entry);
-            m_deadlines.emplace(entry->deadline, entry);
-            return;
-        }
+    const absl::Duration left = deadline - m_loop.timers().now();
+    if (left <= absl::ZeroDuration() || attempt == m_callers.size()) {
+        callback(PostResult{Outcome::NotSent, 0, {}});
+        return;
     }
-    answer(*entry, emptyReply(entry->call.id, Outcome::NotSent));
+    const std::size_t chosen = endpoint % m_callers.size();
+    const gateway::HttpRequest post{"POST", request.path, {{"Content-Type", "application/json"}}, request.body};
+    m_callers[chosen]->call(post, left,
+        [self = shared_from_this(), request, deadline, &endpoint, chosen, attempt, callback = std::move(callback)](
+            const core::Expected<net::CallAnswer> &answer) {
+            if (self->m_isClosed) {
+                return;
+            }
+            const PostResult result = resultOf(answer);
+            const bool isHealthy = result.outcome == Outcome::Answered && result.status < FIRST_SERVER_ERROR;
+            if (!isHealthy) {
+                endpoint = (chosen + 1) % self->m_callers.size();
+            }
+            if (result.outcome == Outcome::NotSent) {
+                self->tryNext(request, deadline, endpoint, attempt + 1, callback);
+            } else {
+                callback(result);
+            }
+        });
 }
 
-std::shared_ptr<CallQueue::Entry> CallQueue::next()
+CallQueue::CallQueue(net::EventLoop &loop, const PlatformSettings &settings, messages::EventSink sink, CallCounters &counters)
+    : m_loop(loop),
+      m_settings(settings),
+      m_sink(std::move(sink)),
+      m_counters(counters),
+      m_workers(static_cast<std::size_t>(settings.workers))
 {
-    const absl::MutexLock lock(&m_mutex);
-    const auto isDue = [this]() ABSL_SHARED_LOCKS_REQUIRED(m_mutex) {
-        return m_isStopping || !m_queue.empty();
-    };
-    m_mutex.Await(absl::Condition(&isDue));
-    if (m_isStopping) {
-        return nullptr;
+    for (Worker &worker : m_workers) {
+        worker.connections = std::make_shared<GatewayConnections>(loop, m_settings);
     }
-    std::shared_ptr<Entry> entry = std::move(m_queue.front());
-    m_queue.pop_front();
-    return entry;
 }
 
-void CallQueue::work(std::size_t worker)
+CallQueue::~CallQueue()
 {
-    while (const std::shared_ptr<Entry> entry = next()) {
-        State expected = State::Queued;
-        if (entry->state.compare_exchange_strong(expected, State::Sending)) {
-            answer(*entry, carryOut(worker, *entry));
-        }
-    }
+    stop();
 }
 
-Reply CallQueue::carryOut(std::size_t worker, Entry &entry)
+void CallQueue::stop()
 {
-    m_counters.countSent(kindOf(entry.call));
-    const PostResult result = post(worker, entry);
-    if (result.outcome != Outcome::Answered) {
-        return emptyReply(entry.call.id, result.outcome);
+    *m_isAlive = false;
+    m_queue.clear();
+    for (const Worker &worker : m_workers) {
+        worker.connections->close();
     }
-    // A server error may come after the effect; any other error status is a refusal of the request itself.
-    if (result.status != STATUS_OK) {
-        return emptyReply(entry.call.id, result.status >= FIRST_SERVER_ERROR ? Outcome::Unknown : Outcome::NotSent);
-    }
-    const core::Expected<Reply> reply = decodeReply(entry.call, result.body);
-    return reply.has_value() ? *reply : emptyReply(entry.call.id, Outcome::Unknown);
 }
 
-PostResult CallQueue::post(std::size_t worker, Entry &entry)
+void CallQueue::add(Call call)
 {
-    // Another endpoint is tried only while no byte can have left.
-    const GatewayRequest request = encodeCall(entry.call);
-    PostResult result;
-    for (std::size_t attempt = 0; attempt < m_settings.endpoints.size(); ++attempt) {
-        const std::size_t endpoint = m_endpoint;
-        result = m_connections[worker][endpoint]->post(request, entry.deadline);
-        const bool isHealthy = result.outcome == Outcome::Answered && result.status < FIRST_SERVER_ERROR;
-        if (!isHealthy) {
-            m_endpoint = (endpoint + 1) % m_settings.endpoints.size();
-        }
-        if (result.outcome != Outcome::NotSent) {
-            break;
-        }
+    if (!*m_isAlive) {
+        return;
     }
-    return result;
-}
-
-void CallQueue::watchDeadlines()
-{
-    const auto isDue = [this]() ABSL_SHARED_LOCKS_REQUIRED(m_mutex) {
-        return m_isStopping || !m_deadlines.empty();
-    };
-    while (true) {
-        std::shared_ptr<Entry> entry;
-        {
-            const absl::MutexLock lock(&m_mutex);
-            m_mutex.Await(absl::Condition(&isDue));
-            if (m_isStopping) {
-                return;
-            }
-            const absl::Time due = m_deadlines.begin()->first;
-            const auto isEarlier = [this, due]() ABSL_SHARED_LOCKS_REQUIRED(m_mutex) {
-                return m_isStopping || m_deadlines.begin()->first < due;
-            };
-            if (m_mutex.AwaitWithDeadline(absl::Condition(&isEarlier), due)) {
-                continue;
+    if (m_settings.endpoints.empty() || m_queue.size() >= m_settings.maxPendingCalls) {
+        // Replies never come from within the call.
+        m_loop.post([this, isAlive = m_isAlive, call = std::move(call)] {
+            if (*isAlive) {
+                publish(call, emptyReply(call.id, Outcome::NotSent));
             }
-            entry = std::move(m_deadlines.begin()->second);
-            m_deadlines.erase(m_deadlines.begin());
-        }
-        expire(*entry);
+        });
+        return;
     }
+    Waiting waiting;
+    waiting.deadline = m_loop.timers().now() + call.timeout;
+    waiting.timer = m_loop.timers().after(call.timeout, [this, id = call.id] { expire(id); });
+    waiting.call = std::move(call);
+    m_queue.push_back(std::move(waiting));
+    pump();
 }
 
-void CallQueue::expire(Entry &entry)
+/** A call that waits in the queue at its deadline has not left. */
+void CallQueue::expire(CallId id)
 {
-    // A call that waits in the queue has not left; one under way may have taken effect.
-    State expected = State::Queued;
-    if (entry.state.compare_exchange_strong(expected, State::Answered)) {
-        publish(entry, emptyReply(entry.call.id, Outcome::NotSent));
+    const auto it = std::find_if(m_queue.begin(), m_queue.end(), [id](const Waiting &waiting) { return waiting.call.id == id; });
+    if (it == m_queue.end()) {
         return;
     }
-    answer(entry, emptyReply(entry.call.id, Outcome::Unknown));
+    const Call call = it->call;
+    m_queue.erase(it);
+    publish(call, emptyReply(call.id, Outcome::NotSent));
 }
 
-void CallQueue::answer(Entry &entry, Reply reply)
+void CallQueue::pump()
 {
-    if (entry.state.exchange(State::Answered) != State::Answered) {
-        publish(entry, std::move(reply));
+    for (Worker &worker : m_workers) {
+        if (worker.isBusy || m_queue.empty()) {
+            continue;
+        }
+        const Waiting next = std::move(m_queue.front());
+        m_queue.pop_front();
+        send(worker, next.call, next.deadline);
     }
 }
 
-void CallQueue::publish(const Entry &entry, Reply reply)
+void CallQueue::send(Worker &worker, const Call &call, absl::Time deadline)
 {
-    if (reply.outcome != Outcome::Answered) {
-        m_counters.countFailed(kindOf(entry.call));
-    }
-    {
-        const absl::MutexLock lock(&m_mutex);
-        if (m_isStopping) {
+    worker.isBusy = true;
+    m_counters.countSent(kindOf(call));
+    worker.connections->post(encodeCall(call), deadline, m_endpoint, [this, isAlive = m_isAlive, &worker, call](const PostResult &result) {
+        if (!*isAlive) {
             return;
         }
+        worker.isBusy = false;
+        publish(call, replyOf(call, result));
+        if (*isAlive) {
+            pump();
+        }
+    });
+}
+
+void CallQueue::publish(const Call &call, Reply reply)
+{
+    if (reply.outcome != Outcome::Answered) {
+        m_counters.countFailed(kindOf(call));
     }
     m_sink(messages::PlatformReplied{std::move(reply)});
 }
--- a/source/platform/callqueue.h
+++ b/source/platform/callqueue.h
@@ -1,21 +1,21 @@
 #pragma once
 
-#include "gatewayconnection.h"
+#include "snipeferry/net/eventloop.h"
+#include "snipeferry/platform/gatewaycodec.h"
 #include "snipeferry/platform/platformclient.h"
 
-#include <absl/base/thread_annotations.h>
-#include <absl/synchronization/mutex.h>
-
-#include <atomic>
 #include <deque>
 #include <map>
 #include <memory>
-#include <thread>
 #include <vector>
 
+namespace snipeferry::net {
+class HttpCaller;
+}
+
 namespace snipeferry::platform {
 
-/** Counters of calls by kind, shared by all threads of a client. */
+/** Counters of calls by kind. */
 class CallCounters
 {
 public:
@@ -24,57 +24,84 @@
     std::vector<CallCount> all() const;
 
 private:
-    mutable absl::Mutex m_mutex;
-    std::map<std::string, CallCount> m_counts ABSL_GUARDED_BY(m_mutex);
+    std::map<std::string, CallCount> m_counts;
+};
+
+/** How one POST ended. */
+struct PostResult
+{
+    Outcome outcome = Outcome::Unknown;
+    /** HTTP status of an answer. */
+    int status = 0;
+    std::string body;
+};
+
+/** Kept connections to the platform's endpoints, one of each; one POST at a time. */
+class GatewayConnections : public std::enable_shared_from_this<GatewayConnections>
+{
+public:
+    using Callback = std::function<void(const PostResult &)>;
+
+    GatewayConnections(net::EventLoop &loop, const PlatformSettings &settings);
+    ~GatewayConnections();
+
+    /**
+     * @brief Sends a request within a time; another endpoint is tried only while no byte can have left.
+     * @param endpoint the endpoint to begin with; moved on when it fails
+     */
+    void post(const GatewayRequest &request, absl::Time deadline, std::size_t &endpoint, Callback callback);
+
+    /** @brief Closes all connections; no callback comes after that. */
+    void close();
+
+private:
+    void tryNext(const GatewayRequest &request, absl::Time deadline, std::size_t &endpoint, std::size_t attempt, Callback callback);
+
+    net::EventLoop &m_loop;
+    std::vector<std::shared_ptr<net::HttpCaller>> m_callers;
+    bool m_isClosed = false;
 };
 
-/** Bounded queue of calls and the threads that carry them out; each call gets exactly one reply within its timeout. */
+/** Bounded queue of calls; each call gets exactly one reply within its timeout. */
 class CallQueue
 {
 public:
-    CallQueue(PlatformSettings settings, messages::EventSink sink, CallCounters &counters);
+    CallQueue(net::EventLoop &loop, const PlatformSettings &settings, messages::EventSink sink, CallCounters &counters);
     ~CallQueue();
 
-    void start();
-    void stop();
     void add(Call call);
+    void stop();
 
 private:
-    /** Each step happens once, so that a call reported NotSent is never sent afterwards. */
-    enum class State {
-        Queued,
-        Sending,
-        Answered,
-    };
-
-    struct Entry
+    struct Waiting
     {
         Call call;
         absl::Time deadline;
-        std::atomic<State> state = State::Queued;
+        core::Subscription timer;
+    };
+
+    /** One call under way; the next one of the queue follows it. */
+    struct Worker
+    {
+        std::shared_ptr<GatewayConnections> connections;
+        bool isBusy = false;
     };
 
-    void work(std::size_t worker);
-    void watchDeadlines();
-    std::shared_ptr<Entry> next();
-    Reply carryOut(std::size_t worker, Entry &entry);
-    PostResult post(std::size_t worker, Entry &entry);
-    void expire(Entry &entry);
-    void answer(Entry &entry, Reply reply);
-    void publish(const Entry &entry, Reply reply);
-
-    PlatformSettings m_settings;
-    messages::EventSink m_sink;
+    void pump();
+    void send(Worker &worker, const Call &call, absl::Time deadline);
+    void expire(CallId id);
+    void publish(const Call &call, Reply reply);
+
+    net::EventLoop &m_loop;
+    const PlatformSettings m_settings;
+    const messages::EventSink m_sink;
     CallCounters &m_counters;
-    std::vector<std::vector<std::unique_ptr<GatewayConnection>>> m_connections;
-    std::vector<std::thread> m_threads;
+    std::vector<Worker> m_workers;
+    std::deque<Waiting> m_queue;
     /** Endpoint that answered last. */
-    std::atomic<std::size_t> m_endpoint = 0;
-
-    absl::Mutex m_mutex;
-    std::deque<std::shared_ptr<Entry>> m_queue ABSL_GUARDED_BY(m_mutex);
-    std::multimap<absl::Time, std::shared_ptr<Entry>> m_deadlines ABSL_GUARDED_BY(m_mutex);
-    bool m_isStopping ABSL_GUARDED_BY(m_mutex) = false;
+    std::size_t m_endpoint = 0;
+    /** Ends with the queue; callbacks that come later find it gone. */
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
 } // namespace snipeferry::platform
--- a/source/platform/platformclient.cpp
+++ b/source/platform/platformclient.cpp
@@ -11,19 +11,20 @@
 class PlatformClient::Impl
 {
 public:
-    Impl(PlatformSettings settings, messages::EventSink sink)
+    Impl(net::EventLoop &loop, PlatformSettings settings, messages::EventSink sink)
         : m_settings(std::move(settings)),
           m_sink(std::move(sink)),
-          m_calls(m_settings, m_sink, m_counters)
+          m_calls(loop, m_settings, m_sink, m_counters)
     {
         if (m_settings.endpoints.empty()) {
             return;
         }
         for (const std::string &prefix : m_settings.watchedPrefixes) {
-            m_watches.push_back(std::make_unique<PrefixWatch>(m_settings, prefix, m_counters, [this](const std::vector<WatchEvent> &events) { post(events); }));
+            m_watches.push_back(
+                std::make_unique<PrefixWatch>(loop, m_settings, prefix, m_counters, [this](const std::vector<WatchEvent> &events) { post(events); }));
         }
         if (m_settings.watchesDirectory) {
-            m_watches.push_back(std::make_unique<PrefixWatch>(m_settings, DIRECTORY_ROOT, m_counters,
+            m_watches.push_back(std::make_unique<PrefixWatch>(loop, m_settings, DIRECTORY_ROOT, m_counters,
                 [this](const std::vector<WatchEvent> &events) { m_sink(messages::DirectoryChanged{m_directory.take(events)}); }));
         }
     }
@@ -43,8 +44,8 @@
     std::vector<std::unique_ptr<PrefixWatch>> m_watches;
 };
 
-PlatformClient::PlatformClient(PlatformSettings settings, messages::EventSink sink)
-    : m_impl(std::make_unique<Impl>(std::move(settings), std::move(sink)))
+PlatformClient::PlatformClient(net::EventLoop &loop, PlatformSettings settings, messages::EventSink sink)
+    : m_impl(std::make_unique<Impl>(loop, std::move(settings), std::move(sink)))
 {
 }
 
@@ -55,7 +56,6 @@
 
 void PlatformClient::start()
 {
-    m_impl->m_calls.start();
     for (const std::unique_ptr<PrefixWatch> &watch : m_impl->m_watches) {
         watch->start();
     }
--- a/source/platform/prefixwatch.cpp
+++ b/source/platform/prefixwatch.cpp
@@ -1,7 +1,5 @@
 #include "prefixwatch.h"
 
-#include <absl/time/clock.h>
-
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -13,9 +11,20 @@
 constexpr absl::Duration FIRST_BACKOFF = absl::Milliseconds(100);
 constexpr absl::Duration MAX_BACKOFF = absl::Seconds(2);
 constexpr absl::Duration READ_TIMEOUT = absl::Seconds(5);
+/** Connections to one endpoint: the one watch. */
+constexpr int WATCH_CONNECTIONS = 2;
 constexpr std::size_t MAX_LINE_BYTES = std::size_t{8} << 20;
 constexpr int STATUS_OK = 200;
 
+net::BackendPoolSettings streamSettings(const PlatformSettings &settings)
+{
+    net::BackendPoolSettings pool;
+    pool.connectTimeout = settings.connectTimeout;
+    pool.reusesConnections = false;
+    pool.maxConnectionsPerServer = WATCH_CONNECTIONS;
+    return pool;
+}
+
 } // namespace
 
 std::vector<WatchEvent> WatchedKeys::takeRead(const Reply &read)
@@ -71,12 +80,17 @@
     m_revision = std::max(m_revision, revision);
 }
 
-PrefixWatch::PrefixWatch(const PlatformSettings &settings, std::string prefix, CallCounters &counters, Listener listener)
-    : m_settings(settings),
+PrefixWatch::PrefixWatch(net::EventLoop &loop, const PlatformSettings &settings, std::string prefix, CallCounters &counters, Listener listener)
+    : m_loop(loop),
+      m_settings(settings),
       m_prefix(std::move(prefix)),
       m_counters(counters),
-      m_listener(std::move(listener))
+      m_listener(std::move(listener)),
+      m_reads(std::make_shared<GatewayConnections>(loop, settings)),
+      m_streams(loop, streamSettings(settings), [](const gateway::HttpHead & /*head*/) { return core::RequestId(); }),
+      m_backoff(FIRST_BACKOFF)
 {
+    m_streams.setEvents(*this);
 }
 
 PrefixWatch::~PrefixWatch()
@@ -86,85 +100,113 @@
 
 void PrefixWatch::start()
 {
-    m_thread = std::thread([this] { run(); });
+    readAgain();
 }
 
 void PrefixWatch::stop()
 {
-    {
-        const absl::MutexLock lock(&m_mutex);
-        m_isStopping = true;
-        if (m_connection != nullptr) {
-            m_connection->abort();
-        }
-    }
-    if (m_thread.joinable()) {
-        m_thread.join();
-    }
+    m_isStopped = true;
+    m_timer.cancel();
+    m_reads->close();
+    m_streams.cancel(std::exchange(m_run, 0));
 }
 
-void PrefixWatch::run()
+void PrefixWatch::readAgain()
 {
-    absl::Duration backoff = FIRST_BACKOFF;
-    bool hasGap = true;
-    while (true) {
-        GatewayConnection &current = connection();
-        if (isStopping()) {
-            return;
-        }
-        if (hasGap && readAgain(current)) {
-            hasGap = false;
-            backoff = FIRST_BACKOFF;
-        }
-        if (!hasGap && watch(current)) {
-            continue;
+    m_counters.countSent("read");
+    const Call call{0, Read{m_prefix, true}, READ_TIMEOUT};
+    m_reads->post(encodeCall(call), m_loop.timers().now() + READ_TIMEOUT, m_endpoint, [this](const PostResult &result) {
+        if (!m_isStopped) {
+            readDone(result);
         }
-        // The endpoint failed: the next one is tried, after a pause.
-        hasGap = true;
-        ++m_endpoint;
-        const absl::MutexLock lock(&m_mutex);
-        m_mutex.AwaitWithTimeout(absl::Condition(&m_isStopping), backoff);
-        backoff = std::min(backoff * 2, MAX_BACKOFF);
-    }
+    });
 }
 
-bool PrefixWatch::readAgain(GatewayConnection &connection)
+void PrefixWatch::readDone(const PostResult &result)
 {
-    m_counters.countSent("read");
-    const Call call{0, Read{m_prefix, true}, READ_TIMEOUT};
-    const PostResult result = connection.post(encodeCall(call), absl::Now() + READ_TIMEOUT);
     const bool isAnswered = result.outcome == Outcome::Answered && result.status == STATUS_OK;
-    const core::Expected<Reply> reply
-        = isAnswered ? decodeReply(call, result.body) : tl::make_unexpected(core::makeError(core::ErrorKind::PlatformUnavailable, "no answer"));
+    const core::Expected<Reply> reply = isAnswered ? decodeReply(Call{0, Read{m_prefix, true}, READ_TIMEOUT}, result.body)
+                                                   : tl::make_unexpected(core::makeError(core::ErrorKind::PlatformUnavailable, "no answer"));
     if (!reply.has_value()) {
         m_counters.countFailed("read");
-        return false;
+        failed();
+        return;
     }
+    m_backoff = FIRST_BACKOFF;
     report(m_keys.takeRead(*reply));
-    return true;
+    watch();
 }
 
-bool PrefixWatch::watch(GatewayConnection &connection)
+void PrefixWatch::watch()
 {
+    if (m_isStopped) {
+        return;
+    }
     m_counters.countSent("watch");
-    std::string pending;
-    bool isIntact = true;
-    const auto onData = [&](const std::string &data) {
-        pending += data;
-        for (std::size_t end = pending.find('\n'); end != std::string::npos && isIntact; end = pending.find('\n')) {
-            isIntact = takeLine(pending.substr(0, end));
-            pending.erase(0, end + 1);
-        }
-        return isIntact && pending.size() <= MAX_LINE_BYTES;
-    };
-    const PostResult result = connection.stream(encodeWatch(m_prefix, m_keys.revision() + 1), m_settings.watchTimeout, onData);
+    m_pending.clear();
+    m_run = ++m_lastRun;
+    const GatewayRequest request = encodeWatch(m_prefix, m_keys.revision() + 1);
+    gateway::BackendServer endpoint;
+    endpoint.address = m_settings.endpoints[m_endpoint % m_settings.endpoints.size()];
+    endpoint.id = core::BackendServerId(endpoint.address);
+    awaitData();
+    m_streams.start(m_run, endpoint, {"POST", request.path, {{"Content-Type", "application/json"}}, request.body}, core::RequestId(), false);
+}
 
+void PrefixWatch::awaitData()
+{
     // A quiet watch is created again from where it stood, without a gap.
-    const bool isQuiet = result.outcome == Outcome::Answered && isIntact;
-    if (!isQuiet) {
+    m_timer = m_loop.timers().after(m_settings.watchTimeout, [this] {
+        m_streams.cancel(m_run);
+        watch();
+    });
+}
+
+void PrefixWatch::failed()
+{
+    m_run = 0;
+    ++m_endpoint;
+    m_timer = m_loop.timers().after(m_backoff, [this] { readAgain(); });
+    m_backoff = std::min(m_backoff * 2, MAX_BACKOFF);
+}
+
+void PrefixWatch::runHead(gateway::Number run, const gateway::HttpHead &head)
+{
+    if (run == m_run && head.status != STATUS_OK) {
+        m_streams.cancel(run);
+        runFailed(run, true, "status");
+    }
+}
+
+void PrefixWatch::runData(gateway::Number run, const std::string &data)
+{
+    if (run != m_run) {
+        return;
+    }
+    awaitData();
+    m_pending += data;
+    bool isIntact = true;
+    for (std::size_t end = m_pending.find('\n'); end != std::string::npos && isIntact && run == m_run; end = m_pending.find('\n')) {
+        isIntact = takeLine(m_pending.substr(0, end));
+        m_pending.erase(0, end + 1);
+    }
+    if (run == m_run && (!isIntact || m_pending.size() > MAX_LINE_BYTES)) {
+        m_streams.cancel(run);
+        runFailed(run, true, "unreadable");
+    }
+}
+
+void PrefixWatch::runEnd(gateway::Number run)
+{
+    runFailed(run, true, "ended");
+}
+
+void PrefixWatch::runFailed(gateway::Number run, bool /*mayHaveRun*/, const std::string & /*reason*/)
+{
+    if (run == m_run && !m_isStopped) {
         m_counters.countFailed("watch");
+        failed();
     }
-    return isQuiet;
 }
 
 bool PrefixWatch::takeLine(const std::string &line)
@@ -189,23 +231,9 @@
 
 void PrefixWatch::report(const std::vector<WatchEvent> &events)
 {
-    if (!events.empty() && !isStopping()) {
+    if (!events.empty() && !m_isStopped) {
         m_listener(events);
     }
 }
 
-bool PrefixWatch::isStopping()
-{
-    const absl::MutexLock lock(&m_mutex);
-    return m_isStopping;
-}
-
-GatewayConnection &PrefixWatch::connection()
-{
-    // A new connection each time: a watch's connection is never reused.
-    const absl::MutexLock lock(&m_mutex);
-    m_connection = std::make_unique<GatewayConnection>(m_settings.endpoints[m_endpoint % m_settings.endpoints.size()], m_settings.connectTimeout);
-    return *m_connection;
-}
-
 } // namespace snipeferry::platform
--- a/source/platform/prefixwatch.h
+++ b/source/platform/prefixwatch.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "callqueue.h"
+#include "snipeferry/net/backendpool.h"
 
 #include <functional>
 #include <map>
 #include <string>
-#include <thread>
 
 namespace snipeferry::platform {
 
@@ -35,38 +35,49 @@
     std::int64_t m_revision = 0;
 };
 
-/** One thread that keeps a watch on a prefix: read, watch from there on, and again after a gap. */
-class PrefixWatch
+/** Keeps a watch on a prefix: reads it, watches from there on, and reads again after a gap. */
+class PrefixWatch : private gateway::RunEvents
 {
 public:
     using Listener = std::function<void(const std::vector<WatchEvent> &)>;
 
-    PrefixWatch(const PlatformSettings &settings, std::string prefix, CallCounters &counters, Listener listener);
-    ~PrefixWatch();
+    PrefixWatch(net::EventLoop &loop, const PlatformSettings &settings, std::string prefix, CallCounters &counters, Listener listener);
+    ~PrefixWatch() override;
 
     void start();
     void stop();
 
 private:
-    void run();
-    bool readAgain(GatewayConnection &connection);
-    bool watch(GatewayConnection &connection);
+    void runHead(gateway::Number run, const gateway::HttpHead &head) override;
+    void runData(gateway::Number run, const std::string &data) override;
+    void runEnd(gateway::Number run) override;
+    void runFailed(gateway::Number run, bool mayHaveRun, const std::string &reason) override;
+
+    void readAgain();
+    void readDone(const PostResult &result);
+    void watch();
+    void awaitData();
+    /** The endpoint failed: after a pause the next one is asked, from a read on. */
+    void failed();
     bool takeLine(const std::string &line);
     void report(const std::vector<WatchEvent> &events);
-    bool isStopping();
-    GatewayConnection &connection();
 
-    const PlatformSettings &m_settings;
-    std::string m_prefix;
+    net::EventLoop &m_loop;
+    const PlatformSettings m_settings;
+    const std::string m_prefix;
     CallCounters &m_counters;
-    Listener m_listener;
+    const Listener m_listener;
     WatchedKeys m_keys;
+    std::shared_ptr<GatewayConnections> m_reads;
+    net::BackendPool m_streams;
     std::size_t m_endpoint = 0;
-    std::thread m_thread;
-
-    absl::Mutex m_mutex;
-    std::unique_ptr<GatewayConnection> m_connection ABSL_GUARDED_BY(m_mutex);
-    bool m_isStopping ABSL_GUARDED_BY(m_mutex) = false;
+    /** The watch under way; 0 for none. */
+    gateway::Number m_run = 0;
+    gateway::Number m_lastRun = 0;
+    std::string m_pending;
+    absl::Duration m_backoff;
+    core::Subscription m_timer;
+    bool m_isStopped = false;
 };
 
 } // namespace snipeferry::platform
--- a/source/settings/daemonsettings.cpp
+++ b/source/settings/daemonsettings.cpp
@@ -88,7 +88,7 @@
 
 void readCallers(YamlMap map, DaemonSettings &settings)
 {
-    http::HttpServerSettings &server = settings.callers.server;
+    http::ListenSettings &server = settings.callers.server;
     server.maxConnections = count(map, "max_connections", server.maxConnections);
     server.maxBodyBytes = mebibytes(map, "max_body_mib", server.maxBodyBytes);
     server.maxBufferedBytes = mebibytes(map, "max_buffered_mib", server.maxBufferedBytes);
@@ -96,7 +96,7 @@
     server.writeTimeout = time(map, "write_timeout", server.writeTimeout);
     server.keepAliveTimeout = time(map, "keep_alive_timeout", server.keepAliveTimeout);
     settings.callers.entriesTimeToLive = map.duration("entries_time_to_live", absl::Seconds(1), LONGEST, settings.callers.entriesTimeToLive);
-    settings.slowReaderBytes = mebibytes(map, "slow_reader_mib", settings.slowReaderBytes);
+    server.slowReaderBytes = mebibytes(map, "slow_reader_mib", server.slowReaderBytes);
     settings.drainTimeout = time(map, "drain_timeout", settings.drainTimeout);
     map.finish();
 }
--- a/source/supervision/coreloop.cpp
+++ b/source/supervision/coreloop.cpp
@@ -1,12 +1,13 @@
 #include "snipeferry/supervision/coreloop.h"
 
-#include <algorithm>
 #include <exception>
+#include <utility>
 
 namespace snipeferry::supervision {
 
-CoreLoop::CoreLoop(CoreLoopSettings settings, CoreFactory factory, ActionSinks &sinks)
-    : m_settings(settings),
+CoreLoop::CoreLoop(net::EventLoop &loop, CoreLoopSettings settings, CoreFactory factory, ActionSinks &sinks)
+    : m_loop(loop),
+      m_settings(settings),
       m_factory(std::move(factory)),
       m_sinks(sinks)
 {
@@ -15,68 +16,54 @@
 CoreLoop::~CoreLoop()
 {
     stop();
+    *m_isAlive = false;
 }
 
 void CoreLoop::start()
 {
-    m_thread = std::thread([this] { run(); });
+    guarded([this] { m_core = m_factory(m_timers); });
+    schedule();
 }
 
 void CoreLoop::stop()
 {
-    {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        m_isRunning = false;
-    }
-    m_hasItems.notify_all();
-    m_hasRoom.notify_all();
-    if (m_thread.joinable()) {
-        m_thread.join();
-    }
+    m_isRunning = false;
+    m_wake.cancel();
+    m_events.clear();
+    m_core.reset();
+    m_timers.clear();
 }
 
 void CoreLoop::post(messages::Event event)
 {
-    push(std::move(event), true);
+    if (m_isRunning) {
+        m_events.push_back(std::move(event));
+        schedule();
+    }
 }
 
 bool CoreLoop::tryPost(messages::Event event)
 {
-    return push(std::move(event), false);
-}
-
-bool CoreLoop::push(Item item, bool mayWait)
-{
-    std::unique_lock<std::mutex> lock(m_mutex);
-    const bool isLoop = std::this_thread::get_id() == m_loopThread.load();
-    if (!mayWait && m_items.size() >= m_settings.maxWaitingForRequests) {
-        return false;
-    }
-    if (!isLoop) {
-        m_hasRoom.wait(lock, [this] { return !m_isRunning || m_items.size() < m_settings.maxWaiting; });
-    }
-    if (!m_isRunning) {
+    if (!m_isRunning || m_events.size() >= m_settings.maxWaitingForRequests) {
         return false;
     }
-    m_items.push_back(std::move(item));
-    m_hasItems.notify_one();
+    post(std::move(event));
     return true;
 }
 
 std::shared_ptr<const configuration::Configuration> CoreLoop::configuration() const
 {
-    const std::lock_guard<std::mutex> lock(m_mutex);
-    return m_configuration;
+    return m_core == nullptr ? nullptr : m_core->configuration();
 }
 
 bool CoreLoop::isReady() const
 {
-    return m_isReady && !m_hasFailed;
+    return m_core != nullptr && m_core->isReady();
 }
 
 bool CoreLoop::isDrained() const
 {
-    return m_isDrained;
+    return m_core != nullptr && m_core->isDrained();
 }
 
 bool CoreLoop::hasFailed() const
@@ -86,76 +73,67 @@
 
 bool CoreLoop::isRunning() const
 {
-    const std::lock_guard<std::mutex> lock(m_mutex);
     return m_isRunning;
 }
 
 std::size_t CoreLoop::waiting() const
 {
-    const std::lock_guard<std::mutex> lock(m_mutex);
-    return m_items.size();
+    return m_events.size();
 }
 
-void CoreLoop::run()
+core::Signal<CoreFailed> &CoreLoop::failed()
 {
-    m_loopThread = std::this_thread::get_id();
-    try {
-        core::SteadyTimerService timers;
-        const std::unique_ptr<DecisionCore> core = m_factory(timers);
-        runSteps(*core, timers);
-    } catch (const std::exception &exception) {
-        // The state of the decision parts is no longer certain: nothing more is decided from it.
-        m_hasFailed = true;
-        m_sinks.carryOut(messages::Log{core::LogEvent{"core_failed", {}}.with("reason", exception.what())});
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        m_isRunning = false;
-        m_items.clear();
-    }
-    m_isReady = false;
-    m_hasRoom.notify_all();
+    return m_failed;
 }
 
-void CoreLoop::runSteps(DecisionCore &core, core::SteadyTimerService &timers)
+void CoreLoop::schedule()
 {
-    carryOut(core.takeActions());
-    publish(core);
-    while (true) {
-        std::deque<Item> items = waitForItems(timers.nextDue(), timers);
-        {
-            const std::lock_guard<std::mutex> lock(m_mutex);
-            if (!m_isRunning) {
-                return;
-            }
+    if (m_isScheduled || m_core == nullptr) {
+        return;
+    }
+    m_isScheduled = true;
+    m_loop.post([this, isAlive = m_isAlive] {
+        if (*isAlive) {
+            m_isScheduled = false;
+            handleWaiting();
         }
+    });
+}
 
-        // Timers run between events, so that a long batch does not delay them.
-        for (const Item &item : items) {
-            if (timers.nextDue() <= timers.now()) {
-                timers.run();
-                carryOut(core.takeActions());
-            }
-            if (const messages::Event *event = std::get_if<messages::Event>(&item)) {
-                carryOut(core.handle(*event));
-            } else {
-                std::get<Question>(item)(core);
-            }
+void CoreLoop::handleWaiting()
+{
+    if (m_core == nullptr) {
+        return;
+    }
+    guarded([this] {
+        // Timers run between events, so that a long batch does not delay them. What actions add is handled in the next turn.
+        for (std::size_t left = m_events.size(); left > 0 && !m_events.empty(); --left) {
+            runTimers();
+            const messages::Event event = std::move(m_events.front());
+            m_events.pop_front();
+            carryOut(m_core->handle(event));
         }
-        timers.run();
-        carryOut(core.takeActions());
-        publish(core);
+        runTimers();
+        carryOut(m_core->takeActions());
+    });
+    if (m_core == nullptr) {
+        return;
+    }
+    if (!m_events.empty()) {
+        schedule();
+    }
+    const absl::Time next = m_timers.nextDue();
+    if (next != absl::InfiniteFuture()) {
+        m_wake = m_loop.timers().after(std::max(next - m_timers.now(), absl::ZeroDuration()), [this] { handleWaiting(); });
     }
 }
 
-std::deque<CoreLoop::Item> CoreLoop::waitForItems(absl::Time until, const core::TimerService &timers)
+void CoreLoop::runTimers()
 {
-    const absl::Duration sleep = std::clamp(until - timers.now(), absl::ZeroDuration(), MAX_SLEEP);
-    std::deque<Item> items;
-    std::unique_lock<std::mutex> lock(m_mutex);
-    m_hasItems.wait_for(lock, absl::ToChronoNanoseconds(sleep), [this] { return !m_items.empty() || !m_isRunning; });
-    items.swap(m_items);
-    lock.unlock();
-    m_hasRoom.notify_all();
-    return items;
+    if (m_timers.nextDue() <= m_timers.now()) {
+        m_timers.run();
+        carryOut(m_core->takeActions());
+    }
 }
 
 void CoreLoop::carryOut(const std::vector<messages::Action> &actions)
@@ -165,12 +143,17 @@
     }
 }
 
-void CoreLoop::publish(const DecisionCore &core)
+void CoreLoop::guarded(const std::function<void()> &step)
 {
-    m_isReady = core.isReady();
-    m_isDrained = core.isDrained();
-    const std::lock_guard<std::mutex> lock(m_mutex);
-    m_configuration = core.configuration();
+    try {
+        step();
+    } catch (const std::exception &exception) {
+        // The state of the decision parts is no longer certain: nothing more is decided from it.
+        m_hasFailed = true;
+        stop();
+        m_sinks.carryOut(messages::Log{core::LogEvent{"core_failed", {}}.with("reason", exception.what())});
+        m_failed.emit(CoreFailed{exception.what()});
+    }
 }
 
 } // namespace snipeferry::supervision
--- a/source/supervision/supervisor.cpp
+++ b/source/supervision/supervisor.cpp
@@ -1,7 +1,5 @@
 #include "snipeferry/supervision/supervisor.h"
 
-#include <absl/time/clock.h>
-
 #include <algorithm>
 #include <exception>
 
@@ -20,8 +18,9 @@
 
 } // namespace
 
-Supervisor::Supervisor(SupervisorSettings settings, LogSink log)
-    : m_settings(settings),
+Supervisor::Supervisor(core::TimerService &timers, SupervisorSettings settings, LogSink log)
+    : m_timers(timers),
+      m_settings(settings),
       m_log(std::move(log))
 {
 }
@@ -46,24 +45,17 @@
             return started;
         }
         state.isUp = true;
-        state.startedAt = absl::Now();
+        state.startedAt = m_timers.now();
         logChild("part_started", state, "");
     }
     m_isHealthy = true;
-    m_thread = std::thread([this] { watch(); });
+    m_checkTimer = m_timers.every(m_settings.checkInterval, [this] { checkAll(); });
     return {};
 }
 
 void Supervisor::stop()
 {
-    {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        m_isStopping = true;
-    }
-    m_wakeUp.notify_all();
-    if (m_thread.joinable()) {
-        m_thread.join();
-    }
+    m_checkTimer.cancel();
     m_isHealthy = false;
     for (auto it = m_states.rbegin(); it != m_states.rend(); ++it) {
         if (it->isUp) {
@@ -84,25 +76,18 @@
     return m_hasFailed;
 }
 
-void Supervisor::watch()
+void Supervisor::checkAll()
 {
-    std::unique_lock<std::mutex> lock(m_mutex);
-    while (!m_isStopping) {
-        m_wakeUp.wait_for(lock, absl::ToChronoNanoseconds(m_settings.checkInterval), [this] { return m_isStopping; });
-        if (m_isStopping) {
-            return;
-        }
-        for (State &state : m_states) {
-            check(state);
-        }
-        m_isHealthy = !m_hasFailed && std::all_of(m_states.begin(), m_states.end(), [](const State &state) { return state.isUp; });
+    for (State &state : m_states) {
+        check(state);
     }
+    m_isHealthy = !m_hasFailed && std::all_of(m_states.begin(), m_states.end(), [](const State &state) { return state.isUp; });
 }
 
 void Supervisor::check(State &state)
 {
     if (!state.isUp) {
-        if (absl::Now() >= state.retryAt && !m_hasFailed) {
+        if (m_timers.now() >= state.retryAt && !m_hasFailed) {
             restart(state);
         }
         return;
@@ -112,12 +97,12 @@
     }
     logChild("part_failed", state, "not running");
     m_isHealthy = false;
-    if (absl::Now() - state.startedAt > m_settings.stableAfter) {
+    if (m_timers.now() - state.startedAt > m_settings.stableAfter) {
         state.backoff = m_settings.firstBackoff;
     }
     state.child.stop();
     state.isUp = false;
-    state.retryAt = absl::Now() + state.backoff;
+    state.retryAt = m_timers.now() + state.backoff;
     m_hasFailed = m_hasFailed || state.child.isEssential;
 }
 
@@ -127,11 +112,11 @@
     state.backoff = std::min(2 * state.backoff, m_settings.maxBackoff);
     if (!started.has_value()) {
         logChild("part_failed", state, started.error().message);
-        state.retryAt = absl::Now() + state.backoff;
+        state.retryAt = m_timers.now() + state.backoff;
         return;
     }
     state.isUp = true;
-    state.startedAt = absl::Now();
+    state.startedAt = m_timers.now();
     logChild("part_restarted", state, "");
 }
 
--- a/standins/fake-runner/main.cpp
+++ b/standins/fake-runner/main.cpp
@@ -25,5 +25,6 @@
 
     standins::blockTerminationSignals();
     standins::FakeEngine engine(name, behaviour, cacheBlocks);
-    return standins::serve(port, [&](http::HttpRequest &request, const http::HttpConnection &connection) { return engine.handle(request, connection); });
+    return standins::serve(
+        port, [&](const http::HttpRequest &request, const standins::ClientProbe &isClientGone) { return engine.handle(request, isClientGone); });
 }
--- a/standins/fake-service/main.cpp
+++ b/standins/fake-service/main.cpp
@@ -17,5 +17,5 @@
 
     standins::blockTerminationSignals();
     standins::FakeService service(behaviour);
-    return standins::serve(port, [&](http::HttpRequest &request, const http::HttpConnection &) { return service.handle(request); });
+    return standins::serve(port, [&](const http::HttpRequest &request, const standins::ClientProbe & /*isClientGone*/) { return service.handle(request); });
 }
--- a/standins/support/fakeengine.cpp
+++ b/standins/support/fakeengine.cpp
@@ -13,7 +13,6 @@
 
 namespace {
 
-using http::HttpAnswer;
 using nlohmann::json;
 
 constexpr std::size_t MAX_LOG_ENTRIES = 20'000;
@@ -71,8 +70,8 @@
         m_isWhole = true;
     }
 
-    http::Piece pull(std::string &piece);
-    HttpAnswer whole();
+    Piece pull(std::string &piece);
+    StandinAnswer whole();
 
 private:
     std::string event() const;
@@ -112,28 +111,28 @@
     return "data: " + chunk.dump(-1, ' ', false, json::error_handler_t::replace) + "\n\n";
 }
 
-http::Piece FakeEngine::Generation::pull(std::string &piece)
+Piece FakeEngine::Generation::pull(std::string &piece)
 {
     if (m_isWhole) {
-        return http::Piece::End;
+        return Piece::End;
     }
     const std::int64_t abortAfter = m_engine.behaviour().abortAfterTokens;
     if (abortAfter >= 0 && m_next >= abortAfter) {
-        return http::Piece::Abort;
+        return Piece::Abort;
     }
     if (m_next >= m_count) {
         finish();
         piece = "data: [DONE]\n\n";
-        return http::Piece::More;
+        return Piece::More;
     }
     waitForToken();
     piece = event();
     m_isFirst = false;
     ++m_next;
-    return http::Piece::More;
+    return Piece::More;
 }
 
-HttpAnswer FakeEngine::Generation::whole()
+StandinAnswer FakeEngine::Generation::whole()
 {
     std::string content;
     for (; m_next < m_count; ++m_next) {
@@ -156,7 +155,7 @@
 {
 }
 
-HttpAnswer FakeEngine::handle(const http::HttpRequest &request, const http::HttpConnection &connection)
+StandinAnswer FakeEngine::handle(const http::HttpRequest &request, const ClientProbe &isClientGone)
 {
     const core::Expected<http::Target> target = http::parseTarget(request.target);
     const std::string path = target.has_value() ? target->path : "";
@@ -175,10 +174,10 @@
     if (path == "/control") {
         return control(request);
     }
-    return chat(request, connection);
+    return chat(request, isClientGone);
 }
 
-HttpAnswer FakeEngine::control(const http::HttpRequest &request)
+StandinAnswer FakeEngine::control(const http::HttpRequest &request)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
     if (request.method == "POST") {
@@ -190,7 +189,7 @@
     return http::jsonAnswer(OK, json(m_behaviour).dump());
 }
 
-HttpAnswer FakeEngine::chat(const http::HttpRequest &request, const http::HttpConnection &connection)
+StandinAnswer FakeEngine::chat(const http::HttpRequest &request, const ClientProbe &isClientGone)
 {
     const std::uint64_t number = m_log.add(request);
     const EngineBehaviour current = behaviour();
@@ -209,7 +208,7 @@
     if (!chat.has_value()) {
         return http::jsonAnswer(BAD_REQUEST, json{{"error", {{"message", chat.error().message}}}}.dump());
     }
-    if (!waitForSlot(connection)) {
+    if (!waitForSlot(isClientGone)) {
         return http::jsonAnswer(FAILURE, "{}");
     }
     m_cache.store(chat->prefixHashes);
@@ -223,7 +222,7 @@
     if (!chat->isStream) {
         return generation->whole();
     }
-    HttpAnswer answer;
+    StandinAnswer answer;
     answer.headers = {{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-cache"}, {"X-Engine", m_name}};
     answer.next = [generation](std::string &piece) {
         return generation->pull(piece);
@@ -237,13 +236,13 @@
     return m_behaviour;
 }
 
-bool FakeEngine::waitForSlot(const http::HttpConnection &connection)
+bool FakeEngine::waitForSlot(const ClientProbe &isClientGone)
 {
     std::unique_lock<std::mutex> lock(m_mutex);
     ++m_waiting;
     while (m_running >= m_behaviour.slots) {
         m_hasSlot.wait_for(lock, SLOT_POLL);
-        if (connection.isCallerGone()) {
+        if (isClientGone()) {
             --m_waiting;
             return false;
         }
--- a/standins/support/fakeengine.h
+++ b/standins/support/fakeengine.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "snipeferry/http/httpmessage.h"
 #include "support/requestlog.h"
+#include "support/threadedserver.h"
 
 #include <condition_variable>
 #include <cstdint>
@@ -70,15 +70,15 @@
 public:
     FakeEngine(std::string name, EngineBehaviour behaviour, std::size_t cacheBlocks);
 
-    http::HttpAnswer handle(const http::HttpRequest &request, const http::HttpConnection &connection);
+    StandinAnswer handle(const http::HttpRequest &request, const ClientProbe &isClientGone);
 
 private:
     class Generation;
 
-    http::HttpAnswer chat(const http::HttpRequest &request, const http::HttpConnection &connection);
-    http::HttpAnswer control(const http::HttpRequest &request);
+    StandinAnswer chat(const http::HttpRequest &request, const ClientProbe &isClientGone);
+    StandinAnswer control(const http::HttpRequest &request);
     EngineBehaviour behaviour() const;
-    bool waitForSlot(const http::HttpConnection &connection);
+    bool waitForSlot(const ClientProbe &isClientGone);
     void releaseSlot();
 
     const std::string m_name;
--- a/standins/support/fakeservice.cpp
+++ b/standins/support/fakeservice.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-using http::HttpAnswer;
 using nlohmann::json;
 
 constexpr std::size_t MAX_LOG_ENTRIES = 20'000;
@@ -24,11 +23,11 @@
     return body.is_object() && body.contains("id") && body["id"].is_string() ? body["id"].get<std::string>() : "";
 }
 
-HttpAnswer lostAnswer()
+StandinAnswer lostAnswer()
 {
-    HttpAnswer answer;
+    StandinAnswer answer;
     answer.next = [](std::string &) {
-        return http::Piece::Abort;
+        return Piece::Abort;
     };
     return answer;
 }
@@ -41,7 +40,7 @@
 {
 }
 
-HttpAnswer FakeService::handle(const http::HttpRequest &request)
+StandinAnswer FakeService::handle(const http::HttpRequest &request)
 {
     if (request.target == "/effects") {
         const std::lock_guard<std::mutex> lock(m_mutex);
@@ -59,7 +58,7 @@
     return call(request);
 }
 
-HttpAnswer FakeService::control(const http::HttpRequest &request)
+StandinAnswer FakeService::control(const http::HttpRequest &request)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
     if (request.method == "POST") {
@@ -81,7 +80,7 @@
     return isOld && m_behaviour.checksFencing;
 }
 
-HttpAnswer FakeService::call(const http::HttpRequest &request)
+StandinAnswer FakeService::call(const http::HttpRequest &request)
 {
     m_log.add(request);
     std::unique_lock<std::mutex> lock(m_mutex);
--- a/standins/support/fakeservice.h
+++ b/standins/support/fakeservice.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "snipeferry/http/httpmessage.h"
 #include "support/requestlog.h"
+#include "support/threadedserver.h"
 
 #include <cstdint>
 #include <map>
@@ -34,11 +34,11 @@
 public:
     explicit FakeService(ServiceBehaviour behaviour);
 
-    http::HttpAnswer handle(const http::HttpRequest &request);
+    StandinAnswer handle(const http::HttpRequest &request);
 
 private:
-    http::HttpAnswer control(const http::HttpRequest &request);
-    http::HttpAnswer call(const http::HttpRequest &request);
+    StandinAnswer control(const http::HttpRequest &request);
+    StandinAnswer call(const http::HttpRequest &request);
     bool isFencedOff(const http::HttpRequest &request);
 
     std::mutex m_mutex;
--- a/standins/support/requestlog.cpp
+++ b/standins/support/requestlog.cpp
@@ -16,7 +16,7 @@
 std::uint64_t RequestLog::add(const http::HttpRequest &request)
 {
     nlohmann::json headers = nlohmann::json::array();
-    for (const node::Header &header : request.headers) {
+    for (const core::Header &header : request.headers) {
         headers.push_back({{"name", header.name}, {"value", header.value}});
     }
     nlohmann::json entry = {
--- a/standins/support/standinserver.cpp
+++ b/standins/support/standinserver.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-constexpr std::size_t MAX_CONNECTIONS = 1024;
-
 sigset_t terminationSignals()
 {
     sigset_t signals;
@@ -28,13 +26,10 @@
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 }
 
-int serve(std::uint16_t port, const http::HttpHandler &handler)
+int serve(std::uint16_t port, const StandinHandler &handler)
 {
-    http::HttpServerSettings settings;
-    settings.listenAddress = "127.0.0.1:" + std::to_string(port);
-    settings.maxConnections = MAX_CONNECTIONS;
-    http::HttpServer server(settings, handler);
-    const core::Expected<std::string> address = server.start();
+    ThreadedServer server(handler);
+    const core::Expected<std::string> address = server.start(port);
     if (!address.has_value()) {
         std::cerr << address.error().message << "\n";
         return EXIT_FAILURE;
--- a/standins/support/standinserver.h
+++ b/standins/support/standinserver.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "snipeferry/http/httpserver.h"
+#include "support/threadedserver.h"
 
 #include <cstdint>
 #include <string>
@@ -12,7 +12,7 @@
  * @param port 0 lets the kernel choose
  * @return the exit code of the process
  */
-int serve(std::uint16_t port, const http::HttpHandler &handler);
+int serve(std::uint16_t port, const StandinHandler &handler);
 
 /** @brief Blocks the signals that serve() waits for; called before any thread starts. */
 void blockTerminationSignals();
--- a/tests/concurrent-configuration/racingoperatorstest.cpp
+++ b/tests/concurrent-configuration/racingoperatorstest.cpp
@@ -22,14 +22,8 @@
 {
 public:
     explicit OperatorLink(int port)
-        : m_client(settingsFor(port), [this](const messages::Event &event) { take(event); })
+        : m_client(m_loop, settingsFor(port), [this](const messages::Event &event) { take(event); })
     {
-        m_client.start();
-    }
-
-    ~OperatorLink()
-    {
-        m_client.stop();
     }
 
     template<typename Procedure>
@@ -44,11 +38,10 @@
     platform::Reply send(const platform::Call &call)
     {
         m_client.call(call);
-        const absl::MutexLock lock(&m_mutex);
-        const auto isHere = [&] {
-            return m_reply.has_value() && m_reply->id == call.id;
-        };
-        m_mutex.Await(absl::Condition(&isHere));
+        while (!m_reply.has_value() || m_reply->id != call.id) {
+            m_loop.resume();
+            m_loop.run();
+        }
         platform::Reply reply = std::move(*m_reply);
         m_reply.reset();
         return reply;
@@ -68,12 +61,12 @@
     void take(const messages::Event &event)
     {
         if (const auto *replied = std::get_if<messages::PlatformReplied>(&event)) {
-            const absl::MutexLock lock(&m_mutex);
             m_reply = replied->reply;
+            m_loop.stop();
         }
     }
 
-    absl::Mutex m_mutex;
+    net::EventLoop m_loop;
     std::optional<platform::Reply> m_reply;
     platform::PlatformClient m_client;
 };
--- a/tests/concurrent-http/badinputtest.cpp
+++ b/tests/concurrent-http/badinputtest.cpp
@@ -107,7 +107,7 @@
     slow.send("GET /services/script/flood HTTP/1.1\r\nHost: x\r\n\r\n");
     CHECK(tests::eventually([&] { return gateway.record().callersLeft >= 1; }));
     CHECK(gateway.call("POST", "/services/script/echo", "alive").body == "alive");
-    CHECK(tests::eventually([&] { return gateway.registry().size() == 0; }));
+    CHECK(tests::eventually([&] { return gateway.openRequests() == 0; }));
     CHECK(slow.readToEnd(PATIENCE));
     CHECK(slow.received().find("0\r\n\r\n") == std::string::npos);
 }
--- a/tests/concurrent-http/callerservertest.cpp
+++ b/tests/concurrent-http/callerservertest.cpp
@@ -114,7 +114,7 @@
     }
     CHECK(tests::eventually([&] { return gateway.record().callersLeft == 2; }));
     CHECK(tests::eventually([&] { return gateway.enginePage("/log").find("\"cut\"") != std::string::npos; }));
-    CHECK(tests::eventually([&] { return gateway.backends().openAttempts() == 0 && gateway.registry().size() == 0; }));
+    CHECK(tests::eventually([&] { return gateway.openAttempts() == 0 && gateway.openRequests() == 0; }));
 }
 
 TEST_CASE("a failure of the decision parts ends open requests with an answer and readiness with it")
@@ -126,7 +126,7 @@
     CHECK(gateway.call("GET", "/services/script/throw").status == 500);
     held.join();
     CHECK(heldStatus == 500);
-    CHECK(gateway.loop().hasFailed());
-    CHECK_FALSE(gateway.loop().isReady());
+    CHECK(gateway.hasFailed());
+    CHECK_FALSE(gateway.isReady());
     CHECK(gateway.call("GET", "/services/script/echo").status == 503);
 }
--- a/tests/concurrent-http/gatewayfixture.cpp
+++ b/tests/concurrent-http/gatewayfixture.cpp
@@ -9,15 +9,9 @@
 namespace {
 
 constexpr std::size_t SLOW_READER_BYTES = std::size_t{1} << 20;
+constexpr std::size_t MAX_COLLECTED_BYTES = std::size_t{1} << 20;
 constexpr int FLOOD_CHUNKS = 400;
 
-http::HttpServerSettings loopback()
-{
-    http::HttpServerSettings settings;
-    settings.listenAddress = "127.0.0.1:0";
-    return settings;
-}
-
 } // namespace
 
 ScriptedCore::ScriptedCore(std::shared_ptr<CoreRecord> record, std::string backendAddress)
@@ -147,27 +141,35 @@
 
 GatewayFixture::GatewayFixture(http::CallerServerSettings settings, const std::string &backendAddress)
     : m_engine("engine", {}, 1024),
-      m_engineServer(loopback(), [this](http::HttpRequest &request, const http::HttpConnection &connection) { return m_engine.handle(request, connection); }),
-      m_engineAddress(m_engineServer.start().value()),
-      m_registry(SLOW_READER_BYTES)
+      m_engineServer([this](const http::HttpRequest &request, const standins::ClientProbe &isClientGone) { return m_engine.handle(request, isClientGone); }),
+      m_engineAddress(m_engineServer.start(0).value())
 {
     const std::string backend = backendAddress.empty() ? m_engineAddress : backendAddress;
-    m_loop = std::make_unique<supervision::CoreLoop>(
-        supervision::CoreLoopSettings(), [this, backend](core::TimerService &) { return std::make_unique<ScriptedCore>(m_record, backend); }, *this);
-    m_backends = std::make_unique<http::BackendClient>(http::BackendClientSettings(), [this](messages::Event event) { m_loop->post(std::move(event)); });
     settings.server.listenAddress = "127.0.0.1:0";
-    m_server = std::make_unique<http::CallerServer>(settings, *m_loop, m_registry);
-    m_loop->start();
-    m_address = m_server->start().value();
-    eventually([this] { return m_loop->configuration() != nullptr; });
+    settings.server.slowReaderBytes = SLOW_READER_BYTES;
+    m_address = m_thread.call([&] {
+        net::EventLoop &loop = m_thread.loop();
+        m_registry = std::make_unique<http::CallerRegistry>(
+            MAX_COLLECTED_BYTES, [this](const http::CallerGone &event) { m_loop->post(messages::CallerLeft{event.request}); });
+        m_loop = std::make_unique<supervision::CoreLoop>(
+            loop, supervision::CoreLoopSettings(), [this, backend](core::TimerService &) { return std::make_unique<ScriptedCore>(m_record, backend); }, *this);
+        m_backends
+            = std::make_unique<http::BackendClient>(loop, http::BackendClientSettings(), [this](messages::Event event) { m_loop->post(std::move(event)); });
+        m_server = std::make_unique<http::CallerServer>(loop, settings, *m_loop, *m_registry);
+        m_loop->start();
+        return m_server->start().value();
+    });
 }
 
 GatewayFixture::~GatewayFixture()
 {
-    m_registry.failAll(core::makeError(core::ErrorKind::Internal, "The test is over."));
-    m_server->stop();
-    m_backends->stop();
-    m_loop->stop();
+    m_thread.call([this] {
+        m_registry->failAll(core::makeError(core::ErrorKind::Internal, "The test is over."));
+        m_server.reset();
+        m_backends.reset();
+        m_loop.reset();
+        m_registry.reset();
+    });
     m_engineServer.stop();
 }
 
@@ -191,19 +193,24 @@
     return *m_record;
 }
 
-supervision::CoreLoop &GatewayFixture::loop()
+std::size_t GatewayFixture::openRequests() const
 {
-    return *m_loop;
+    return m_thread.call([this] { return m_registry->size(); });
 }
 
-http::CallerRegistry &GatewayFixture::registry()
+std::size_t GatewayFixture::openAttempts() const
 {
-    return m_registry;
+    return m_thread.call([this] { return m_backends->openAttempts(); });
 }
 
-http::BackendClient &GatewayFixture::backends()
+bool GatewayFixture::isReady() const
 {
-    return *m_backends;
+    return m_thread.call([this] { return m_loop->isReady(); });
+}
+
+bool GatewayFixture::hasFailed() const
+{
+    return m_thread.call([this] { return m_loop->hasFailed(); });
 }
 
 http::ClientAnswer GatewayFixture::call(const std::string &method, const std::string &path, const std::string &body, std::vector<node::Header> headers) const
@@ -245,25 +252,22 @@
 
 void GatewayFixture::carryOut(const messages::AnswerHead &action)
 {
-    m_registry.deliver(action.request, action);
+    m_registry->deliver(action);
 }
 
 void GatewayFixture::carryOut(const messages::AnswerChunk &action)
 {
-    if (!m_registry.deliver(action.request, action)) {
-        m_registry.close(action.request);
-        m_loop->post(messages::CallerLeft{action.request});
-    }
+    m_registry->deliver(action);
 }
 
 void GatewayFixture::carryOut(const messages::AnswerEnd &action)
 {
-    m_registry.deliver(action.request, action);
+    m_registry->deliver(action);
 }
 
 void GatewayFixture::carryOut(const messages::AnswerError &action)
 {
-    m_registry.deliver(action.request, action);
+    m_registry->deliver(action);
 }
 
 bool eventually(const std::function<bool()> &condition)
--- a/tests/concurrent-http/gatewayfixture.h
+++ b/tests/concurrent-http/gatewayfixture.h
@@ -4,6 +4,7 @@
 #include "snipeferry/http/callerserver.h"
 #include "snipeferry/http/httpclient.h"
 #include "support/fakeengine.h"
+#include "support/loopthread.h"
 
 #include <atomic>
 #include <memory>
@@ -59,9 +60,11 @@
     std::string enginePage(const std::string &path, const std::string &posted = "") const;
 
     const CoreRecord &record() const;
-    supervision::CoreLoop &loop();
-    http::CallerRegistry &registry();
-    http::BackendClient &backends();
+    /** @brief Requests whose answers are not complete. */
+    std::size_t openRequests() const;
+    std::size_t openAttempts() const;
+    bool isReady() const;
+    bool hasFailed() const;
 
     /** @brief Calls the gateway. */
     http::ClientAnswer call(const std::string &method, const std::string &path, const std::string &body = "", std::vector<node::Header> headers = {}) const;
@@ -81,9 +84,11 @@
 private:
     std::shared_ptr<CoreRecord> m_record = std::make_shared<CoreRecord>();
     standins::FakeEngine m_engine;
-    http::HttpServer m_engineServer;
+    standins::ThreadedServer m_engineServer;
     std::string m_engineAddress;
-    http::CallerRegistry m_registry;
+    mutable testing::LoopThread m_thread;
+    // What follows lives on the thread.
+    std::unique_ptr<http::CallerRegistry> m_registry;
     std::unique_ptr<supervision::CoreLoop> m_loop;
     std::unique_ptr<http::BackendClient> m_backends;
     std::unique_ptr<http::CallerServer> m_server;
--- a/tests/concurrent-http/partstest.cpp
+++ b/tests/concurrent-http/partstest.cpp
@@ -2,11 +2,8 @@
 #include "snipeferry/supervision/supervisor.h"
 #include "support/rawconnection.h"
 
-#include <absl/time/clock.h>
 #include <catch2/catch.hpp>
 
-#include <mutex>
-
 using namespace snipeferry;
 using tests::GatewayFixture;
 
@@ -15,10 +12,8 @@
     // A port that was just given back refuses connections.
     std::string closedAddress;
     {
-        http::HttpServerSettings settings;
-        settings.listenAddress = "127.0.0.1:0";
-        http::HttpServer server(settings, [](http::HttpRequest &, const http::HttpConnection &) { return http::HttpAnswer(); });
-        closedAddress = server.start().value();
+        standins::ThreadedServer server([](const http::HttpRequest &, const standins::ClientProbe &) { return standins::StandinAnswer(); });
+        closedAddress = server.start(0).value();
     }
     const GatewayFixture refused(http::CallerServerSettings(), closedAddress);
     refused.call("POST", "/services/script/run", "x");
@@ -34,17 +29,14 @@
 
 TEST_CASE("a failed part is logged, restarted with backoff, and makes the instance not healthy meanwhile")
 {
-    std::mutex mutex;
+    core::VirtualTimerService timers;
     std::vector<std::string> events;
     supervision::SupervisorSettings settings;
     settings.checkInterval = absl::Milliseconds(1);
     settings.firstBackoff = absl::Milliseconds(5);
-    supervision::Supervisor supervisor(settings, [&](const core::LogEvent &event) {
-        const std::lock_guard<std::mutex> lock(mutex);
-        events.push_back(core::formatLogLine(event));
-    });
-    std::atomic<bool> isRunning = true;
-    std::atomic<int> starts = 0;
+    supervision::Supervisor supervisor(timers, settings, [&](const core::LogEvent &event) { events.push_back(core::formatLogLine(event)); });
+    bool isRunning = true;
+    int starts = 0;
     std::vector<std::string> stops;
     supervisor.add({"first", []() -> core::Expected<void> { return {}; }, [&] { stops.emplace_back("first"); },
         [] {
@@ -61,12 +53,22 @@
         },
         [&] { stops.emplace_back("second"); },
         [&] {
-            return isRunning.load();
+            return isRunning;
         }});
     REQUIRE(supervisor.start().has_value());
     CHECK(supervisor.isHealthy());
     isRunning = false;
-    CHECK(tests::eventually([&] { return starts == 3 && supervisor.isHealthy(); }));
+    timers.advance(settings.checkInterval);
+    CHECK_FALSE(supervisor.isHealthy());
+    // The first try comes after the first backoff and fails, the second after twice that.
+    timers.advance(settings.firstBackoff - settings.checkInterval);
+    CHECK(starts == 1);
+    timers.advance(settings.checkInterval);
+    CHECK(starts == 2);
+    CHECK_FALSE(supervisor.isHealthy());
+    timers.advance(2 * settings.firstBackoff);
+    CHECK(starts == 3);
+    CHECK(supervisor.isHealthy());
     CHECK_FALSE(supervisor.hasFailed());
     supervisor.stop();
     CHECK(stops == std::vector<std::string>{"second", "second", "first"});
@@ -78,7 +80,8 @@
 
 TEST_CASE("a start that fails stops the parts that had started")
 {
-    supervision::Supervisor supervisor({}, [](const core::LogEvent &) {});
+    core::VirtualTimerService timers;
+    supervision::Supervisor supervisor(timers, {}, [](const core::LogEvent &) {});
     int stops = 0;
     supervisor.add({"first", []() -> core::Expected<void> { return {}; }, [&] { ++stops; },
         [] {
--- a/tests/concurrent-peers/party.h
+++ b/tests/concurrent-peers/party.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "snipeferry/peers/peertransport.h"
+#include "support/loopthread.h"
 
 #include <absl/time/clock.h>
 
@@ -14,32 +15,54 @@
 namespace snipeferry::test {
 
 inline constexpr absl::Duration WAIT_LIMIT = absl::Seconds(10);
+inline constexpr absl::Duration FAREWELL_TIME = absl::Milliseconds(50);
 
 /** One instance's transport with all that it posted. */
 class Party
 {
 public:
     explicit Party(const std::string &id, peers::PeerSettings settings = {})
-        : m_transport((settings.listenAddress = "127.0.0.1:0", settings), [this](messages::Event event) { post(std::move(event)); })
     {
+        settings.listenAddress = "127.0.0.1:0";
         m_self.id = core::InstanceId(id);
         m_self.incarnation = 1;
+        m_thread.call([&] {
+            m_transport = std::make_unique<peers::PeerTransport>(m_thread.loop(), settings, [this](messages::Event event) { post(std::move(event)); });
+        });
     }
 
     ~Party()
     {
-        m_transport.stop();
+        // The others hear the farewell.
+        m_thread.call([this] { m_transport->stop(); });
+        absl::SleepFor(FAREWELL_TIME);
+        m_thread.call([this] { m_transport.reset(); });
     }
 
     core::Expected<std::string> start()
     {
-        core::Expected<std::string> address = m_transport.start(m_self);
+        core::Expected<std::string> address = m_thread.call([this] { return m_transport->start(m_self); });
         if (address) {
             m_self.peerAddress = *address;
         }
         return address;
     }
 
+    void keepLinks(const std::vector<membership::InstanceDescription> &peers)
+    {
+        m_thread.call([&] { m_transport->keepLinks(peers); });
+    }
+
+    void send(const core::InstanceId &to, const messages::PeerMessage &message)
+    {
+        m_thread.call([&] { m_transport->send(to, message); });
+    }
+
+    core::Expected<void> reloadKeys()
+    {
+        return m_thread.call([this] { return m_transport->reloadKeys(); });
+    }
+
     /** Waits until the condition holds over all events. */
     bool await(const std::function<bool(const std::vector<messages::Event> &)> &condition, absl::Duration limit = WAIT_LIMIT)
     {
@@ -89,11 +112,6 @@
         return sequences;
     }
 
-    peers::PeerTransport &transport()
-    {
-        return m_transport;
-    }
-
     membership::InstanceDescription &self()
     {
         return m_self;
@@ -111,7 +129,9 @@
     std::condition_variable m_changed;
     std::vector<messages::Event> m_events;
     membership::InstanceDescription m_self;
-    peers::PeerTransport m_transport;
+    testing::LoopThread m_thread;
+    /** Lives on the thread. */
+    std::unique_ptr<peers::PeerTransport> m_transport;
 };
 
 inline bool awaitPromises(Party &party, std::size_t count)
--- a/tests/concurrent-peers/transporttest.cpp
+++ b/tests/concurrent-peers/transporttest.cpp
@@ -17,7 +17,7 @@
     Party right("right");
     REQUIRE(left.start());
     REQUIRE(right.start());
-    left.transport().keepLinks({right.self()});
+    left.keepLinks({right.self()});
     REQUIRE(left.awaitLink(right.self().id, true));
     REQUIRE(right.awaitLink(left.self().id, true));
 
@@ -25,8 +25,8 @@
     std::vector<std::uint64_t> expected;
     for (std::uint64_t i = 0; i < MESSAGES; ++i) {
         expected.push_back(i);
-        left.transport().send(right.self().id, limits::SlotPromise{i});
-        right.transport().send(left.self().id, limits::SlotPromise{i});
+        left.send(right.self().id, limits::SlotPromise{i});
+        right.send(left.self().id, limits::SlotPromise{i});
     }
     CHECK(awaitPromises(left, MESSAGES));
     CHECK(awaitPromises(right, MESSAGES));
@@ -43,14 +43,14 @@
         Party right("right");
         REQUIRE(right.start());
         description = right.self();
-        left.transport().keepLinks({description});
+        left.keepLinks({description});
         REQUIRE(left.awaitLink(description.id, true));
     }
     REQUIRE(left.awaitLink(description.id, false));
     Party replaced("right");
     replaced.self().incarnation = 2;
     REQUIRE(replaced.start());
-    left.transport().keepLinks({replaced.self()});
+    left.keepLinks({replaced.self()});
     CHECK(left.awaitLink(description.id, true));
 }
 
@@ -63,10 +63,10 @@
     INFO((address ? "" : address.error().message));
     REQUIRE(address);
     REQUIRE(right.start());
-    left.transport().keepLinks({right.self()});
+    left.keepLinks({right.self()});
     REQUIRE(left.awaitLink(right.self().id, true));
     REQUIRE(right.awaitLink(left.self().id, true));
-    right.transport().send(left.self().id, limits::SlotPromise{7});
+    right.send(left.self().id, limits::SlotPromise{7});
     CHECK(awaitPromises(left, 1));
 }
 
@@ -82,13 +82,13 @@
     REQUIRE(right.start());
     for (Party *party : {&foreign, &plain, &impostor}) {
         REQUIRE(party->start());
-        party->transport().keepLinks({right.self()});
+        party->keepLinks({right.self()});
     }
     // The refused ones have had several attempts by the time the good one is through.
     absl::SleepFor(absl::Milliseconds(500));
     CHECK(right.links().empty());
     REQUIRE(left.start());
-    left.transport().keepLinks({right.self()});
+    left.keepLinks({right.self()});
     REQUIRE(left.awaitLink(right.self().id, true));
     REQUIRE(right.awaitLink(left.self().id, true));
     CHECK(right.links() == std::set<std::string>{"left"});
@@ -130,20 +130,20 @@
     Party right("right", keys.issue("right"));
     REQUIRE(left.start());
     REQUIRE(right.start());
-    left.transport().keepLinks({right.self()});
+    left.keepLinks({right.self()});
     REQUIRE(left.awaitLink(right.self().id, true));
 
     keys.issue("left", -60);
-    CHECK_FALSE(left.transport().reloadKeys());
+    CHECK_FALSE(left.reloadKeys());
     keys.issue("left");
-    CHECK(left.transport().reloadKeys());
-    left.transport().send(right.self().id, limits::SlotPromise{1});
+    CHECK(left.reloadKeys());
+    left.send(right.self().id, limits::SlotPromise{1});
     CHECK(awaitPromises(right, 1));
     CHECK(right.links() == std::set<std::string>{"left"});
     // A new link uses the new keys.
-    left.transport().keepLinks({});
+    left.keepLinks({});
     REQUIRE(left.awaitLink(right.self().id, false));
-    left.transport().keepLinks({right.self()});
+    left.keepLinks({right.self()});
     CHECK(left.awaitLink(right.self().id, true));
 }
 
@@ -153,7 +153,7 @@
     Party right("right");
     REQUIRE(left.start());
     REQUIRE(right.start());
-    left.transport().keepLinks({right.self()});
+    left.keepLinks({right.self()});
     REQUIRE(left.awaitLink(right.self().id, true));
 
     namespace asio = boost::asio;
@@ -175,7 +175,7 @@
         asio::read(socket, asio::dynamic_buffer(answer), error);
         CHECK(error);
     }
-    left.transport().send(right.self().id, limits::SlotPromise{3});
+    left.send(right.self().id, limits::SlotPromise{3});
     CHECK(awaitPromises(right, 1));
     CHECK(right.links() == std::set<std::string>{"left"});
 }
--- a/tests/concurrent-platform/platformclienttest.cpp
+++ b/tests/concurrent-platform/platformclienttest.cpp
@@ -1,6 +1,7 @@
 #include "snipeferry/platform/platformclient.h"
 
 #include "support/fakeplatform.h"
+#include "support/loopthread.h"
 
 #include <absl/synchronization/mutex.h>
 #include <absl/time/clock.h>
@@ -79,6 +80,40 @@
     std::vector<messages::Event> m_events;
 };
 
+/** A client on an event loop of its own. */
+class LoopClient
+{
+public:
+    LoopClient(const platform::PlatformSettings &settings, const messages::EventSink &sink)
+    {
+        m_thread.call([&] { m_client = std::make_unique<platform::PlatformClient>(m_thread.loop(), settings, sink); });
+    }
+
+    ~LoopClient()
+    {
+        m_thread.call([this] { m_client.reset(); });
+    }
+
+    void start()
+    {
+        m_thread.call([this] { m_client->start(); });
+    }
+
+    void call(const platform::Call &call)
+    {
+        m_thread.call([&] { m_client->call(call); });
+    }
+
+    std::vector<platform::CallCount> callCounts()
+    {
+        return m_thread.call([this] { return m_client->callCounts(); });
+    }
+
+private:
+    testing::LoopThread m_thread;
+    std::unique_ptr<platform::PlatformClient> m_client;
+};
+
 platform::PlatformSettings settingsFor(const std::vector<int> &ports)
 {
     platform::PlatformSettings settings;
@@ -110,7 +145,7 @@
 {
     standins::FakePlatform platform;
     Mailbox mailbox;
-    platform::PlatformClient client(settingsFor({platform.start(0)}), mailbox.sink());
+    LoopClient client(settingsFor({platform.start(0)}), mailbox.sink());
     client.start();
     const std::string binary("\0\xff\x01", 3);
     client.call({1, platform::Transaction{{{"/a", 0}}, {{"/a", binary, 0}}}});
@@ -142,7 +177,7 @@
     standins::FakePlatform platform;
     const int port = platform.start(0);
     Mailbox mailbox;
-    platform::PlatformClient unreachable(settingsFor({closedPort()}), mailbox.sink());
+    LoopClient unreachable(settingsFor({closedPort()}), mailbox.sink());
     unreachable.start();
     unreachable.call({1, put("/a", "x")});
     CHECK(mailbox.reply(1).outcome == platform::Outcome::NotSent);
@@ -150,7 +185,7 @@
     platform::PlatformSettings settings = settingsFor({port});
     settings.watchedPrefixes.clear();
     settings.watchesDirectory = false;
-    platform::PlatformClient client(settings, mailbox.sink());
+    LoopClient client(settings, mailbox.sink());
     client.start();
     platform.setFaults(R"({"lose_next": 1})");
     client.call({2, put("/b", "x")});
@@ -168,7 +203,7 @@
     settings.workers = 1;
     settings.maxPendingCalls = 2;
     Mailbox mailbox;
-    platform::PlatformClient client(settings, mailbox.sink());
+    LoopClient client(settings, mailbox.sink());
     client.start();
     platform.setFaults(R"({"delay_ms": 600})");
     const absl::Time begin = absl::Now();
@@ -202,7 +237,7 @@
     standins::FakePlatform platform;
     const int port = platform.start(0);
     Mailbox mailbox;
-    platform::PlatformClient client(settingsFor({closedPort(), port}), mailbox.sink());
+    LoopClient client(settingsFor({closedPort(), port}), mailbox.sink());
     client.start();
     client.call({1, put(WATCHED_KEY, "x")});
     CHECK(mailbox.reply(1).outcome == platform::Outcome::Answered);
@@ -213,7 +248,7 @@
 {
     standins::FakePlatform platform;
     Mailbox mailbox;
-    platform::PlatformClient client(settingsFor({platform.start(0)}), mailbox.sink());
+    LoopClient client(settingsFor({platform.start(0)}), mailbox.sink());
     client.start();
     const std::string otherKey = WATCHED_KEY + "-other";
     platform.load(nlohmann::json({{WATCHED_KEY, "1"}, {otherKey, "1"}}).dump());
@@ -242,7 +277,7 @@
 {
     standins::FakePlatform platform;
     Mailbox mailbox;
-    platform::PlatformClient client(settingsFor({platform.start(0)}), mailbox.sink());
+    LoopClient client(settingsFor({platform.start(0)}), mailbox.sink());
     client.start();
     platform::BackendServer server;
     server.id = core::BackendServerId("b1");
--- a/tests/http/callerkeytest.cpp
+++ b/tests/http/callerkeytest.cpp
@@ -14,7 +14,7 @@
 constexpr const char KEY[] = "sk-caller/secret+0123";
 constexpr const char KEY_ENCODED[] = "sk-caller%2Fsecret%2B0123";
 
-HttpRequest requestWith(std::vector<node::Header> headers, const std::string &target = "/v1/models", const std::string &body = "")
+HttpRequest requestWith(core::Headers headers, const std::string &target = "/v1/models", const std::string &body = "")
 {
     return {"POST", target, std::move(headers), body};
 }
@@ -22,7 +22,7 @@
 std::string textOf(const KeylessRequest &request)
 {
     std::string text = request.target.pathAndQuery() + request.body;
-    for (const node::Header &header : request.headers) {
+    for (const core::Header &header : request.headers) {
         text += header.name + header.value;
     }
     return text;
@@ -91,7 +91,7 @@
         = http::takeCallerKey(requestWith({{"Accept", "text/plain"}, {"Connection", "close"}, {"Cookie", "theme=dark"}}, "/a/b?x=1&y=%20", "text"));
     REQUIRE(result.has_value());
     CHECK(result->keyDigest.empty());
-    CHECK(result->headers == std::vector<node::Header>{{"Accept", "text/plain"}});
+    CHECK(result->headers == core::Headers{{"Accept", "text/plain"}});
     CHECK(result->target.pathAndQuery() == "/a/b?x=1&y=%20");
     CHECK(result->body == "text");
 }
@@ -100,7 +100,7 @@
 {
     const bool holds = rc::check("the key is in no part that is passed on", [](const std::string &noise) {
         const std::string key = "key-" + http::sha256Hex(noise).substr(0, 24);
-        std::vector<node::Header> headers;
+        core::Headers headers;
         const std::vector<std::string> names = {"Authorization", "x-api-key", "Api-Key", "X-Anything", "Cookie", "Referer"};
         for (const std::string &name : names) {
             if (*rc::gen::arbitrary<bool>()) {
--- a/tests/http/requestparsertest.cpp
+++ b/tests/http/requestparsertest.cpp
@@ -28,7 +28,7 @@
     return result;
 }
 
-core::Expected<node::CallerRequest> parse(const std::string &method, const std::string &target, std::vector<node::Header> headers, const std::string &body)
+core::Expected<node::CallerRequest> parse(const std::string &method, const std::string &target, core::Headers headers, const std::string &body)
 {
     const configuration::Configuration configuration = configurationOfTest();
     const http::ParseContext context = {configuration, core::RequestId("req-1")};
@@ -55,7 +55,7 @@
     CHECK(request->service == core::ServiceId("assistant"));
     CHECK(request->tokenBound == request->promptTokens + 10);
     CHECK(request->idempotencyKey == "k-1");
-    CHECK(request->headers == std::vector<node::Header>{{"Accept", "a"}});
+    CHECK(request->headers == core::Headers{{"Accept", "a"}});
     CHECK(request->body.find("API_KEY") == std::string::npos);
     CHECK_FALSE(request->isStream);
 }
