Take shared prompt parts over from the engine that keeps them

PROTOCOL.md's Kv-Fetch lets an engine take over what another one keeps: 18 KB a token over 740 Gbit/s, about 1 ms for such a part, at about a seventh of the price.

Change: PromptMemory holds which engines keep which parts, and from when (an engine that has only been given a part keeps nothing yet). BackendTable weighs each candidate with what it would take over; RunHeaders names the source; the adapter writes the header. Services state what a token takes and how fast memory moves; without these nothing is taken over. Also: the concurrent tests' reports under the thread sanitizer are traced: cpp-httplib (static regexes) and Abseil's mutex come from packages built without it, and websocketpp fills a static variable at its first frame without a lock.

--- a/include/snipeferry/gateway/backendtable.h
+++ b/include/snipeferry/gateway/backendtable.h
@@ -3,6 +3,7 @@
 #include "snipeferry/core/timerservice.h"
 #include "snipeferry/gateway/message.h"
 #include "snipeferry/gateway/model.h"
+#include "snipeferry/gateway/promptmemory.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -31,15 +32,6 @@
     SNIPEFERRY_VALUE(ServerWork, server, running, unreadTokens)
 };
 
-/** A shared prompt part that a backend server has read, and keeps until others displace it. */
-struct ReadPart
-{
-    core::BackendServerId server;
-    std::string part;
-
-    SNIPEFERRY_VALUE(ReadPart, server, part)
-};
-
 /** What a choice of a backend server has to fit. */
 struct ServerQuery
 {
@@ -64,6 +56,8 @@
     std::int64_t unreadTokens = 0;
     /** The part of the estimate that goes by before the request's own prompt is read. */
     absl::Duration wait = absl::InfiniteDuration();
+    /** Address of a backend server from which it takes over what that one keeps of the prompt; empty for none. */
+    std::string memorySource;
 };
 
 /** How a run ended, as evidence about its backend server. */
@@ -83,7 +77,8 @@
  * Backend servers of this instance's region: what they announce, the work they have, and how they fare.
  *
  * Choices keep shared leading prompt parts together by rendezvous hashing, which needs no messages between instances, and
- * leave the first place only when the time lost there exceeds the cost of reading the parts again.
+ * leave the first place only when the time lost there exceeds the cost of taking the parts over from another backend server of
+ * the data centre, or of reading them again.
  */
 class BackendTable
 {
@@ -109,11 +104,8 @@
     /** @brief Work of this instance, for the others. */
     std::vector<ServerWork> ownWork() const;
 
-    /** @brief Parts that this instance's requests had read since the last call, for the others of the region. */
-    std::vector<ReadPart> takeReadParts();
-
-    /** @brief Parts that another instance's requests had read. */
-    void notePeerParts(const std::vector<ReadPart> &parts);
+    /** @brief What the region's backend servers keep of prompts. */
+    PromptMemory &memory();
 
     /** @brief The best backend server; NoBackendServer when none takes work now. */
     core::Expected<ServerChoice> choose(const ServerQuery &query);
@@ -160,8 +152,6 @@
         absl::Duration ejectionTime;
         /** Expected time of the run started last. */
         absl::Duration lastEstimate;
-        /** Last part of recent prompts that were read here. */
-        absl::flat_hash_map<std::string, absl::Time> readParts;
     };
 
     struct ServiceState
@@ -175,17 +165,33 @@
         double failureShare = 0.0;
     };
 
+    struct MemorySource
+    {
+        core::BackendServerId server;
+        std::int64_t tokens = 0;
+    };
+    using MemorySources = absl::flat_hash_map<core::DataCentreId, MemorySource>;
+
+    /** What a request would find at one backend server. */
+    struct Offer
+    {
+        ServerChoice choice;
+        /** Its time, and the wait that it takes from others, in milliseconds. */
+        double cost = 0;
+    };
+
     /** Backend servers that a request is compared at; of many only some, so that instances with old news do not all choose the same. */
     std::vector<core::BackendServerId> candidates(const ServiceState &service, const ServerQuery &query, const std::string &affinity);
     bool takesWork(const State &state) const;
     bool mayStartCold(State &state, absl::Time now);
     std::int64_t unreadAhead(const State &state, int level) const;
-    std::int64_t cachedTokens(const State &state, const ServerQuery &query) const;
+    /** For each data centre the backend server that keeps most of a prompt now. */
+    MemorySources memorySources(const ServiceState &service, const ServerQuery &query) const;
+    Offer offerOf(const core::BackendServerId &id, const ServiceState &service, const ServerQuery &query, const MemorySources &sources) const;
     bool isEngine(const core::ServiceId &service) const;
     double waves(const State &state) const;
     absl::Duration estimate(const State &state, const ServiceState &service, int level, std::int64_t unreadTokens) const;
     State *state(const core::BackendServerId &id);
-    void noteRead(State &state, const std::string &part);
     void rebuildPeerWork();
 
     core::InstanceId m_self;
@@ -196,7 +202,7 @@
     absl::flat_hash_map<core::ServiceId, Service> m_rules;
     absl::flat_hash_set<core::DataCentreId> m_evacuated;
     std::vector<core::InstanceId> m_instances;
-    std::vector<ReadPart> m_freshParts;
+    PromptMemory m_memory;
     struct PeerReport
     {
         std::vector<ServerWork> work;
--- a/include/snipeferry/gateway/message.h
+++ b/include/snipeferry/gateway/message.h
@@ -77,8 +77,10 @@
     int priority = 5;
     /** Last whole event that the caller has; empty at the start of a stream. */
     std::string lastEventId;
+    /** Address of a backend server from which to take over what it keeps of the prompt; empty for none. */
+    std::string memorySource;
 
-    SNIPEFERRY_VALUE(RunHeaders, server, customer, timeLimit, priority, lastEventId)
+    SNIPEFERRY_VALUE(RunHeaders, server, customer, timeLimit, priority, lastEventId, memorySource)
 };
 
 /** What a backend server's answer says of the run. */
--- a/include/snipeferry/gateway/model.h
+++ b/include/snipeferry/gateway/model.h
@@ -76,8 +76,12 @@
     double coldRate = 0;
     /** Generates tokens; requests state their prompt. */
     bool isModelEngine = false;
+    /** What an engine keeps of one token that it has read. */
+    double memoryBytesPerToken = 0;
+    /** Speed at which an engine takes over what another one keeps, in Mbit/s; 0 if it cannot. */
+    double memoryLinkMbps = 0;
 
-    SNIPEFERRY_VALUE(Service, id, healthPath, maxConnections, coldTime, coldRate, isModelEngine)
+    SNIPEFERRY_VALUE(Service, id, healthPath, maxConnections, coldTime, coldRate, isModelEngine, memoryBytesPerToken, memoryLinkMbps)
 };
 
 /** A customer with its keys and its fleet-wide allowance. */
--- a/source/gateway/backendtable.cpp
+++ b/source/gateway/backendtable.cpp
@@ -17,10 +17,12 @@
 constexpr double REREAD_PENALTY_MS_PER_TOKEN = 0.05;
 /** Part of an answer's time that does not depend on the prompt: connection, scheduling, one decoding step. */
 constexpr double BASE_MS = 15.0;
-/** A backend server forgets parts that others displaced; parts last used longer ago count as gone. */
-constexpr absl::Duration PART_LIFETIME = absl::Seconds(30);
-/** Bound of remembered parts of one backend server. */
-constexpr std::size_t MAX_READ_PARTS = 512;
+/** The wait that one token taken over from another backend server is worth: the users' price of it against that of reading it again. */
+constexpr double TAKEOVER_PENALTY_MS_PER_TOKEN = 0.007;
+/** Time of a takeover beside the transfer. */
+constexpr double TAKEOVER_SETUP_MS = 3.0;
+/** Fewer tokens are read as fast as they are taken over. */
+constexpr std::int64_t MIN_TAKEOVER_TOKENS = 256;
 /** Reports of other instances count for this long; they are sent several times a second. */
 constexpr absl::Duration PEER_WORK_LIFETIME = absl::Seconds(1);
 /** Failures in a row after which a backend server gets no work for a while. */
@@ -49,7 +51,8 @@
 BackendTable::BackendTable(core::InstanceId self, core::TimerService &timers)
     : m_self(std::move(self)),
       m_timers(timers),
-      m_random(std::hash<std::string>{}(m_self.value()))
+      m_random(std::hash<std::string>{}(m_self.value())),
+      m_memory(timers)
 {
 }
 
@@ -61,7 +64,7 @@
     const bool isRestarted = !isNew && entry.server.startedAtMs != server.startedAtMs;
     const bool isMoved = !isNew && entry.server.service != server.service;
     if (isRestarted || isMoved) {
-        entry.readParts.clear();
+        m_memory.forget(server.id);
         entry.failuresInRow = 0;
         entry.failureShare = 0;
         entry.ejectedUntil = absl::InfinitePast();
@@ -88,6 +91,7 @@
     std::vector<core::BackendServerId> &servers = m_services[it->second.server.service].servers;
     servers.erase(std::remove(servers.begin(), servers.end(), id), servers.end());
     m_servers.erase(it);
+    m_memory.forget(id);
 }
 
 void BackendTable::configure(const std::vector<Service> &services)
@@ -201,21 +205,6 @@
     return sum;
 }
 
-std::int64_t BackendTable::cachedTokens(const State &state, const ServerQuery &query) const
-{
-    // The last part belongs to the request itself; those before it may be cached, each only behind all before it.
-    std::int64_t cached = 0;
-    std::int64_t before = 0;
-    for (std::size_t index = 0; index + 1 < query.promptParts.size(); ++index) {
-        before += query.promptParts[index].tokens;
-        const auto it = state.readParts.find(query.promptParts[index].id);
-        if (it != state.readParts.end() && m_timers.now() - it->second < PART_LIFETIME) {
-            cached = before;
-        }
-    }
-    return cached;
-}
-
 bool BackendTable::isEngine(const core::ServiceId &service) const
 {
     const auto rules = m_rules.find(service);
@@ -262,7 +251,7 @@
     std::vector<std::pair<double, core::BackendServerId>> ranked;
     std::vector<core::BackendServerId> some;
     for (const core::BackendServerId &id : fit) {
-        if (!affinity.empty() && m_servers.at(id).readParts.contains(affinity)) {
+        if (!affinity.empty() && m_memory.hasPart(id, affinity)) {
             some.push_back(id);
         }
         ranked.emplace_back(affinity.empty() ? 0.0 : rendezvousWeight(affinity, id.value()), id);
@@ -280,6 +269,58 @@
     return some;
 }
 
+BackendTable::MemorySources BackendTable::memorySources(const ServiceState &service, const ServerQuery &query) const
+{
+    MemorySources sources;
+    const auto rules = m_rules.find(query.service);
+    if (rules == m_rules.end() || rules->second.memoryLinkMbps <= 0 || query.promptParts.size() < 2) {
+        return sources;
+    }
+    const absl::Time now = m_timers.now();
+    for (const core::BackendServerId &id : service.servers) {
+        const State &state = m_servers.at(id);
+        const std::int64_t tokens = takesWork(state) && state.ejectedUntil <= now ? m_memory.keptTokens(id, query.promptParts) : 0;
+        MemorySource &most = sources[state.server.dataCentre];
+        if (tokens > most.tokens) {
+            most = MemorySource{id, tokens};
+        }
+    }
+    return sources;
+}
+
+BackendTable::Offer BackendTable::offerOf(
+    const core::BackendServerId &id, const ServiceState &service, const ServerQuery &query, const MemorySources &sources) const
+{
+    const State &state = m_servers.at(id);
+    const int level = urgencyOf(query.priority);
+    const std::int64_t own = m_memory.expectedTokens(id, query.promptParts);
+    std::int64_t takenOver = 0;
+    double takeoverMs = 0;
+    Offer offer;
+    const auto source = sources.find(state.server.dataCentre);
+    if (source != sources.end() && source->second.server != id && source->second.tokens >= own + MIN_TAKEOVER_TOKENS) {
+        const Service &rules = m_rules.at(query.service);
+        takenOver = source->second.tokens - own;
+        constexpr double BITS_PER_BYTE = 8;
+        constexpr double BITS_PER_MBIT_MS = 1000;
+        takeoverMs = TAKEOVER_SETUP_MS + static_cast<double>(takenOver) * rules.memoryBytesPerToken * BITS_PER_BYTE / (rules.memoryLinkMbps * BITS_PER_MBIT_MS);
+        offer.choice.memorySource = m_servers.at(source->second.server).server.address;
+    }
+    offer.choice.server = id;
+    offer.choice.unreadTokens = std::max<std::int64_t>(0, query.promptTokens - own - takenOver);
+    offer.choice.estimate = estimate(state, service, level, offer.choice.unreadTokens) + absl::Milliseconds(takeoverMs);
+    offer.choice.wait = estimate(state, service, level, 0);
+
+    std::int64_t shared = 0;
+    for (std::size_t index = 0; index + 1 < query.promptParts.size(); ++index) {
+        shared += query.promptParts[index].tokens;
+    }
+    const std::int64_t reread = std::max<std::int64_t>(0, shared - own - takenOver);
+    offer.cost = absl::ToDoubleMilliseconds(offer.choice.estimate) + REREAD_PENALTY_MS_PER_TOKEN * static_cast<double>(reread)
+        + TAKEOVER_PENALTY_MS_PER_TOKEN * static_cast<double>(takenOver);
+    return offer;
+}
+
 core::Expected<ServerChoice> BackendTable::choose(const ServerQuery &query)
 {
     const absl::Time now = m_timers.now();
@@ -287,37 +328,29 @@
     if (service == m_services.end()) {
         return tl::make_unexpected(core::makeError(core::ErrorKind::NoBackendServer, "No backend server of the service is known.", absl::Seconds(1)));
     }
-    const int level = urgencyOf(query.priority);
     // Parts shared by some, not all, requests decide the place; they lie just before the request's own part.
     const std::size_t sharedParts = query.promptParts.empty() ? 0 : query.promptParts.size() - 1;
     const std::string affinity = sharedParts == 0 ? std::string() : query.promptParts[sharedParts - 1].id;
-    std::int64_t sharedTokens = 0;
-    for (std::size_t index = 0; index < sharedParts; ++index) {
-        sharedTokens += query.promptParts[index].tokens;
-    }
+    const MemorySources sources = memorySources(service->second, query);
 
     ServerChoice best;
     double bestCost = 0;
     double bestWeight = 0;
     ServerChoice ejected;
     for (const core::BackendServerId &id : candidates(service->second, query, affinity)) {
-        const State &candidate = m_servers.at(id);
-        const std::int64_t unread = std::max<std::int64_t>(0, query.promptTokens - cachedTokens(candidate, query));
-        const absl::Duration time = estimate(candidate, service->second, level, unread);
-        if (candidate.ejectedUntil > now) {
-            if (time < ejected.estimate) {
-                ejected = ServerChoice{id, time, unread, estimate(candidate, service->second, level, 0)};
+        Offer offer = offerOf(id, service->second, query, sources);
+        if (m_servers.at(id).ejectedUntil > now) {
+            if (offer.choice.estimate < ejected.estimate) {
+                ejected = std::move(offer.choice);
             }
             continue;
         }
-        const std::int64_t reread = std::max<std::int64_t>(0, unread - (query.promptTokens - sharedTokens));
         const double weight = affinity.empty() ? 0.0 : rendezvousWeight(affinity, id.value());
-        const double cost = absl::ToDoubleMilliseconds(time) + REREAD_PENALTY_MS_PER_TOKEN * static_cast<double>(reread);
         // Among similar costs the first place of the rendezvous order wins, so that all instances agree.
-        const bool isBetter = best.server.isEmpty() || cost < bestCost - SIMILAR_MS || (cost < bestCost + SIMILAR_MS && weight > bestWeight);
+        const bool isBetter = best.server.isEmpty() || offer.cost < bestCost - SIMILAR_MS || (offer.cost < bestCost + SIMILAR_MS && weight > bestWeight);
         if (isBetter) {
-            best = ServerChoice{id, time, unread, estimate(candidate, service->second, level, 0)};
-            bestCost = cost;
+            best = std::move(offer.choice);
+            bestCost = offer.cost;
             bestWeight = weight;
         }
     }
@@ -421,34 +454,12 @@
     if (target->coldUntil > now && rules != m_rules.end() && rules->second.coldRate > 0) {
         target->nextColdStart = now + absl::Seconds(1.0 / rules->second.coldRate);
     }
-    for (std::size_t index = 0; index + 1 < parts.size(); ++index) {
-        noteRead(*target, parts[index].id);
-        m_freshParts.push_back({id, parts[index].id});
-    }
-}
-
-void BackendTable::noteRead(State &state, const std::string &part)
-{
-    if (state.readParts.size() > MAX_READ_PARTS) {
-        const absl::Time limit = m_timers.now() - PART_LIFETIME / 2;
-        absl::erase_if(state.readParts, [limit](const auto &entry) { return entry.second < limit; });
-    }
-    state.readParts[part] = m_timers.now();
-}
-
-std::vector<ReadPart> BackendTable::takeReadParts()
-{
-    return std::exchange(m_freshParts, {});
+    m_memory.noteGiven(id, parts, target->lastEstimate);
 }
 
-void BackendTable::notePeerParts(const std::vector<ReadPart> &parts)
+PromptMemory &BackendTable::memory()
 {
-    for (const ReadPart &read : parts) {
-        State *target = state(read.server);
-        if (target != nullptr) {
-            noteRead(*target, read.part);
-        }
-    }
+    return m_memory;
 }
 
 void BackendTable::answered(const core::BackendServerId &id, int priority, std::int64_t unreadTokens, absl::Duration latency)
--- a/source/gateway/forwarddesk.cpp
+++ b/source/gateway/forwarddesk.cpp
@@ -90,6 +90,7 @@
     headers.timeLimit = message.timeLeft - WAY_BACK;
     headers.priority = message.priority;
     headers.lastEventId = message.request.lastEventId;
+    headers.memorySource = choice->memorySource;
     HttpRequest request = message.request.http;
     m_headers.encodeRun(request, headers);
     m_backends.started(choice->server, message.priority, choice->unreadTokens, message.request.promptParts);
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -350,7 +350,7 @@
 
 void Gateway::sendPulses(bool isToRegion)
 {
-    const std::vector<ReadPart> readParts = isToRegion ? m_backends.takeReadParts() : std::vector<ReadPart>();
+    const std::vector<ReadPart> readParts = isToRegion ? m_backends.memory().takeFresh() : std::vector<ReadPart>();
     for (const core::InstanceId &peer : m_fleet.linked()) {
         if (m_fleet.isInOwnRegion(peer) == isToRegion) {
             Pulse pulse = pulseFor(peer, isToRegion);
@@ -375,7 +375,7 @@
     const absl::Time sentAfter = m_fleet.receive(from, message);
     if (m_fleet.isInOwnRegion(from)) {
         m_backends.setPeerWork(from, message.work);
-        m_backends.notePeerParts(message.readParts);
+        m_backends.memory().noteByOthers(message.readParts);
     }
     // What a peer heard from the store counts here too, from the moment at which it surely held.
     for (const TopicState &state : message.topics) {
--- a/source/gateway/requestplacement.cpp
+++ b/source/gateway/requestplacement.cpp
@@ -124,6 +124,7 @@
     headers.timeLimit = open.deadline - now;
     headers.priority = open.priority;
     headers.lastEventId = open.events.lastEventId();
+    headers.memorySource = choice.memorySource;
     HttpRequest request = open.request.http;
     m_parts.headers.encodeRun(request, headers);
     m_parts.backends.started(choice.server, open.priority, choice.unreadTokens, open.request.promptParts);
@@ -131,7 +132,8 @@
                             .with("server", choice.server.value())
                             .with("send", absl::StrCat(open.sends))
                             .with("estimate_ms", absl::StrCat(absl::ToInt64Milliseconds(choice.estimate)))
-                            .with("unread_tokens", absl::StrCat(choice.unreadTokens)));
+                            .with("unread_tokens", absl::StrCat(choice.unreadTokens))
+                            .with("memory_source", choice.memorySource));
     m_parts.runs.start(open.run, *m_parts.backends.find(choice.server), request, open.request.id, mayRepeat(open));
 }
 
--- a/standins/support/fakeplatform.cpp
+++ b/standins/support/fakeplatform.cpp
@@ -4,12 +4,12 @@
 #include "support/fakestore.h"
 #include "support/gatewayjson.h"
 
-#include <absl/base/thread_annotations.h>
-#include <absl/synchronization/mutex.h>
 #include <absl/time/clock.h>
 #include <httplib.h>
 
+#include <condition_variable>
 #include <functional>
+#include <mutex>
 #include <thread>
 #include <utility>
 
@@ -71,9 +71,10 @@
     void stop()
     {
         {
-            const absl::MutexLock lock(&m_mutex);
+            const std::lock_guard<std::mutex> lock(m_mutex);
             m_isStopping = true;
         }
+        m_changed.notify_all();
         m_server.stop();
         wait();
         if (m_timing.joinable()) {
@@ -91,7 +92,7 @@
     void setFaults(const std::string &text)
     {
         const json faults = json::parse(text);
-        const absl::MutexLock lock(&m_mutex);
+        const std::lock_guard<std::mutex> lock(m_mutex);
         if (faults.contains("down")) {
             m_store.setDown(faults["down"].get<bool>());
         }
@@ -110,12 +111,13 @@
         if (faults.contains("stale_reads")) {
             m_store.setStaleReads(faults["stale_reads"].get<bool>());
         }
+        m_changed.notify_all();
     }
 
     void load(const std::string &text)
     {
         const json keys = json::parse(text);
-        const absl::MutexLock lock(&m_mutex);
+        const std::lock_guard<std::mutex> lock(m_mutex);
         for (const auto &[key, value] : keys.items()) {
             if (value.is_null()) {
                 m_store.remove(key);
@@ -123,11 +125,12 @@
                 m_store.put(key, value.is_string() ? value.get<std::string>() : value.dump());
             }
         }
+        m_changed.notify_all();
     }
 
     std::string counters() const
     {
-        const absl::MutexLock lock(&m_mutex);
+        const std::lock_guard<std::mutex> lock(m_mutex);
         json out = m_store.counters();
         out["watch"] = m_watches;
         return out.dump();
@@ -135,19 +138,17 @@
 
 private:
     // Watches are looped over by threads of the server; they end when the store goes down or the server stops.
-    bool isWatchOver() const ABSL_SHARED_LOCKS_REQUIRED(m_mutex)
+    bool isWatchOver() const
     {
         return m_isStopping || m_store.isDown();
     }
 
     void runTimers()
     {
-        while (true) {
-            const absl::MutexLock lock(&m_mutex);
-            if (m_mutex.AwaitWithTimeout(absl::Condition(&m_isStopping), TIMER_STEP)) {
-                return;
-            }
+        std::unique_lock<std::mutex> lock(m_mutex);
+        while (!m_changed.wait_for(lock, absl::ToChronoNanoseconds(TIMER_STEP), [this] { return m_isStopping; })) {
             m_timers.run();
+            m_changed.notify_all();
         }
     }
 
@@ -171,12 +172,14 @@
     {
         absl::Duration delay;
         {
-            const absl::MutexLock lock(&m_mutex);
+            const std::lock_guard<std::mutex> lock(m_mutex);
             delay = m_delay;
         }
         absl::SleepFor(delay);
-        const absl::MutexLock lock(&m_mutex);
-        return m_store.call(call);
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        platform::Reply reply = m_store.call(call);
+        m_changed.notify_all();
+        return reply;
     }
 
     static void answer(const platform::Reply &reply, json (*encode)(const platform::Reply &), httplib::Response &response)
@@ -196,8 +199,9 @@
     {
         try {
             const std::int64_t lease = decodeLeaseKeepAlive(json::parse(request.body)).leaseId;
-            const absl::MutexLock lock(&m_mutex);
+            const std::lock_guard<std::mutex> lock(m_mutex);
             response.status = m_store.revoke(lease) ? 200 : 404;
+            m_changed.notify_all();
             response.set_content("{}", JSON_TYPE);
         } catch (const std::exception &) {
             response.status = 400;
@@ -214,7 +218,7 @@
             return;
         }
         {
-            const absl::MutexLock lock(&m_mutex);
+            const std::lock_guard<std::mutex> lock(m_mutex);
             ++m_watches;
             if (isWatchOver()) {
                 response.status = 503;
@@ -232,13 +236,13 @@
     // Next message of a watch, or nothing when it is over.
     std::string nextWatchLine(const std::string &prefix, std::int64_t &cursor)
     {
-        const absl::MutexLock lock(&m_mutex);
-        const auto isDue = [&]() ABSL_SHARED_LOCKS_REQUIRED(m_mutex) {
+        std::unique_lock<std::mutex> lock(m_mutex);
+        const auto isDue = [&] {
             return isWatchOver() || m_store.revision() > cursor;
         };
-        const absl::Time progressDue = absl::Now() + PROGRESS_INTERVAL;
+        const std::chrono::steady_clock::time_point progressDue = std::chrono::steady_clock::now() + absl::ToChronoNanoseconds(PROGRESS_INTERVAL);
         std::vector<platform::WatchEvent> events;
-        while (events.empty() && m_mutex.AwaitWithDeadline(absl::Condition(&isDue), progressDue)) {
+        while (events.empty() && m_changed.wait_until(lock, progressDue, isDue)) {
             if (isWatchOver()) {
                 return {};
             }
@@ -259,12 +263,13 @@
         }
     }
 
-    mutable absl::Mutex m_mutex;
+    mutable std::mutex m_mutex;
+    std::condition_variable m_changed;
     core::SteadyTimerService m_timers;
     FakeStore m_store;
-    std::int64_t m_watches ABSL_GUARDED_BY(m_mutex) = 0;
-    absl::Duration m_delay ABSL_GUARDED_BY(m_mutex);
-    bool m_isStopping ABSL_GUARDED_BY(m_mutex) = false;
+    std::int64_t m_watches = 0;
+    absl::Duration m_delay;
+    bool m_isStopping = false;
     httplib::Server m_server;
     std::thread m_serving;
     std::thread m_timing;
--- a/tests/concurrent-configuration/racingoperatorstest.cpp
+++ b/tests/concurrent-configuration/racingoperatorstest.cpp
@@ -3,13 +3,13 @@
 #include "support/fakeplatform.h"
 #include "support/history/configurationhistory.h"
 
-#include <absl/synchronization/mutex.h>
 #include <absl/time/clock.h>
 #include <catch2/catch.hpp>
 
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
+#include <mutex>
 #include <thread>
 
 using namespace snipeferry;
@@ -84,7 +84,7 @@
 }
 
 /** Plans and confirms once; what the operator was told goes to the history. */
-void planAndConfirm(int port, int number, absl::Mutex &mutex, history::ConfigurationHistory &history)
+void planAndConfirm(int port, int number, std::mutex &mutex, history::ConfigurationHistory &history)
 {
     OperatorLink link(port);
     configuration::ReadBaseProcedure base;
@@ -96,7 +96,7 @@
     const configuration::Plan plan = *configuration::makePlan(**base.result(), makeConfiguration(number), nonce);
     configuration::ConfirmProcedure confirmation(plan);
     link.run(confirmation);
-    const absl::MutexLock lock(&mutex);
+    const std::lock_guard<std::mutex> lock(mutex);
     history.confirmations.push_back({nonce, plan.target.revision, "", confirmation.result()->outcome});
 }
 
@@ -128,7 +128,7 @@
     standins::FakePlatform platform;
     const int port = platform.start(0);
     platform.setFaults(R"({"lose_probability": 0.2, "seed": 7})");
-    absl::Mutex mutex;
+    std::mutex mutex;
     history::ConfigurationHistory history;
     constexpr int ROUNDS = 12;
     constexpr int OPERATORS = 4;
--- a/tests/concurrent-peers/party.h
+++ b/tests/concurrent-peers/party.h
@@ -26,22 +26,22 @@
         settings.listenAddress = "127.0.0.1:0";
         m_self.id = core::InstanceId(id);
         m_self.incarnation = 1;
-        m_thread.call([&] {
-            m_transport = std::make_unique<peers::PeerTransport>(m_thread.loop(), settings, [this](messages::Event event) { post(std::move(event)); });
+        m_thread->call([&] {
+            m_transport = std::make_unique<peers::PeerTransport>(m_thread->loop(), settings, [this](messages::Event event) { post(std::move(event)); });
         });
     }
 
     ~Party()
     {
         // The others hear the farewell.
-        m_thread.call([this] { m_transport->stop(); });
+        m_thread->call([this] { m_transport->stop(); });
         absl::SleepFor(FAREWELL_TIME);
-        m_thread.call([this] { m_transport.reset(); });
+        m_thread->call([this] { m_transport.reset(); });
     }
 
     core::Expected<std::string> start()
     {
-        core::Expected<std::string> address = m_thread.call([this] { return m_transport->start(m_self); });
+        core::Expected<std::string> address = m_thread->call([this] { return m_transport->start(m_self); });
         if (address) {
             m_self.peerAddress = *address;
         }
@@ -50,17 +50,17 @@
 
     void keepLinks(const std::vector<membership::InstanceDescription> &peers)
     {
-        m_thread.call([&] { m_transport->keepLinks(peers); });
+        m_thread->call([&] { m_transport->keepLinks(peers); });
     }
 
     void send(const core::InstanceId &to, const messages::PeerMessage &message)
     {
-        m_thread.call([&] { m_transport->send(to, message); });
+        m_thread->call([&] { m_transport->send(to, message); });
     }
 
     core::Expected<void> reloadKeys()
     {
-        return m_thread.call([this] { return m_transport->reloadKeys(); });
+        return m_thread->call([this] { return m_transport->reloadKeys(); });
     }
 
     /** Waits until the condition holds over all events. */
@@ -129,7 +129,22 @@
     std::condition_variable m_changed;
     std::vector<messages::Event> m_events;
     membership::InstanceDescription m_self;
-    testing::LoopThread m_thread;
+    /**
+     * The parties of a test share one loop: websocketpp fills a static variable at its first frame without a lock, which two loops
+     * in one process would do at once. A daemon has one loop.
+     */
+    static std::shared_ptr<testing::LoopThread> sharedThread()
+    {
+        static std::weak_ptr<testing::LoopThread> shared;
+        std::shared_ptr<testing::LoopThread> thread = shared.lock();
+        if (thread == nullptr) {
+            thread = std::make_shared<testing::LoopThread>();
+            shared = thread;
+        }
+        return thread;
+    }
+
+    std::shared_ptr<testing::LoopThread> m_thread = sharedThread();
     /** Lives on the thread. */
     std::unique_ptr<peers::PeerTransport> m_transport;
 };
--- a/tests/concurrent-platform/platformclienttest.cpp
+++ b/tests/concurrent-platform/platformclienttest.cpp
@@ -3,11 +3,12 @@
 #include "support/fakeplatform.h"
 #include "support/loopthread.h"
 
-#include <absl/synchronization/mutex.h>
 #include <absl/time/clock.h>
 #include <catch2/catch.hpp>
 
+#include <condition_variable>
 #include <map>
+#include <mutex>
 #include <set>
 
 using namespace snipeferry;
@@ -23,19 +24,17 @@
     messages::EventSink sink()
     {
         return [this](messages::Event event) {
-            const absl::MutexLock lock(&m_mutex);
+            const std::lock_guard<std::mutex> lock(m_mutex);
             m_events.push_back(std::move(event));
+            m_changed.notify_all();
         };
     }
 
     template<typename Predicate>
     bool waitFor(Predicate predicate)
     {
-        const absl::MutexLock lock(&m_mutex);
-        const auto holds = [&] {
-            return predicate(m_events);
-        };
-        return m_mutex.AwaitWithTimeout(absl::Condition(&holds), WAIT);
+        std::unique_lock<std::mutex> lock(m_mutex);
+        return m_changed.wait_for(lock, absl::ToChronoNanoseconds(WAIT), [&] { return predicate(m_events); });
     }
 
     platform::Reply reply(platform::CallId id)
@@ -71,12 +70,13 @@
 
     std::vector<messages::Event> events()
     {
-        const absl::MutexLock lock(&m_mutex);
+        const std::lock_guard<std::mutex> lock(m_mutex);
         return m_events;
     }
 
 private:
-    absl::Mutex m_mutex;
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
     std::vector<messages::Event> m_events;
 };
 
--- a/tests/gateway/fixture.h
+++ b/tests/gateway/fixture.h
@@ -50,6 +50,7 @@
         request.headers.push_back({"customer", run.customer.value()});
         request.headers.push_back({"time-limit", absl::StrCat(absl::ToInt64Milliseconds(run.timeLimit))});
         request.headers.push_back({"resume", run.lastEventId});
+        request.headers.push_back({"memory-source", run.memorySource});
     }
 
     gateway::RunReport decodeAnswer(const gateway::HttpHead &head) const override
--- a/tests/gateway/limitstest.cpp
+++ b/tests/gateway/limitstest.cpp
@@ -213,9 +213,9 @@
     const core::BackendServerId other
         = mine.choose(planQuery("venue"))->server == core::BackendServerId("s1") ? core::BackendServerId("s2") : core::BackendServerId("s1");
     theirs.started(other, 0, 0, planQuery("venue").promptParts);
-    mine.notePeerParts(theirs.takeReadParts());
+    mine.memory().noteByOthers(theirs.memory().takeFresh());
     CHECK(mine.choose(planQuery("venue"))->server == other);
-    CHECK(theirs.takeReadParts().empty());
+    CHECK(theirs.memory().takeFresh().empty());
 }
 
 TEST_CASE("one instance of the region gives a cold backend server its work, at its rate")
--- a/tests/platform-adapter/adaptertest.cpp
+++ b/tests/platform-adapter/adaptertest.cpp
@@ -80,12 +80,13 @@
 TEST_CASE("a run carries what is left of the time, its runner and its tenant, each once")
 {
     gateway::HttpRequest request = HEADERS.decodeRequest(planRequest())->http;
-    HEADERS.encodeRun(request, {core::BackendServerId("i-7"), core::CustomerId("t"), absl::Milliseconds(1500), 12, "12"});
+    HEADERS.encodeRun(request, {core::BackendServerId("i-7"), core::CustomerId("t"), absl::Milliseconds(1500), 12, "12", "10.1.0.9:7001"});
     CHECK(has(request.headers, "Expect-Instance", "i-7"));
     CHECK(has(request.headers, "Tenant", "t"));
     CHECK(has(request.headers, "Deadline-Ms", "1500"));
     CHECK(has(request.headers, "Request-Priority", "9"));
     CHECK(has(request.headers, "Last-Event-Id", "12"));
+    CHECK(has(request.headers, "Kv-Fetch", "10.1.0.9:7001"));
     CHECK(countOf(request.headers, "Tenant") == 1);
 }
 
