Take prompts over from other data centres and regions too

Change: pulses tell parts to other regions as well; backend servers of other regions are known as sources, never as places; the nearest source is taken, and a takeover from another region counts 110 ms more.

--- a/include/snipeferry/gateway/backendtable.h
+++ b/include/snipeferry/gateway/backendtable.h
@@ -89,6 +89,9 @@
     void announce(const BackendServer &server);
     void remove(const core::BackendServerId &id);
 
+    /** @brief Adds or replaces a backend server of another region; it gets no work from here, but may keep prompts. */
+    void announceDistant(const BackendServer &server);
+
     /** @brief Takes over the cold start rules of the deployment. */
     void configure(const std::vector<Service> &services);
 
@@ -165,12 +168,15 @@
         double failureShare = 0.0;
     };
 
+    /** A backend server that keeps leading tokens of a prompt. */
     struct MemorySource
     {
         core::BackendServerId server;
+        std::string address;
+        core::DataCentreId dataCentre;
+        bool isDistant = false;
         std::int64_t tokens = 0;
     };
-    using MemorySources = absl::flat_hash_map<core::DataCentreId, MemorySource>;
 
     /** What a request would find at one backend server. */
     struct Offer
@@ -185,9 +191,9 @@
     bool takesWork(const State &state) const;
     bool mayStartCold(State &state, absl::Time now);
     std::int64_t unreadAhead(const State &state, int level) const;
-    /** For each data centre the backend server that keeps most of a prompt now. */
-    MemorySources memorySources(const ServiceState &service, const ServerQuery &query) const;
-    Offer offerOf(const core::BackendServerId &id, const ServiceState &service, const ServerQuery &query, const MemorySources &sources) const;
+    /** Backend servers that keep the shared parts of a prompt now. */
+    std::vector<MemorySource> memorySources(const ServerQuery &query) const;
+    Offer offerOf(const core::BackendServerId &id, const ServiceState &service, const ServerQuery &query, const std::vector<MemorySource> &sources) const;
     bool isEngine(const core::ServiceId &service) const;
     double waves(const State &state) const;
     absl::Duration estimate(const State &state, const ServiceState &service, int level, std::int64_t unreadTokens) const;
@@ -198,6 +204,7 @@
     core::TimerService &m_timers;
     std::mt19937_64 m_random;
     absl::flat_hash_map<core::BackendServerId, State> m_servers;
+    absl::flat_hash_map<core::BackendServerId, BackendServer> m_distant;
     absl::flat_hash_map<core::ServiceId, ServiceState> m_services;
     absl::flat_hash_map<core::ServiceId, Service> m_rules;
     absl::flat_hash_set<core::DataCentreId> m_evacuated;
--- a/include/snipeferry/gateway/promptmemory.h
+++ b/include/snipeferry/gateway/promptmemory.h
@@ -36,8 +36,8 @@
     /** @brief Parts that other instances' requests had read. */
     void noteByOthers(const std::vector<ReadPart> &parts);
 
-    /** @brief Parts noted by noteGiven() since the last call, for the other instances. */
-    std::vector<ReadPart> takeFresh();
+    /** @brief Parts noted by noteGiven() since the last call, for the other instances of this region, or of other regions. */
+    std::vector<ReadPart> takeFresh(bool isForRegion);
 
     /** @brief The backend server started anew. */
     void forget(const core::BackendServerId &server);
@@ -50,6 +50,9 @@
 
     bool hasPart(const core::BackendServerId &server, const std::string &part) const;
 
+    /** @brief Backend servers that keep the last of a prompt's shared parts now. */
+    std::vector<core::BackendServerId> holders(const std::vector<PromptPart> &parts) const;
+
 private:
     struct Kept
     {
@@ -57,14 +60,18 @@
         /** When it was, or will be, read. */
         absl::Time readAt = absl::InfiniteFuture();
     };
-    using Parts = absl::flat_hash_map<std::string, Kept>;
+    using Holders = absl::flat_hash_map<core::BackendServerId, Kept>;
 
     void note(const core::BackendServerId &server, const std::string &part, absl::Time readAt);
+    void dropOld();
+    const Kept *find(const core::BackendServerId &server, const std::string &part) const;
     std::int64_t leadingTokens(const core::BackendServerId &server, const std::vector<PromptPart> &parts, absl::Time readBefore) const;
 
     core::TimerService &m_timers;
-    absl::flat_hash_map<core::BackendServerId, Parts> m_servers;
-    std::vector<ReadPart> m_fresh;
+    absl::flat_hash_map<std::string, Holders> m_parts;
+    std::vector<ReadPart> m_freshForRegion;
+    std::vector<ReadPart> m_freshForOthers;
+    core::Subscription m_dropTimer;
 };
 
 } // namespace snipeferry::gateway
--- a/source/gateway/backendtable.cpp
+++ b/source/gateway/backendtable.cpp
@@ -21,6 +21,8 @@
 constexpr double TAKEOVER_PENALTY_MS_PER_TOKEN = 0.007;
 /** Time of a takeover beside the transfer. */
 constexpr double TAKEOVER_SETUP_MS = 3.0;
+/** A call to another region and back comes before a takeover from there. */
+constexpr double OTHER_REGION_MS = 110.0;
 /** Fewer tokens are read as fast as they are taken over. */
 constexpr std::int64_t MIN_TAKEOVER_TOKENS = 256;
 /** Reports of other instances count for this long; they are sent several times a second. */
@@ -41,6 +43,24 @@
 /** Weight of the failure share in the expected time. */
 constexpr double FAILURE_WEIGHT = 6.0;
 
+/** How far a takeover goes, the nearest first. */
+enum class Distance {
+    SameDataCentre,
+    SameRegion,
+    OtherRegion,
+    OutOfReach,
+};
+
+/** Expected time of a takeover in milliseconds; memory moves half as fast between data centres. */
+double takeoverTime(const Service &rules, std::int64_t tokens, Distance distance)
+{
+    constexpr double BITS_PER_BYTE = 8;
+    constexpr double BITS_PER_MBIT_MS = 1000;
+    const double transferMs = static_cast<double>(tokens) * rules.memoryBytesPerToken * BITS_PER_BYTE / (rules.memoryLinkMbps * BITS_PER_MBIT_MS);
+    const double wayMs = distance == Distance::OtherRegion ? OTHER_REGION_MS : 0.0;
+    return TAKEOVER_SETUP_MS + wayMs + transferMs * (distance == Distance::SameDataCentre ? 1.0 : 2.0);
+}
+
 } // namespace
 
 int urgencyOf(int priority)
@@ -82,8 +102,21 @@
     entry.server = server;
 }
 
+void BackendTable::announceDistant(const BackendServer &server)
+{
+    const auto known = m_distant.find(server.id);
+    if (known != m_distant.end() && known->second.startedAtMs != server.startedAtMs) {
+        m_memory.forget(server.id);
+    }
+    m_distant[server.id] = server;
+}
+
 void BackendTable::remove(const core::BackendServerId &id)
 {
+    if (m_distant.erase(id) > 0) {
+        m_memory.forget(id);
+        return;
+    }
     const auto it = m_servers.find(id);
     if (it == m_servers.end()) {
         return;
@@ -269,27 +302,31 @@
     return some;
 }
 
-BackendTable::MemorySources BackendTable::memorySources(const ServiceState &service, const ServerQuery &query) const
+std::vector<BackendTable::MemorySource> BackendTable::memorySources(const ServerQuery &query) const
 {
-    MemorySources sources;
+    std::vector<MemorySource> sources;
     const auto rules = m_rules.find(query.service);
-    if (rules == m_rules.end() || rules->second.memoryLinkMbps <= 0 || query.promptParts.size() < 2) {
+    if (rules == m_rules.end() || rules->second.memoryLinkMbps <= 0) {
         return sources;
     }
     const absl::Time now = m_timers.now();
-    for (const core::BackendServerId &id : service.servers) {
-        const State &state = m_servers.at(id);
-        const std::int64_t tokens = takesWork(state) && state.ejectedUntil <= now ? m_memory.keptTokens(id, query.promptParts) : 0;
-        MemorySource &most = sources[state.server.dataCentre];
-        if (tokens > most.tokens) {
-            most = MemorySource{id, tokens};
+    for (const core::BackendServerId &id : m_memory.holders(query.promptParts)) {
+        const auto own = m_servers.find(id);
+        if (own != m_servers.end() && takesWork(own->second) && own->second.ejectedUntil <= now) {
+            const BackendServer &server = own->second.server;
+            sources.push_back({id, server.address, server.dataCentre, false, m_memory.keptTokens(id, query.promptParts)});
+        }
+        const auto distant = m_distant.find(id);
+        if (distant != m_distant.end() && !distant->second.isDraining) {
+            const BackendServer &server = distant->second;
+            sources.push_back({id, server.address, server.dataCentre, true, m_memory.keptTokens(id, query.promptParts)});
         }
     }
     return sources;
 }
 
 BackendTable::Offer BackendTable::offerOf(
-    const core::BackendServerId &id, const ServiceState &service, const ServerQuery &query, const MemorySources &sources) const
+    const core::BackendServerId &id, const ServiceState &service, const ServerQuery &query, const std::vector<MemorySource> &sources) const
 {
     const State &state = m_servers.at(id);
     const int level = urgencyOf(query.priority);
@@ -297,14 +334,19 @@
     std::int64_t takenOver = 0;
     double takeoverMs = 0;
     Offer offer;
-    const auto source = sources.find(state.server.dataCentre);
-    if (source != sources.end() && source->second.server != id && source->second.tokens >= own + MIN_TAKEOVER_TOKENS) {
-        const Service &rules = m_rules.at(query.service);
-        takenOver = source->second.tokens - own;
-        constexpr double BITS_PER_BYTE = 8;
-        constexpr double BITS_PER_MBIT_MS = 1000;
-        takeoverMs = TAKEOVER_SETUP_MS + static_cast<double>(takenOver) * rules.memoryBytesPerToken * BITS_PER_BYTE / (rules.memoryLinkMbps * BITS_PER_MBIT_MS);
-        offer.choice.memorySource = m_servers.at(source->second.server).server.address;
+    // The nearest of those that keep more than the backend server itself.
+    Distance nearest = Distance::OutOfReach;
+    for (const MemorySource &source : sources) {
+        const Distance distance
+            = source.isDistant ? Distance::OtherRegion : (source.dataCentre == state.server.dataCentre ? Distance::SameDataCentre : Distance::SameRegion);
+        if (source.server != id && source.tokens >= own + MIN_TAKEOVER_TOKENS && distance < nearest) {
+            nearest = distance;
+            takenOver = source.tokens - own;
+            offer.choice.memorySource = source.address;
+        }
+    }
+    if (takenOver > 0) {
+        takeoverMs = takeoverTime(m_rules.at(query.service), takenOver, nearest);
     }
     offer.choice.server = id;
     offer.choice.unreadTokens = std::max<std::int64_t>(0, query.promptTokens - own - takenOver);
@@ -331,7 +373,7 @@
     // Parts shared by some, not all, requests decide the place; they lie just before the request's own part.
     const std::size_t sharedParts = query.promptParts.empty() ? 0 : query.promptParts.size() - 1;
     const std::string affinity = sharedParts == 0 ? std::string() : query.promptParts[sharedParts - 1].id;
-    const MemorySources sources = memorySources(service->second, query);
+    const std::vector<MemorySource> sources = memorySources(query);
 
     ServerChoice best;
     double bestCost = 0;
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -230,6 +230,7 @@
     // Backend servers take connections from their own region only.
     const auto zone = m_settings.regions.find(server->dataCentre);
     if (zone == m_settings.regions.end() || zone->second != m_settings.self.region) {
+        m_backends.announceDistant(*server);
         return;
     }
     m_backends.announce(*server);
@@ -350,7 +351,7 @@
 
 void Gateway::sendPulses(bool isToRegion)
 {
-    const std::vector<ReadPart> readParts = isToRegion ? m_backends.memory().takeFresh() : std::vector<ReadPart>();
+    const std::vector<ReadPart> readParts = m_backends.memory().takeFresh(isToRegion);
     for (const core::InstanceId &peer : m_fleet.linked()) {
         if (m_fleet.isInOwnRegion(peer) == isToRegion) {
             Pulse pulse = pulseFor(peer, isToRegion);
@@ -375,8 +376,8 @@
     const absl::Time sentAfter = m_fleet.receive(from, message);
     if (m_fleet.isInOwnRegion(from)) {
         m_backends.setPeerWork(from, message.work);
-        m_backends.memory().noteByOthers(message.readParts);
     }
+    m_backends.memory().noteByOthers(message.readParts);
     // What a peer heard from the store counts here too, from the moment at which it surely held.
     for (const TopicState &state : message.topics) {
         const auto index = static_cast<std::size_t>(state.topic);
--- a/source/gateway/promptmemory.cpp
+++ b/source/gateway/promptmemory.cpp
@@ -9,23 +9,33 @@
 
 /** A backend server forgets parts that others displaced; parts last used longer ago count as gone. */
 constexpr absl::Duration PART_LIFETIME = absl::Seconds(30);
-/** Bound of remembered parts of one backend server. */
-constexpr std::size_t MAX_PARTS = 512;
 /** News of other instances come this long after the part was given, at least; by then short queues have read it. */
 constexpr absl::Duration READ_BY_OTHERS = absl::Milliseconds(150);
+constexpr absl::Duration DROP_PERIOD = absl::Seconds(5);
 
 } // namespace
 
 PromptMemory::PromptMemory(core::TimerService &timers)
-    : m_timers(timers)
+    : m_timers(timers),
+      m_dropTimer(timers.every(DROP_PERIOD, [this] { dropOld(); }))
 {
 }
 
+void PromptMemory::dropOld()
+{
+    const absl::Time limit = m_timers.now() - PART_LIFETIME;
+    for (auto &entry : m_parts) {
+        absl::erase_if(entry.second, [limit](const auto &holder) { return holder.second.usedAt < limit; });
+    }
+    absl::erase_if(m_parts, [](const auto &entry) { return entry.second.empty(); });
+}
+
 void PromptMemory::noteGiven(const core::BackendServerId &server, const std::vector<PromptPart> &parts, absl::Duration readIn)
 {
     for (std::size_t index = 0; index + 1 < parts.size(); ++index) {
         note(server, parts[index].id, m_timers.now() + readIn);
-        m_fresh.push_back({server, parts[index].id});
+        m_freshForRegion.push_back({server, parts[index].id});
+        m_freshForOthers.push_back({server, parts[index].id});
     }
 }
 
@@ -39,25 +49,23 @@
 void PromptMemory::note(const core::BackendServerId &server, const std::string &part, absl::Time readAt)
 {
     const absl::Time now = m_timers.now();
-    Parts &parts = m_servers[server];
-    if (parts.size() > MAX_PARTS) {
-        absl::erase_if(parts, [limit = now - PART_LIFETIME / 2](const auto &entry) { return entry.second.usedAt < limit; });
-    }
-    Kept &kept = parts[part];
+    Kept &kept = m_parts[part][server];
     // What was given up as displaced has to be read again.
     const bool isGone = now - kept.usedAt >= PART_LIFETIME;
     kept.readAt = isGone ? readAt : std::min(kept.readAt, readAt);
     kept.usedAt = now;
 }
 
-std::vector<ReadPart> PromptMemory::takeFresh()
+std::vector<ReadPart> PromptMemory::takeFresh(bool isForRegion)
 {
-    return std::exchange(m_fresh, {});
+    return std::exchange(isForRegion ? m_freshForRegion : m_freshForOthers, {});
 }
 
 void PromptMemory::forget(const core::BackendServerId &server)
 {
-    m_servers.erase(server);
+    for (auto &entry : m_parts) {
+        entry.second.erase(server);
+    }
 }
 
 std::int64_t PromptMemory::expectedTokens(const core::BackendServerId &server, const std::vector<PromptPart> &parts) const
@@ -70,19 +78,26 @@
     return leadingTokens(server, parts, m_timers.now());
 }
 
-std::int64_t PromptMemory::leadingTokens(const core::BackendServerId &server, const std::vector<PromptPart> &parts, absl::Time readBefore) const
+const PromptMemory::Kept *PromptMemory::find(const core::BackendServerId &server, const std::string &part) const
 {
-    const auto known = m_servers.find(server);
-    if (known == m_servers.end()) {
-        return 0;
+    const auto holders = m_parts.find(part);
+    if (holders == m_parts.end()) {
+        return nullptr;
     }
+    const auto it = holders->second.find(server);
+    const bool isKept = it != holders->second.end() && m_timers.now() - it->second.usedAt < PART_LIFETIME;
+    return isKept ? &it->second : nullptr;
+}
+
+std::int64_t PromptMemory::leadingTokens(const core::BackendServerId &server, const std::vector<PromptPart> &parts, absl::Time readBefore) const
+{
     // A part is of use only behind all parts before it; whoever keeps a later one keeps those too.
     std::int64_t kept = 0;
     std::int64_t before = 0;
     for (std::size_t index = 0; index + 1 < parts.size(); ++index) {
         before += parts[index].tokens;
-        const auto it = known->second.find(parts[index].id);
-        if (it != known->second.end() && it->second.readAt <= readBefore && m_timers.now() - it->second.usedAt < PART_LIFETIME) {
+        const Kept *part = find(server, parts[index].id);
+        if (part != nullptr && part->readAt <= readBefore) {
             kept = before;
         }
     }
@@ -91,8 +106,25 @@
 
 bool PromptMemory::hasPart(const core::BackendServerId &server, const std::string &part) const
 {
-    const auto known = m_servers.find(server);
-    return known != m_servers.end() && known->second.contains(part);
+    return find(server, part) != nullptr;
+}
+
+std::vector<core::BackendServerId> PromptMemory::holders(const std::vector<PromptPart> &parts) const
+{
+    std::vector<core::BackendServerId> all;
+    if (parts.size() < 2) {
+        return all;
+    }
+    const auto holders = m_parts.find(parts[parts.size() - 2].id);
+    if (holders == m_parts.end()) {
+        return all;
+    }
+    for (const auto &holder : holders->second) {
+        if (holder.second.readAt <= m_timers.now()) {
+            all.push_back(holder.first);
+        }
+    }
+    return all;
 }
 
 } // namespace snipeferry::gateway
