Explain a request from logs; apply what a reload can change

Cause: `snipeferry explain` asked one daemon only, so the way of a request through gateways had to be grepped by hand; SIGHUP read the settings and applied none. A reload applies log.lines_per_second, promises.directory_time_to_live and promises.stop_grace at once, names all others that differ as due at the next start, and changes nothing when the file has a fault.

--- a/apps/snipeferry/commands.h
+++ b/apps/snipeferry/commands.h
@@ -50,4 +50,7 @@
 /** @brief Shows what an instance decided about a request. */
 ExitCode explainRequest(const Options &options, const std::string &request);
 
+/** @brief Shows what the logs of any instances say about a request; "-" is standard input. */
+ExitCode explainFromLogs(const Options &options, const std::string &request, const std::vector<std::string> &files);
+
 } // namespace snipeferry::cli
--- a/apps/snipeferry/instancecommands.cpp
+++ b/apps/snipeferry/instancecommands.cpp
@@ -3,10 +3,12 @@
 #include "platformsession.h"
 #include "snipeferry/configuration/manifest.h"
 #include "snipeferry/http/httpclient.h"
+#include "snipeferry/observability/requesttrace.h"
 
 #include <absl/time/clock.h>
 
 #include <algorithm>
+#include <fstream>
 #include <iostream>
 
 namespace snipeferry::cli {
@@ -135,4 +137,39 @@
     return show(options, ask(options, "GET", "/explain?request=" + request));
 }
 
+ExitCode explainFromLogs(const Options &options, const std::string &request, const std::vector<std::string> &files)
+{
+    if (!isRequestId(request)) {
+        return fail(options, WrongUsage, "a request's id has letters, digits, '-', '_' and '.' only");
+    }
+    observability::RequestTrace trace(request);
+    for (const std::string &file : files) {
+        if (file == "-") {
+            trace.read(std::cin, "standard input");
+            continue;
+        }
+        std::ifstream log(file);
+        if (!log) {
+            return fail(options, InvalidFile, file + ": cannot be read");
+        }
+        trace.read(log, file);
+    }
+    const std::vector<observability::TraceLine> lines = trace.lines();
+    if (lines.empty()) {
+        return fail(options, InstanceError, "no line names the request " + request);
+    }
+    json list = json::array();
+    for (const observability::TraceLine &line : lines) {
+        list.push_back({{"time_ms", line.timeMs}, {"after_ms", line.timeMs - lines.front().timeMs}, {"source", line.source}, {"line", line.text}});
+    }
+    if (options.isJson) {
+        printJson({{"request", request}, {"lines", list}});
+        return Done;
+    }
+    for (const observability::TraceLine &line : lines) {
+        std::cout << "+" << line.timeMs - lines.front().timeMs << " ms  [" << line.source << "]  " << line.text << "\n";
+    }
+    return Done;
+}
+
 } // namespace snipeferry::cli
--- a/apps/snipeferry/main.cpp
+++ b/apps/snipeferry/main.cpp
@@ -99,12 +99,13 @@
             };
         });
 
-        CLI::App *explain = app.add_subcommand("explain", "Show an instance's decisions about a request");
+        CLI::App *explain = app.add_subcommand("explain", "Show an instance's decisions about a request, or what logs say of its way through instances");
         explain->add_option("REQUEST", file, "Id of the request, from the answer's header or a log line")->required();
+        explain->add_option("--log", logFiles, "Log of an instance instead of the instance itself; - is standard input; may be given several times");
         explain->callback([this] {
-            needsInstance = true;
+            needsInstance = logFiles.empty();
             run = [this] {
-                return explainRequest(options, file);
+                return logFiles.empty() ? explainRequest(options, file) : explainFromLogs(options, file, logFiles);
             };
         });
     }
@@ -113,6 +114,7 @@
     Options options;
     WatchOptions watchOptions;
     std::string file;
+    std::vector<std::string> logFiles;
     std::string planFile = "plan.json";
     double intervalSeconds = 1;
     double timeoutSeconds = 0;
--- a/include/snipeferry/net/gatewaysettings.h
+++ b/include/snipeferry/net/gatewaysettings.h
@@ -7,6 +7,7 @@
 #include "snipeferry/net/storeclient.h"
 
 #include <string>
+#include <vector>
 
 namespace snipeferry::net {
 
@@ -33,4 +34,19 @@
 /** @brief The same for text; the file name is used in faults only. */
 core::Expected<GatewayProcessSettings> parseGatewaySettings(const std::string &file, const std::string &text);
 
+/** What differs between the settings in force and those of a reload, by the keys of the settings file. */
+struct SettingsChange
+{
+    /** Takes effect at once. */
+    std::vector<std::string> applied;
+    /** Takes effect at the next start. */
+    std::vector<std::string> kept;
+};
+
+/**
+ * @brief Takes over from fresh settings what can change while the process runs, all of it or nothing.
+ * @param settings the settings in force
+ */
+SettingsChange applyReload(GatewayProcessSettings &settings, const GatewayProcessSettings &fresh);
+
 } // namespace snipeferry::net
--- a/include/snipeferry/net/stdoutjournal.h
+++ b/include/snipeferry/net/stdoutjournal.h
@@ -30,6 +30,9 @@
     void log(const core::LogEvent &event) override;
     void count(const std::string &name, const std::string &label, double amount) override;
 
+    /** @brief Replaces the bound on lines of one kind. */
+    void setLinesPerSecond(int lines);
+
     /** @brief Sets a value of the metrics page. */
     void gauge(const std::string &name, double value);
 
--- a/source/net/gatewayprocess.cpp
+++ b/source/net/gatewayprocess.cpp
@@ -1,6 +1,7 @@
 #include "snipeferry/net/gatewayprocess.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 #include <unistd.h>
 
 #include <csignal>
@@ -175,7 +176,9 @@
         m_journal.log(core::LogEvent{"reload_refused", {}}.with("error", fresh.error().message));
         return;
     }
-    m_journal.log(core::LogEvent{"reloaded", {}}.with("changed", "none").with("note", "all settings take effect at the next start"));
+    const SettingsChange change = applyReload(m_settings, *fresh);
+    m_journal.setLinesPerSecond(m_settings.journal.linesPerSecond);
+    m_journal.log(core::LogEvent{"reloaded", {}}.with("applied", absl::StrJoin(change.applied, ",")).with("at_next_start", absl::StrJoin(change.kept, ",")));
 }
 
 void GatewayProcess::startStop()
--- a/source/net/gatewaysettings.cpp
+++ b/source/net/gatewaysettings.cpp
@@ -90,4 +90,49 @@
     return read(*document);
 }
 
+SettingsChange applyReload(GatewayProcessSettings &settings, const GatewayProcessSettings &fresh)
+{
+    const gateway::GatewaySettings &before = settings.gateway;
+    const gateway::GatewaySettings &after = fresh.gateway;
+    const std::pair<const char *, bool> fixed[] = {
+        {"instance", before.self.id == after.self.id},
+        {"data_centre", before.self.dataCentre == after.self.dataCentre},
+        {"region", before.self.region == after.self.region},
+        {"data_centres", before.regions == after.regions},
+        {"listen.callers", before.self.callerAddress == after.self.callerAddress},
+        {"listen.directory", settings.directoryAddress == fresh.directoryAddress},
+        {"listen.readiness", settings.readinessAddress == fresh.readinessAddress},
+        {"listen.peers", before.self.peerAddress == after.self.peerAddress},
+        {"listen.metrics", settings.metricsAddress == fresh.metricsAddress},
+        {"store.address", settings.store.address == fresh.store.address},
+        {"store.lease_time", settings.store.leaseTime == fresh.store.leaseTime},
+        {"store.renew_period", settings.store.renewPeriod == fresh.store.renewPeriod},
+        {"store.operator_wait", settings.store.operatorWait == fresh.store.operatorWait},
+        {"store.backend_server_wait", settings.store.backendServerWait == fresh.store.backendServerWait},
+        {"store.member_wait", settings.store.memberWait == fresh.store.memberWait},
+        {"promises.key_withdrawal", before.flow.keyWithdrawalTime == after.flow.keyWithdrawalTime},
+        {"promises.repeat_share", before.repeats.share == after.repeats.share},
+        {"promises.repeat_slack", before.repeats.slack == after.repeats.slack},
+        {"promises.repeat_window", before.repeats.window == after.repeats.window},
+        {"promises.allowance_slack", before.allowances.slack == after.allowances.slack},
+        {"promises.allowance_excess", before.allowances.excess == after.allowances.excess},
+    };
+    SettingsChange change;
+    for (const std::pair<const char *, bool> &setting : fixed) {
+        if (!setting.second) {
+            change.kept.emplace_back(setting.first);
+        }
+    }
+    const auto take = [&change](const char *key, auto &current, const auto &wanted) {
+        if (current != wanted) {
+            change.applied.emplace_back(key);
+            current = wanted;
+        }
+    };
+    take("log.lines_per_second", settings.journal.linesPerSecond, fresh.journal.linesPerSecond);
+    take("promises.directory_time_to_live", settings.directoryTimeToLive, fresh.directoryTimeToLive);
+    take("promises.stop_grace", settings.stopGrace, fresh.stopGrace);
+    return change;
+}
+
 } // namespace snipeferry::net
--- a/source/net/stdoutjournal.cpp
+++ b/source/net/stdoutjournal.cpp
@@ -55,6 +55,11 @@
     append(event);
 }
 
+void StdoutJournal::setLinesPerSecond(int lines)
+{
+    m_settings.linesPerSecond = lines;
+}
+
 void StdoutJournal::append(const core::LogEvent &event)
 {
     if (m_buffer.size() > m_settings.bufferBytes) {
--- /dev/null
+++ b/tests/net/gatewaysettingstest.cpp
@@ -0,0 +1,51 @@
+#include "snipeferry/net/gatewaysettings.h"
+
+#include <catch2/catch.hpp>
+
+using namespace snipeferry;
+
+namespace {
+
+const std::string SETTINGS = R"(instance: a
+data_centre: recife-a
+region: recife
+data_centres: {recife-a: recife}
+listen: {callers: "127.0.0.1:1", directory: "127.0.0.1:2", readiness: "127.0.0.1:3", peers: "127.0.0.1:4"}
+store: {address: "127.0.0.1:5"}
+)";
+
+net::GatewayProcessSettings parse(const std::string &more)
+{
+    const core::Expected<net::GatewayProcessSettings> settings = net::parseGatewaySettings("test.yaml", SETTINGS + more);
+    INFO((settings ? "" : settings.error().message));
+    REQUIRE(settings);
+    return *settings;
+}
+
+} // namespace
+
+TEST_CASE("a reload applies what can change while running and names what cannot")
+{
+    net::GatewayProcessSettings settings = parse("");
+    const net::GatewayProcessSettings fresh
+        = parse("log: {lines_per_second: 5}\npromises: {stop_grace: 4s, directory_time_to_live: 1s, key_withdrawal: 2s, repeat_slack: 7}\n");
+    const net::SettingsChange change = net::applyReload(settings, fresh);
+    CHECK(change.applied == std::vector<std::string>{"log.lines_per_second", "promises.directory_time_to_live", "promises.stop_grace"});
+    CHECK(change.kept == std::vector<std::string>{"promises.key_withdrawal", "promises.repeat_slack"});
+    CHECK(settings.journal.linesPerSecond == 5);
+    CHECK(settings.stopGrace == absl::Seconds(4));
+    CHECK(settings.gateway.flow.keyWithdrawalTime == parse("").gateway.flow.keyWithdrawalTime);
+    // The same again changes nothing.
+    CHECK(net::applyReload(settings, fresh).applied.empty());
+}
+
+TEST_CASE("a settings file of the gateway tells all its faults at once")
+{
+    const core::Expected<net::GatewayProcessSettings> settings
+        = net::parseGatewaySettings("test.yaml", SETTINGS + "log: {lines_per_second: -1}\npromises: {repeat_share: 2, stop_grace: soon}\nunknown: 1\n");
+    REQUIRE_FALSE(settings);
+    for (const char *key : {"log.lines_per_second", "promises.repeat_share", "promises.stop_grace", "unknown"}) {
+        INFO(settings.error().message);
+        CHECK(settings.error().message.find(key) != std::string::npos);
+    }
+}
