--- a/include/snipeferry/gateway/allowancebook.h
+++ b/include/snipeferry/gateway/allowancebook.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "snipeferry/core/error.h"
+#include "snipeferry/core/signal.h"
 #include "snipeferry/core/timerservice.h"
 #include "snipeferry/gateway/model.h"
 
@@ -30,6 +31,14 @@
     SNIPEFERRY_VALUE(AllowanceGrant, customer, tokens)
 };
 
+/** An instance's part of a customer's tokens runs out; others may have some to spare. */
+struct AllowanceShortage
+{
+    core::CustomerId customer;
+    /** What would fill the part again. */
+    double tokens = 0;
+};
+
 /** How far the fleet together may go beyond a customer's rate and burst before a limit counts as broken. */
 struct AllowanceSettings
 {
@@ -43,8 +52,8 @@
  * This instance's part of the customers' fleet-wide allowances.
  *
  * Each instance refills an equal part of the rate. Rates never move; tokens do, from instances with little demand to those
- * with much, and a giver debits before it sends. So the sum over all instances holds however messages are lost, and an
- * instance that is cut off goes on with its own part.
+ * with much, as reports show it and when one runs short and asks, and a giver debits before it sends. So the sum over all instances holds however messages are
+ * lost, and an instance that is cut off goes on with its own part.
  */
 class AllowanceBook
 {
@@ -74,6 +83,15 @@
 
     void receive(const std::vector<AllowanceGrant> &grants);
 
+    /** @brief Debits and returns what this instance can spare of what another one asks for. */
+    double giveOnDemand(const core::CustomerId &customer, double tokens);
+
+    /** @brief Emitted from within reserve(); never more often than tokens can come. */
+    core::Signal<AllowanceShortage> &shortages();
+
+    /** @brief Whether other instances were asked for the customer's tokens so lately that an answer may be on its way. */
+    bool isAwaiting(const core::CustomerId &customer) const;
+
 private:
     struct Bucket
     {
@@ -84,6 +102,10 @@
         double askedSinceUpdate = 0;
         absl::Time updatedAt;
         absl::Time demandUpdatedAt;
+        absl::Time askedAt = absl::InfinitePast();
+        double askedFor = 0;
+        /** Tokens that came since the last asking. */
+        double received = 0;
     };
 
     /** An instance that lost the store stops spending on keys within this time. */
@@ -92,10 +114,12 @@
     void refill(Bucket &bucket);
     void updateDemand(Bucket &bucket);
     int instanceCount();
+    void askIfShort(const core::CustomerId &customer, Bucket &bucket);
 
     AllowanceSettings m_settings;
     core::TimerService &m_timers;
     absl::flat_hash_map<core::CustomerId, Bucket> m_buckets;
+    core::Signal<AllowanceShortage> m_shortages;
     int m_count = 1;
     int m_pendingCount = 1;
     absl::Time m_shrinkAt = absl::InfiniteFuture();
--- a/include/snipeferry/gateway/fleetmessages.h
+++ b/include/snipeferry/gateway/fleetmessages.h
@@ -168,8 +168,17 @@
     SNIPEFERRY_VALUE(ForwardCancel, number)
 };
 
+/** Asks for a customer's tokens, of which the sender is short; what can be spared comes as an AllowanceTransfer. */
+struct AllowanceRequest
+{
+    core::CustomerId customer;
+    double tokens = 0;
+
+    SNIPEFERRY_VALUE(AllowanceRequest, customer, tokens)
+};
+
 /** A new message goes to the end of the list; its place is its number on the wire. */
 using FleetMessage = std::variant<Greeting, Pulse, AllowanceTransfer, RecordsRequest, RecordsTransfer, ForwardRequest, ForwardHead, ForwardData, ForwardEnd,
-    ForwardFailed, ForwardCancel, RecordsUpdate>;
+    ForwardFailed, ForwardCancel, RecordsUpdate, AllowanceRequest>;
 
 } // namespace snipeferry::gateway
--- a/include/snipeferry/gateway/gateway.h
+++ b/include/snipeferry/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include <array>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -134,6 +135,8 @@
     void handle(const core::InstanceId &from, const Greeting &message);
     void handle(const core::InstanceId &from, const Pulse &message);
     void handle(const core::InstanceId &from, const AllowanceTransfer &message);
+    void handle(const core::InstanceId &from, const AllowanceRequest &message);
+    void askForTokens(const AllowanceShortage &shortage);
     void handle(const core::InstanceId &from, const RecordsRequest &message);
     void handle(const core::InstanceId &from, const RecordsTransfer &message);
     void handle(const core::InstanceId &from, const RecordsUpdate &message);
@@ -152,6 +155,7 @@
     AllowanceBook m_allowances;
     RepeatBudget m_repeats;
     RolloutGuard m_rollouts;
+    std::mt19937_64 m_random;
     RequestFlow m_flow;
     ForwardDesk m_desk;
     std::shared_ptr<const RouteTable> m_routes;
--- a/include/snipeferry/gateway/requestflow.h
+++ b/include/snipeferry/gateway/requestflow.h
@@ -101,6 +101,8 @@
         int priority = 5;
         double cost = 0;
         bool holdsTokens = false;
+        /** Ends the wait for tokens of other instances. */
+        core::Subscription tokenTimer;
         std::shared_ptr<AnswerSink> sink;
         absl::Time arrivedAt;
         absl::Time deadline;
@@ -135,6 +137,8 @@
 
     // Admission: requestadmission.cpp
     core::Expected<void> admit(Open &open);
+    /** Admits a request once more when other instances had time to send tokens. */
+    void admitAgain(Number number);
     core::Expected<void> checkDrain(const Open &open) const;
     core::Expected<void> identify(Open &open) const;
     bool isDeploymentFresh() const;
--- a/source/gateway/allowancebook.cpp
+++ b/source/gateway/allowancebook.cpp
@@ -19,6 +19,19 @@
 /** Part of the tolerated excess that is used; the rest covers changes of the number of instances. */
 constexpr double USED_TOLERANCE = 0.7;
 constexpr absl::Duration LONGEST_RETRY = absl::Seconds(10);
+/** Part of the own share with which a request passes that is larger than the share. */
+constexpr double WELL_FILLED = 0.6;
+/** Part of the own share below which others are asked. */
+constexpr double SHORT_SHARE = 0.6;
+/** Part of the own share that is kept when others ask. */
+constexpr double KEPT_SHARE = 0.2;
+/** Others in the region answer within this time. */
+constexpr absl::Duration ANSWER_TIME = absl::Milliseconds(40);
+constexpr absl::Duration ASK_PERIOD = absl::Milliseconds(50);
+/** Time until the next asking when little came: the others are short as well. */
+constexpr absl::Duration POOR_ASK_PERIOD = absl::Milliseconds(500);
+/** Part of what was asked for that counts as little. */
+constexpr double POOR_ANSWER_SHARE = 0.2;
 
 } // namespace
 
@@ -112,17 +125,61 @@
     Bucket &bucket = it->second;
     refill(bucket);
     bucket.askedSinceUpdate += cost;
-    // A request that is larger than this instance's bucket can hold passes once the bucket is full, and leaves a debt.
-    const double needed = std::min(cost, bucket.burst / instanceCount());
+    // A request that is larger than this instance's bucket can hold passes once the bucket is filled well, and leaves a debt.
+    const double needed = std::min(cost, WELL_FILLED * bucket.burst / instanceCount());
     if (bucket.balance >= needed) {
         bucket.balance -= cost;
+        askIfShort(customer, bucket);
         return {};
     }
+    askIfShort(customer, bucket);
     const double refillRate = bucket.rate / instanceCount();
     const absl::Duration wait = std::min(LONGEST_RETRY, absl::Seconds((needed - bucket.balance) / std::max(1.0, refillRate)));
     return tl::make_unexpected(core::makeError(core::ErrorKind::RateExceeded, "The customer's rate is used up.", wait));
 }
 
+void AllowanceBook::askIfShort(const core::CustomerId &customer, Bucket &bucket)
+{
+    const double part = bucket.burst / instanceCount();
+    const absl::Time now = m_timers.now();
+    const bool wasPoor = bucket.received < POOR_ANSWER_SHARE * bucket.askedFor;
+    if (instanceCount() < 2 || bucket.balance >= SHORT_SHARE * part || now - bucket.askedAt < (wasPoor ? POOR_ASK_PERIOD : ASK_PERIOD)) {
+        return;
+    }
+    bucket.askedAt = now;
+    bucket.askedFor = part - bucket.balance;
+    bucket.received = 0;
+    m_shortages.emit(AllowanceShortage{customer, bucket.askedFor});
+}
+
+double AllowanceBook::giveOnDemand(const core::CustomerId &customer, double tokens)
+{
+    const auto it = m_buckets.find(customer);
+    if (it == m_buckets.end()) {
+        return 0;
+    }
+    Bucket &bucket = it->second;
+    refill(bucket);
+    const double part = bucket.burst / instanceCount();
+    const double given = std::min(tokens, bucket.balance - KEPT_SHARE * part);
+    if (given < MIN_GRANT_SHARE * part) {
+        return 0;
+    }
+    bucket.balance -= given;
+    return given;
+}
+
+core::Signal<AllowanceShortage> &AllowanceBook::shortages()
+{
+    return m_shortages;
+}
+
+bool AllowanceBook::isAwaiting(const core::CustomerId &customer) const
+{
+    const auto it = m_buckets.find(customer);
+    return it != m_buckets.end() && m_timers.now() - it->second.askedAt < ANSWER_TIME;
+}
+
 void AllowanceBook::refund(const core::CustomerId &customer, double cost)
 {
     const auto it = m_buckets.find(customer);
@@ -174,6 +231,7 @@
         if (it != m_buckets.end() && grant.tokens > 0) {
             refill(it->second);
             it->second.balance = std::min(it->second.burst, it->second.balance + grant.tokens);
+            it->second.received += grant.tokens;
         }
     }
 }
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -25,6 +25,10 @@
 constexpr std::array<absl::Duration, TOPIC_COUNT> FOLLOW_LIMITS = {absl::Milliseconds(1900), absl::Milliseconds(3000), absl::Milliseconds(6000)};
 /** Region pulses of all instances together stay at this distance for each receiver. */
 constexpr absl::Duration PULSE_PERIOD_PER_INSTANCE = absl::Milliseconds(12);
+/** Instances that are asked at once when a customer's tokens run short. */
+constexpr std::size_t MAX_ASKED_FOR_TOKENS = 16;
+/** All that are asked together are asked for this many times what is missing. */
+constexpr double ASKED_OVERSIZE = 2.0;
 /** Allowances are told this much more rarely for each instance of the fleet; 8 instances tell at each pulse, 72 every 1.4 s. */
 constexpr absl::Duration ALLOWANCE_PERIOD_PER_INSTANCE = absl::Milliseconds(20);
 constexpr absl::Duration LONGEST_REGION_PULSE = absl::Milliseconds(800);
@@ -42,6 +46,7 @@
       m_allowances(m_settings.allowances, ports.timers),
       m_repeats(m_settings.repeats, ports.timers),
       m_rollouts(m_settings.self.id, m_settings.flow.seed + 1, ports.timers),
+      m_random(m_settings.flow.seed + 2),
       m_flow(m_settings.flow,
           FlowParts{ports.timers, m_backends, m_fleet, m_allowances, m_repeats, m_rollouts, ports.headers, ports.runs, ports.links, ports.journal}),
       m_desk(ports.timers, m_backends, m_fleet, m_rollouts, ports.headers, ports.runs, ports.links, ports.journal),
@@ -49,6 +54,7 @@
       m_distantPulse(ports.timers.every(m_settings.distantPulsePeriod, [this] { sendPulses(false); })),
       m_holdTimer(ports.timers.every(HOLD_CHECK_PERIOD, [this] { removeHeldServers(); }))
 {
+    m_allowances.shortages().subscribe([this](const AllowanceShortage &shortage) { askForTokens(shortage); });
     updateInstances();
 }
 
@@ -422,6 +428,32 @@
     m_allowances.receive(message.grants);
 }
 
+void Gateway::handle(const core::InstanceId &from, const AllowanceRequest &message)
+{
+    const double tokens = m_allowances.giveOnDemand(message.customer, message.tokens);
+    if (tokens > 0) {
+        m_ports.links.send(from, AllowanceTransfer{{{message.customer, tokens}}});
+    }
+}
+
+void Gateway::askForTokens(const AllowanceShortage &shortage)
+{
+    // Any others of the region will do: what they hold is alike, but for chance.
+    std::vector<core::InstanceId> peers;
+    for (const core::InstanceId &peer : m_fleet.linked()) {
+        if (m_fleet.isInOwnRegion(peer)) {
+            peers.push_back(peer);
+        }
+    }
+    std::shuffle(peers.begin(), peers.end(), m_random);
+    peers.resize(std::min(peers.size(), MAX_ASKED_FOR_TOKENS));
+    // Some have little, so each is asked for more than its part.
+    const double share = std::min(1.0, ASKED_OVERSIZE / std::max<double>(1.0, static_cast<double>(peers.size())));
+    for (const core::InstanceId &peer : peers) {
+        m_ports.links.send(peer, AllowanceRequest{shortage.customer, shortage.tokens * share});
+    }
+}
+
 void Gateway::handle(const core::InstanceId &from, const RecordsRequest &message)
 {
     const auto index = static_cast<std::size_t>(message.topic);
--- a/source/gateway/requestflow.cpp
+++ b/source/gateway/requestflow.cpp
@@ -15,6 +15,9 @@
 constexpr double SILENCE_OBJECTIVES = 1.6;
 constexpr absl::Duration MIN_SILENCE = absl::Milliseconds(1100);
 
+/** A request waits this long for tokens that other instances of the region were asked for: there and back, and a moment to send. */
+constexpr absl::Duration TOKEN_PATIENCE = absl::Milliseconds(15);
+
 } // namespace
 
 Number nextRunNumber()
@@ -71,6 +74,10 @@
 
     // Admit and start.
     core::Expected<void> admitted = admit(open);
+    if (!admitted && admitted.error().kind == core::ErrorKind::RateExceeded && m_parts.allowances.isAwaiting(open.customer)) {
+        open.tokenTimer = m_parts.timers.after(TOKEN_PATIENCE, [this, number] { admitAgain(number); });
+        return number;
+    }
     if (admitted) {
         admitted = place(open);
     }
@@ -80,6 +87,21 @@
     return number;
 }
 
+void RequestFlow::admitAgain(Number number)
+{
+    const auto it = m_open.find(number);
+    if (it == m_open.end()) {
+        return;
+    }
+    core::Expected<void> admitted = admit(*it->second);
+    if (admitted) {
+        admitted = place(*it->second);
+    }
+    if (!admitted) {
+        fail(*it->second, admitted.error());
+    }
+}
+
 RequestFlow::Open *RequestFlow::byRun(Number run)
 {
     const auto number = m_requestOfRun.find(run);
--- a/source/net/storeclient.cpp
+++ b/source/net/storeclient.cpp
@@ -20,6 +20,8 @@
 constexpr absl::Duration TURN_CHECK_PERIOD = absl::Milliseconds(200);
 /** Way to the store and back, to another region at most. */
 constexpr absl::Duration ON_TIME = absl::Milliseconds(200);
+/** Backend servers and instances change often in a large fleet; changes that follow each other come in one answer. */
+constexpr absl::Duration GATHERING_TIME = absl::Milliseconds(200);
 constexpr int HTTP_OK = 200;
 constexpr int HTTP_NOT_FOUND = 404;
 constexpr int HTTP_GONE = 410;
@@ -147,7 +149,12 @@
         }
         m_backoff.reset();
         m_gateway.topicChanged(m_topic, page->changes, page->revision, confirmedAt(*page));
-        watch();
+        const bool isPatient = m_topic != gateway::Topic::Operator && !page->changes.empty();
+        if (isPatient) {
+            m_pause = m_loop.timers().after(GATHERING_TIME, [self = shared_from_this()] { self->watch(); });
+        } else {
+            watch();
+        }
     }
 
     /**
--- a/tests/gateway/limitstest.cpp
+++ b/tests/gateway/limitstest.cpp
@@ -218,6 +218,59 @@
     CHECK(theirs.memory().takeFresh(true).empty());
 }
 
+TEST_CASE("a small customer's large requests are admitted in a large fleet, since instances ask each other for tokens")
+{
+    // Pattern: 72 instances in three regions; a customer of 36,000 tokens a second sends plans of 12,000 tokens at 0.55 of its rate, each to
+    // any instance. An equal part of its burst is 1,861 tokens, so each plan leaves a debt that the part pays off in 20 s.
+    constexpr int INSTANCES = 72;
+    constexpr int REGION = 24;
+    constexpr double CUSTOMER_RATE = 36'000;
+    constexpr double PLAN = 12'000;
+    const bool asks = GENERATE(true, false);
+    std::mt19937_64 random(3);
+    core::VirtualTimerService timers;
+    std::vector<std::unique_ptr<gateway::AllowanceBook>> books;
+    for (int index = 0; index < INSTANCES; ++index) {
+        books.push_back(std::make_unique<gateway::AllowanceBook>(gateway::AllowanceSettings{140'000, 0.1}, timers));
+        books.back()->setInstanceCount(INSTANCES);
+        books.back()->configure({bar(CUSTOMER_RATE, CUSTOMER_RATE)});
+        if (asks) {
+            books.back()->shortages().subscribe([&books, index](const gateway::AllowanceShortage &shortage) {
+                for (int step = 1; step <= 16; ++step) {
+                    const int region = index / REGION;
+                    const int peer = region * REGION + (index + step) % REGION;
+                    const double tokens = books[static_cast<std::size_t>(peer)]->giveOnDemand(BAR, shortage.tokens / 8);
+                    books[static_cast<std::size_t>(index)]->receive({{BAR, tokens}});
+                }
+            });
+        }
+    }
+    int sent = 0;
+    int admitted = 0;
+    double taken = 0;
+    for (int step = 0; step < 2400; ++step) {
+        timers.advance(absl::Milliseconds(25));
+        if (std::uniform_real_distribution<double>(0, 1)(random) < 0.55 * CUSTOMER_RATE / PLAN / 40) {
+            gateway::AllowanceBook &book = *books[std::uniform_int_distribution<std::size_t>(0, INSTANCES - 1)(random)];
+            ++sent;
+            // A request that is short of tokens waits for those that were asked for.
+            const bool isTaken = book.reserve(BAR, PLAN).has_value() || book.reserve(BAR, PLAN).has_value();
+            admitted += isTaken ? 1 : 0;
+            taken += isTaken ? PLAN : 0;
+        }
+    }
+    INFO("sent " << sent << " admitted " << admitted);
+    REQUIRE(sent > 60);
+    // Never beyond rate and burst with the tolerance.
+    CHECK(taken <= (CUSTOMER_RATE * 60 + CUSTOMER_RATE) * 1.1 + 140'000);
+    if (asks) {
+        // In a hundred one or two may come just behind another one at the same instance.
+        CHECK(admitted * 100 >= sent * 98);
+    } else {
+        CHECK(admitted < sent * 9 / 10);
+    }
+}
+
 TEST_CASE("one instance of the region gives a cold backend server its work, at its rate")
 {
     core::VirtualTimerService timers;
