--- a/include/snipeferry/observability/requesttrace.h
+++ b/include/snipeferry/observability/requesttrace.h
@@ -22,7 +22,7 @@
 class RequestTrace
 {
 public:
-    explicit RequestTrace(std::string request);
+    explicit RequestTrace(const std::string &request);
 
     /** @brief Reads one log to its end. */
     void read(std::istream &log, const std::string &name);
--- a/include/snipeferry/peers/peertransport.h
+++ b/include/snipeferry/peers/peertransport.h
@@ -44,7 +44,7 @@
     void stop();
 
     /** @brief Replaces the list of links that are kept. */
-    void keepLinks(std::vector<membership::InstanceDescription> peers);
+    void keepLinks(const std::vector<membership::InstanceDescription> &peers);
 
     /** @brief Sends a message, or drops it when no link is up. */
     void send(const core::InstanceId &to, const messages::PeerMessage &message);
--- a/source/net/httpserver.cpp
+++ b/source/net/httpserver.cpp
@@ -87,7 +87,7 @@
     if (longest == connections.end() || (*longest)->idleSince() == absl::InfiniteFuture()) {
         return false;
     }
-    const std::shared_ptr<Connection> connection = *longest;
+    const std::shared_ptr<Connection> connection = *longest; // NOLINT(performance-unnecessary-copy-initialization): closing erases the original
     connection->closeIfIdle();
     return true;
 }
--- a/source/observability/requesttrace.cpp
+++ b/source/observability/requesttrace.cpp
@@ -17,7 +17,7 @@
 
 } // namespace
 
-RequestTrace::RequestTrace(std::string request)
+RequestTrace::RequestTrace(const std::string &request)
     : m_field(absl::StrCat("request=", request))
 {
 }
--- a/source/peers/peertransport.cpp
+++ b/source/peers/peertransport.cpp
@@ -129,7 +129,7 @@
     m_impl->stop();
 }
 
-void PeerTransport::keepLinks(std::vector<membership::InstanceDescription> peers)
+void PeerTransport::keepLinks(const std::vector<membership::InstanceDescription> &peers)
 {
     m_impl->keepLinks(peers);
 }
