Keep debts of large requests within the tolerance in large fleets

Ruled out: the sum of the parts (holds); tokens of killed processes (about 41,000, within what is left of the tolerance). Where asking brought little, or nobody can be reached, the own full part decides as before.

--- a/include/snipeferry/gateway/allowancebook.h
+++ b/include/snipeferry/gateway/allowancebook.h
@@ -35,7 +35,7 @@
 struct AllowanceShortage
 {
     core::CustomerId customer;
-    /** What would fill the part again. */
+    /** What is missing for the request at hand, or to fill the part again. */
     double tokens = 0;
 };
 
@@ -114,7 +114,8 @@
     void refill(Bucket &bucket);
     void updateDemand(Bucket &bucket);
     int instanceCount();
-    void askIfShort(const core::CustomerId &customer, Bucket &bucket);
+    bool wasAnsweredPoorly(const Bucket &bucket) const;
+    void askFor(double tokens, const core::CustomerId &customer, Bucket &bucket);
 
     AllowanceSettings m_settings;
     core::TimerService &m_timers;
--- a/include/snipeferry/gateway/requestflow.h
+++ b/include/snipeferry/gateway/requestflow.h
@@ -103,6 +103,7 @@
         bool holdsTokens = false;
         /** Ends the wait for tokens of other instances. */
         core::Subscription tokenTimer;
+        int tokenWaits = 0;
         std::shared_ptr<AnswerSink> sink;
         absl::Time arrivedAt;
         absl::Time deadline;
@@ -137,8 +138,8 @@
 
     // Admission: requestadmission.cpp
     core::Expected<void> admit(Open &open);
-    /** Admits a request once more when other instances had time to send tokens. */
-    void admitAgain(Number number);
+    /** Admits and places a request; one that waits for tokens of other instances is admitted again a little later. */
+    void admitOrWait(Open &open);
     core::Expected<void> checkDrain(const Open &open) const;
     core::Expected<void> identify(Open &open) const;
     bool isDeploymentFresh() const;
--- a/source/gateway/allowancebook.cpp
+++ b/source/gateway/allowancebook.cpp
@@ -19,15 +19,15 @@
 /** Part of the tolerated excess that is used; the rest covers changes of the number of instances. */
 constexpr double USED_TOLERANCE = 0.7;
 constexpr absl::Duration LONGEST_RETRY = absl::Seconds(10);
-/** Part of the own share with which a request passes that is larger than the share. */
-constexpr double WELL_FILLED = 0.6;
-/** Part of the own share below which others are asked. */
-constexpr double SHORT_SHARE = 0.6;
+/** A request that needs more than this many own parts passes with them, and leaves a debt; the parts beyond the own come from others. */
+constexpr double MOST_PARTS_NEEDED = 3.0;
+/** Part of the own share below which others are asked also after a request has passed. */
+constexpr double SHORT_SHARE = 0.3;
 /** Part of the own share that is kept when others ask. */
 constexpr double KEPT_SHARE = 0.2;
 /** Others in the region answer within this time. */
 constexpr absl::Duration ANSWER_TIME = absl::Milliseconds(40);
-constexpr absl::Duration ASK_PERIOD = absl::Milliseconds(50);
+constexpr absl::Duration ASK_PERIOD = absl::Milliseconds(10);
 /** Time until the next asking when little came: the others are short as well. */
 constexpr absl::Duration POOR_ASK_PERIOD = absl::Milliseconds(500);
 /** Part of what was asked for that counts as little. */
@@ -125,31 +125,39 @@
     Bucket &bucket = it->second;
     refill(bucket);
     bucket.askedSinceUpdate += cost;
-    // A request that is larger than this instance's bucket can hold passes once the bucket is filled well, and leaves a debt.
-    const double needed = std::min(cost, WELL_FILLED * bucket.burst / instanceCount());
+    // Debts of all instances together must stay within the tolerance, so most of a large request is there before it passes.
+    const double part = bucket.burst / instanceCount();
+    // Where others have nothing, or cannot be reached, the own part alone decides.
+    const bool isAlone = instanceCount() < 2 || wasAnsweredPoorly(bucket);
+    const double needed = std::min(cost, isAlone ? part : MOST_PARTS_NEEDED * part);
     if (bucket.balance >= needed) {
         bucket.balance -= cost;
-        askIfShort(customer, bucket);
+        if (bucket.balance < SHORT_SHARE * part) {
+            askFor(part - bucket.balance, customer, bucket);
+        }
         return {};
     }
-    askIfShort(customer, bucket);
+    askFor(std::max(needed, part) - bucket.balance, customer, bucket);
     const double refillRate = bucket.rate / instanceCount();
     const absl::Duration wait = std::min(LONGEST_RETRY, absl::Seconds((needed - bucket.balance) / std::max(1.0, refillRate)));
     return tl::make_unexpected(core::makeError(core::ErrorKind::RateExceeded, "The customer's rate is used up.", wait));
 }
 
-void AllowanceBook::askIfShort(const core::CustomerId &customer, Bucket &bucket)
+bool AllowanceBook::wasAnsweredPoorly(const Bucket &bucket) const
+{
+    return m_timers.now() - bucket.askedAt >= ANSWER_TIME && bucket.received < POOR_ANSWER_SHARE * bucket.askedFor;
+}
+
+void AllowanceBook::askFor(double tokens, const core::CustomerId &customer, Bucket &bucket)
 {
-    const double part = bucket.burst / instanceCount();
     const absl::Time now = m_timers.now();
-    const bool wasPoor = bucket.received < POOR_ANSWER_SHARE * bucket.askedFor;
-    if (instanceCount() < 2 || bucket.balance >= SHORT_SHARE * part || now - bucket.askedAt < (wasPoor ? POOR_ASK_PERIOD : ASK_PERIOD)) {
+    if (instanceCount() < 2 || now - bucket.askedAt < (wasAnsweredPoorly(bucket) ? POOR_ASK_PERIOD : ASK_PERIOD)) {
         return;
     }
     bucket.askedAt = now;
-    bucket.askedFor = part - bucket.balance;
+    bucket.askedFor = tokens;
     bucket.received = 0;
-    m_shortages.emit(AllowanceShortage{customer, bucket.askedFor});
+    m_shortages.emit(AllowanceShortage{customer, tokens});
 }
 
 double AllowanceBook::giveOnDemand(const core::CustomerId &customer, double tokens)
