Ask for tokens no more than twenty times a second, twice when all are short

Change: every 50 ms, every 500 ms when less than half came. Figures: load test of the hot customer: askings are checked, under three a second an instance.

--- a/source/gateway/allowancebook.cpp
+++ b/source/gateway/allowancebook.cpp
@@ -27,11 +27,11 @@
 constexpr double KEPT_SHARE = 0.2;
 /** Others in the region answer within this time. */
 constexpr absl::Duration ANSWER_TIME = absl::Milliseconds(40);
-constexpr absl::Duration ASK_PERIOD = absl::Milliseconds(10);
+constexpr absl::Duration ASK_PERIOD = absl::Milliseconds(50);
 /** Time until the next asking when little came: the others are short as well. */
 constexpr absl::Duration POOR_ASK_PERIOD = absl::Milliseconds(500);
 /** Part of what was asked for that counts as little. */
-constexpr double POOR_ANSWER_SHARE = 0.2;
+constexpr double POOR_ANSWER_SHARE = 0.5;
 
 } // namespace
 
--- a/tests/gateway/limitstest.cpp
+++ b/tests/gateway/limitstest.cpp
@@ -239,6 +239,7 @@
     {
         constexpr int REGION = 24;
         constexpr int ASKED = 16;
+        ++asked;
         for (int step = 1; step <= ASKED; ++step) {
             const int peer = index / REGION * REGION + (index + step) % REGION;
             const double tokens = books[static_cast<std::size_t>(peer)]->giveOnDemand(BAR, shortage.tokens * 2 / ASKED);
@@ -257,6 +258,7 @@
     std::mt19937_64 random{3};
     core::VirtualTimerService timers;
     std::vector<std::unique_ptr<gateway::AllowanceBook>> books;
+    int asked = 0;
 };
 
 } // namespace
@@ -329,8 +331,10 @@
         most = std::max(most, inWindow);
     }
     const double allowed = (CUSTOMER_RATE * absl::ToDoubleSeconds(window) + CUSTOMER_RATE) * 1.1 + 140'000;
-    INFO("most " << most << " allowed " << allowed);
+    INFO("most " << most << " allowed " << allowed << " asked " << fleet.asked);
     CHECK(most <= allowed);
+    // Asking brings little when all are short, so it is rare: twice a second, and some more while tokens last.
+    CHECK(fleet.asked < 3 * LargeFleet::INSTANCES * 20);
     // What is within the limit itself is served, but for a tenth that lies in other regions' buckets.
     CHECK(most > 0.9 * (CUSTOMER_RATE * absl::ToDoubleSeconds(window) + CUSTOMER_RATE));
 }
