Fill a started process's part once the fleet is known; show what is left to spend

Ruled out: that the half-full start itself broke the limit. A process that is down does not refill its part, so a restart of all takes 1.7 s of the rate and gives half of a second's; what broke it was the half of the whole fleet's bucket that a process gave itself while it knew nobody else. Change: a started process gets half of its part when it first knows another instance, or after 2 s alone; as neighbours show up it shares what it has. Conclusion: the start fill was right, its divisor was not.

--- a/include/snipeferry/gateway/allowancebook.h
+++ b/include/snipeferry/gateway/allowancebook.h
@@ -54,7 +54,7 @@
  * Each instance refills an equal part of the rate. Rates never move; tokens do, from instances with little demand to those
  * with much, as reports show it and when one runs short and asks, and a giver debits before it sends. So the sum over all
  * instances holds however messages are lost, and an instance that is cut off goes on with its own part. A started process has
- * nothing: the one before it may have spent its part, and the others hand over what they can spare.
+ * nothing until it knows the other instances, or that there are none.
  */
 class AllowanceBook
 {
@@ -114,6 +114,8 @@
 
     void refill(Bucket &bucket);
     void shrinkBalances(double share);
+    /** The number of instances is known from now on: fills the buckets that a started process has. */
+    void learnFleet();
     void updateDemand(Bucket &bucket);
     int instanceCount();
     bool wasAnsweredPoorly(const Bucket &bucket) const;
@@ -127,8 +129,7 @@
     int m_pendingCount = 1;
     absl::Time m_shrinkAt = absl::InfiniteFuture();
     absl::Time m_startedAt;
-    /** Customers that come from now on are new to the deployment, not to this process only. */
-    bool m_isConfigured = false;
+    bool m_isFleetKnown = false;
 };
 
 } // namespace snipeferry::gateway
--- a/include/snipeferry/gateway/backendtable.h
+++ b/include/snipeferry/gateway/backendtable.h
@@ -73,6 +73,17 @@
     Cancelled,
 };
 
+/** Backend servers of one service in this region. */
+struct ServerCounts
+{
+    /** Take work now. */
+    int working = 0;
+    /** Drain, are ejected, or stand in an evacuated data centre. */
+    int resting = 0;
+    /** Runs of this and the other instances of the region. */
+    int runs = 0;
+};
+
 /**
  * Backend servers of this instance's region: what they announce, the work they have, and how they fare.
  *
@@ -126,6 +137,9 @@
 
     std::vector<core::ServiceId> services() const;
 
+    /** @brief How many backend servers of a service take work, and how much they have. */
+    ServerCounts serverCounts(const core::ServiceId &service) const;
+
     /** @brief Expected wait of a request without prompt at the least loaded backend server, by urgency; empty without any. */
     std::vector<absl::Duration> leastWaits(const core::ServiceId &service) const;
 
--- a/include/snipeferry/gateway/gateway.h
+++ b/include/snipeferry/gateway/gateway.h
@@ -2,6 +2,7 @@
 
 #include "snipeferry/core/signal.h"
 #include "snipeferry/gateway/forwarddesk.h"
+#include "snipeferry/gateway/reading.h"
 #include "snipeferry/gateway/records.h"
 #include "snipeferry/gateway/requestflow.h"
 
@@ -100,6 +101,9 @@
     bool isDraining() const;
     std::size_t openCount() const;
 
+    /** @brief What the gateway knows, owes and has left: ages of its copies, instances, backend servers, tokens and repeats. */
+    std::vector<Reading> readings();
+
     /** @brief The store holds a decision about a rollout, whoever made it. */
     void rolloutStored(const core::ServiceId &service, core::Revision order, RolloutState state);
 
--- a/include/snipeferry/gateway/ports.h
+++ b/include/snipeferry/gateway/ports.h
@@ -83,6 +83,9 @@
 
     /** @brief Adds to a counter. */
     virtual void count(const std::string &name, const std::string &label, double amount) = 0;
+
+    /** @brief Adds a time to a histogram. */
+    virtual void observe(const std::string &name, const std::string &label, absl::Duration time) = 0;
 };
 
 } // namespace snipeferry::gateway
--- a/include/snipeferry/gateway/repeatbudget.h
+++ b/include/snipeferry/gateway/repeatbudget.h
@@ -35,6 +35,9 @@
     /** @brief Takes the right to send one request of the service once more. */
     bool tryTake(const core::ServiceId &service);
 
+    /** @brief How many more requests of the service may be sent once more now. */
+    double left(const core::ServiceId &service);
+
 private:
     struct Counter
     {
@@ -43,6 +46,7 @@
     };
 
     void forget(Counter &counter) const;
+    double permitted(const Counter &counter) const;
 
     RepeatBudgetSettings m_settings;
     core::TimerService &m_timers;
--- a/include/snipeferry/net/stdoutjournal.h
+++ b/include/snipeferry/net/stdoutjournal.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "snipeferry/gateway/ports.h"
+#include "snipeferry/gateway/reading.h"
 #include "snipeferry/net/eventloop.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
 #include <set>
@@ -29,6 +31,7 @@
 
     void log(const core::LogEvent &event) override;
     void count(const std::string &name, const std::string &label, double amount) override;
+    void observe(const std::string &name, const std::string &label, absl::Duration time) override;
 
     /** @brief Replaces the bound on lines of one kind. */
     void setLinesPerSecond(int lines);
@@ -36,8 +39,8 @@
     /** @brief Sets a value of the metrics page. */
     void gauge(const std::string &name, double value);
 
-    /** @brief The metrics page in the text format of Prometheus. */
-    std::string metricsPage() const;
+    /** @brief The metrics page in the text format of Prometheus; readings are values of this moment. */
+    std::string metricsPage(const std::vector<gateway::Reading> &readings = {}) const;
 
     /** @brief Writes what is buffered, as far as the reader takes it. */
     void flush();
@@ -51,6 +54,8 @@
 
     void startSecond();
     void append(const core::LogEvent &event);
+    /** A label of a metric, or "other" where it has too many already. */
+    std::string boundedLabel(const std::string &name, const std::string &label);
 
     EventLoop &m_loop;
     JournalSettings m_settings;
@@ -60,6 +65,7 @@
     absl::flat_hash_map<std::string, Kind> m_kinds;
     prometheus::Registry m_registry;
     absl::flat_hash_map<std::string, prometheus::Family<prometheus::Counter> *> m_counters;
+    absl::flat_hash_map<std::string, prometheus::Family<prometheus::Histogram> *> m_histograms;
     absl::flat_hash_map<std::string, std::set<std::string>> m_labels;
     absl::flat_hash_map<std::string, prometheus::Family<prometheus::Gauge> *> m_gauges;
     core::Subscription m_flushTimer;
--- a/source/gateway/allowancebook.cpp
+++ b/source/gateway/allowancebook.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/** Part of a full bucket that a customer has who is new to a running process; others may know it for longer. */
-constexpr double NEW_CUSTOMER_FILL = 0.5;
+/** Part of a full bucket to start with: nobody knows what was spent before. A process that was down did not refill its part meanwhile. */
+constexpr double START_FILL = 0.5;
 /** A started process that knows no other instance waits this long for them; announcements that lapsed are back in the store by then. */
 constexpr absl::Duration START_PAUSE = absl::Seconds(2);
 /** Demand is averaged over about this time. */
@@ -62,8 +62,8 @@
             bucket = before->second;
             bucket.balance = std::min(bucket.balance, burst);
         } else {
-            // A started process cannot know what the one before it spent, nor among how many the rate is split: it has nothing.
-            bucket.balance = m_isConfigured ? NEW_CUSTOMER_FILL * burst / count : 0.0;
+            // A started process has nothing until it knows among how many the rate is split.
+            bucket.balance = m_isFleetKnown ? START_FILL * burst / count : 0.0;
             bucket.updatedAt = m_timers.now();
             bucket.demandUpdatedAt = m_timers.now();
         }
@@ -72,7 +72,6 @@
         buckets.emplace(customer.id, bucket);
     }
     m_buckets = std::move(buckets);
-    m_isConfigured = true;
 }
 
 void AllowanceBook::setInstanceCount(int count)
@@ -84,11 +83,26 @@
     if (m_pendingCount >= m_count) {
         m_count = m_pendingCount;
         m_shrinkAt = absl::InfiniteFuture();
+        if (m_count > 1) {
+            learnFleet();
+        }
     } else if (m_shrinkAt == absl::InfiniteFuture()) {
         m_shrinkAt = m_timers.now() + SHRINK_DELAY;
     }
 }
 
+void AllowanceBook::learnFleet()
+{
+    if (m_isFleetKnown) {
+        return;
+    }
+    m_isFleetKnown = true;
+    for (auto &entry : m_buckets) {
+        entry.second.updatedAt = m_timers.now();
+        entry.second.balance = std::max(entry.second.balance, START_FILL * entry.second.burst / m_count);
+    }
+}
+
 void AllowanceBook::shrinkBalances(double share)
 {
     // What had been this instance's is now also its newly known neighbours', who refilled their own parts all the while.
@@ -112,10 +126,13 @@
 void AllowanceBook::refill(Bucket &bucket)
 {
     const absl::Time now = m_timers.now();
+    if (!m_isFleetKnown && now >= m_startedAt + START_PAUSE) {
+        learnFleet();
+    }
     const double seconds = absl::ToDoubleSeconds(now - bucket.updatedAt);
     bucket.updatedAt = now;
     const int count = instanceCount();
-    if (count < 2 && now < m_startedAt + START_PAUSE) {
+    if (!m_isFleetKnown) {
         return;
     }
     // Received tokens may lie above this instance's own part; they stay, but nothing is added to them.
--- a/source/gateway/repeatbudget.cpp
+++ b/source/gateway/repeatbudget.cpp
@@ -40,12 +40,23 @@
     counter.requests.push_back(m_timers.now());
 }
 
+double RepeatBudget::permitted(const Counter &counter) const
+{
+    return USED_PART * (m_settings.share * static_cast<double>(counter.requests.size()) + m_settings.slack / m_count);
+}
+
+double RepeatBudget::left(const core::ServiceId &service)
+{
+    Counter &counter = m_counters[service];
+    forget(counter);
+    return permitted(counter) - static_cast<double>(counter.repeats.size());
+}
+
 bool RepeatBudget::tryTake(const core::ServiceId &service)
 {
     Counter &counter = m_counters[service];
     forget(counter);
-    const double permitted = USED_PART * (m_settings.share * static_cast<double>(counter.requests.size()) + m_settings.slack / m_count);
-    if (static_cast<double>(counter.repeats.size()) + 1 > permitted) {
+    if (static_cast<double>(counter.repeats.size()) + 1 > permitted(counter)) {
         return false;
     }
     counter.repeats.push_back(m_timers.now());
--- a/source/gateway/requestanswer.cpp
+++ b/source/gateway/requestanswer.cpp
@@ -45,6 +45,7 @@
         endRun(*open, RunEnd::ServerError);
         ++open->runs;
         open->mayHaveRun = true;
+        m_parts.journal.count("requests_repeated_total", "server_error", 1);
         m_parts.journal.log(event("run_repeated", *open).with("server", open->server.value()).with("status", absl::StrCat(head.status)));
         // Another place first; the same one again is better than none.
         (open->server.isEmpty() ? open->excludedInstances.push_back(open->instance) : open->excludedServers.push_back(open->server));
@@ -91,6 +92,7 @@
     if (!open->isAnswering) {
         open->isAnswering = true;
         open->firstAnswer = now - open->runStartedAt;
+        m_parts.journal.observe("first_answer_seconds", open->route.name, now - open->arrivedAt);
         if (!open->server.isEmpty()) {
             m_parts.backends.answered(open->server, open->priority, open->unreadTokens, now - open->runStartedAt);
         }
@@ -156,6 +158,7 @@
                             .with("sends", absl::StrCat(open.sends))
                             .with("total_ms", absl::StrCat(absl::ToInt64Milliseconds(m_parts.timers.now() - open.arrivedAt))));
     m_parts.journal.count("requests_answered_total", open.route.name, 1);
+    m_parts.journal.observe("request_seconds", open.route.name, m_parts.timers.now() - open.arrivedAt);
     close(open.number);
 }
 
--- a/source/gateway/requestplacement.cpp
+++ b/source/gateway/requestplacement.cpp
@@ -134,6 +134,9 @@
                             .with("estimate_ms", absl::StrCat(absl::ToInt64Milliseconds(choice.estimate)))
                             .with("unread_tokens", absl::StrCat(choice.unreadTokens))
                             .with("memory_source", choice.memorySource));
+    m_parts.journal.count("runs_started_total", open.service.value(), 1);
+    m_parts.journal.count("prompt_tokens_total", "unread", static_cast<double>(choice.unreadTokens));
+    m_parts.journal.count("prompt_tokens_total", "kept", static_cast<double>(std::max<std::int64_t>(0, open.request.promptTokens - choice.unreadTokens)));
     m_parts.runs.start(open.run, *m_parts.backends.find(choice.server), request, open.request.id, mayRepeat(open));
 }
 
@@ -252,6 +255,7 @@
     const bool isPermitted = !mayHaveRun || (mayRepeat(open) && open.runs < open.route.maxAttempts);
     const bool isInTime = open.sends < MAX_SENDS && open.deadline > m_parts.timers.now();
     if (isPermitted && isInTime && m_parts.repeats.tryTake(open.service)) {
+        m_parts.journal.count("requests_repeated_total", mayHaveRun ? "may_have_run" : "not_run", 1);
         const core::Expected<void> placed = place(open);
         if (placed) {
             return;
@@ -275,6 +279,7 @@
         return false;
     }
     open.events.dropPartial();
+    m_parts.journal.count("requests_repeated_total", "resumed", 1);
     return place(open).has_value();
 }
 
--- a/source/net/gatewayprocess.cpp
+++ b/source/net/gatewayprocess.cpp
@@ -85,7 +85,7 @@
       m_readiness(m_loop, [this](const gateway::HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) { answerReadiness(request, *exchange); }),
       m_metrics(m_loop,
           [this](const gateway::HttpRequest & /*request*/, const std::shared_ptr<HttpExchange> &exchange) {
-              exchange->answer({HTTP_OK, {{"Content-Type", "text/plain; version=0.0.4"}}}, m_journal.metricsPage());
+              exchange->answer({HTTP_OK, {{"Content-Type", "text/plain; version=0.0.4"}}}, m_journal.metricsPage(m_gateway->readings()));
           }),
       m_signals(m_loop.context(), SIGTERM, SIGINT, SIGHUP)
 {
--- a/source/net/stdoutjournal.cpp
+++ b/source/net/stdoutjournal.cpp
@@ -17,6 +17,14 @@
 /** Prefix of all names on the metrics page. */
 constexpr const char *METRIC_PREFIX = "snipeferry_";
 
+/** In seconds; objectives of callers lie between 0.3 and 2. */
+const prometheus::Histogram::BucketBoundaries HISTOGRAM_BOUNDS = {0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4, 8, 15};
+
+prometheus::Labels labelsOf(const std::string &label)
+{
+    return label.empty() ? prometheus::Labels() : prometheus::Labels{{"label", label}};
+}
+
 /** Events that somebody should look at carry a level; all others are information. */
 const char *levelOf(const std::string &event)
 {
@@ -107,14 +115,26 @@
     if (family == nullptr) {
         family = &prometheus::BuildCounter().Name(METRIC_PREFIX + name).Register(m_registry);
     }
+    family->Add(labelsOf(boundedLabel(name, label))).Increment(amount);
+}
+
+void StdoutJournal::observe(const std::string &name, const std::string &label, absl::Duration time)
+{
+    prometheus::Family<prometheus::Histogram> *&family = m_histograms[name];
+    if (family == nullptr) {
+        family = &prometheus::BuildHistogram().Name(METRIC_PREFIX + name).Register(m_registry);
+    }
+    family->Add(labelsOf(boundedLabel(name, label)), HISTOGRAM_BOUNDS).Observe(absl::ToDoubleSeconds(time));
+}
+
+std::string StdoutJournal::boundedLabel(const std::string &name, const std::string &label)
+{
     std::set<std::string> &labels = m_labels[name];
-    const bool isKnown = labels.count(label) > 0;
-    const bool hasRoom = labels.size() < MAX_LABELS;
-    if (!isKnown && hasRoom) {
-        labels.insert(label);
+    if (labels.count(label) == 0 && labels.size() >= MAX_LABELS) {
+        return "other";
     }
-    const std::string bounded = isKnown || hasRoom ? label : "other";
-    family->Add(bounded.empty() ? prometheus::Labels() : prometheus::Labels{{"label", bounded}}).Increment(amount);
+    labels.insert(label);
+    return label;
 }
 
 void StdoutJournal::gauge(const std::string &name, double value)
@@ -126,9 +146,17 @@
     family->Add({}).Set(value);
 }
 
-std::string StdoutJournal::metricsPage() const
+std::string StdoutJournal::metricsPage(const std::vector<gateway::Reading> &readings) const
 {
-    return prometheus::TextSerializer().Serialize(m_registry.Collect());
+    // Readings live for one page only, so that what is gone leaves no last value behind.
+    prometheus::Registry moment;
+    for (const gateway::Reading &reading : readings) {
+        prometheus::BuildGauge().Name(METRIC_PREFIX + reading.name).Register(moment).Add(labelsOf(reading.label)).Set(reading.value);
+    }
+    std::vector<prometheus::MetricFamily> families = m_registry.Collect();
+    const std::vector<prometheus::MetricFamily> readingFamilies = moment.Collect();
+    families.insert(families.end(), readingFamilies.begin(), readingFamilies.end());
+    return prometheus::TextSerializer().Serialize(families);
 }
 
 } // namespace snipeferry::net
--- a/source/net/storeclient.cpp
+++ b/source/net/storeclient.cpp
@@ -238,20 +238,23 @@
     void call(const gateway::HttpRequest &request, const std::string &name, std::function<void(const CallAnswer &)> done, Step again)
     {
         m_journal.count("store_calls_total", name, 1);
-        m_caller->call(request, READ_TIMEOUT, [self = shared_from_this(), done = std::move(done), again, name](const core::Expected<CallAnswer> &answer) {
-            if (self->m_isWithdrawn) {
-                return;
-            }
-            if (answer && (answer->status == HTTP_OK || answer->status == HTTP_NOT_FOUND)) {
-                self->m_backoff.reset();
-                done(*answer);
-                return;
-            }
-            self->m_journal.log(core::LogEvent{"store_call_failed", {}}
-                                    .with("call", name)
-                                    .with("reason", answer ? absl::StrCat("status_", answer->status) : answer.error().message));
-            self->after(self->m_backoff.next(), again);
-        });
+        const absl::Time startedAt = m_loop.timers().now();
+        m_caller->call(
+            request, READ_TIMEOUT, [self = shared_from_this(), done = std::move(done), again, name, startedAt](const core::Expected<CallAnswer> &answer) {
+                if (self->m_isWithdrawn) {
+                    return;
+                }
+                self->m_journal.observe("store_call_seconds", name, self->m_loop.timers().now() - startedAt);
+                if (answer && (answer->status == HTTP_OK || answer->status == HTTP_NOT_FOUND)) {
+                    self->m_backoff.reset();
+                    done(*answer);
+                    return;
+                }
+                self->m_journal.log(core::LogEvent{"store_call_failed", {}}
+                                        .with("call", name)
+                                        .with("reason", answer ? absl::StrCat("status_", answer->status) : answer.error().message));
+                self->after(self->m_backoff.next(), again);
+            });
     }
 
     void after(absl::Duration pause, Step step)
--- a/tests/gateway/fixture.h
+++ b/tests/gateway/fixture.h
@@ -208,8 +208,14 @@
         counts[name] += amount;
     }
 
+    void observe(const std::string &name, const std::string & /*label*/, absl::Duration time) override
+    {
+        times[name].push_back(time);
+    }
+
     std::vector<std::string> lines;
     std::map<std::string, double> counts;
+    std::map<std::string, std::vector<absl::Duration>> times;
 };
 
 /** What one caller got. */
--- a/tests/users-platform/storetest.cpp
+++ b/tests/users-platform/storetest.cpp
@@ -173,5 +173,25 @@
     CHECK(answer.status == 200);
     CHECK(absl::StrContains(answer.body, fixture.addresses().callers));
     CHECK(absl::StrContains(answer.body, "\"ttlS\""));
-    CHECK(fixture.get(fixture.addresses().metrics, "/metrics").status == 200);
+}
+
+TEST_CASE("the metrics page tells of requests, queues, budgets, allowances, and each dependency's age")
+{
+    UsersFixture fixture;
+    fixture.manifest.tenants[0].rate = 5000;
+    fixture.confirmManifest();
+    fixture.startGateway();
+    REQUIRE(fixture.servesWithin(PLAIN_START_LIMIT));
+    fixture.ask("/stock/x", "k-nobody");
+    const http::ClientAnswer page = fixture.get(fixture.addresses().metrics, "/metrics");
+    REQUIRE(page.status == 200);
+    for (const char *line : {"snipeferry_requests_answered_total{label=\"r-sto\"}", "snipeferry_requests_refused_total{label=\"unknown_key\"} 1",
+             "snipeferry_request_seconds_bucket{label=\"r-pla\",le=", "snipeferry_first_answer_seconds_sum{label=\"r-ans\"}",
+             "snipeferry_store_call_seconds_count{label=\"announce\"}", "snipeferry_store_calls_total{label=\"watch\"}",
+             "snipeferry_topic_age_seconds{label=\"operator\"}", "snipeferry_backend_servers_working{label=\"engine\"} 2",
+             "snipeferry_queue_wait_seconds{label=\"booking\"}", "snipeferry_repeats_left{label=\"booking\"}", "snipeferry_allowance_tokens{label=\"bar\"}",
+             "snipeferry_prompt_tokens_total{label=\"unread\"}", "snipeferry_ready 1", "snipeferry_store_reachable 1"}) {
+        INFO(line);
+        CHECK(absl::StrContains(page.body, line));
+    }
 }
