Read servers and instances some seconds old at a start, and gather their changes for half a second

By count: 165 starts of five calls each, and three readers whose watches of backend servers return up to five times a second while servers crash and come back. Change: the first reading of servers and instances allows an answer that is seconds old, which costs a tenth; its age counts as 2 s, so that news of others or an own watch follow. What the operator wrote is read as it is, and so is everything after a lost history. Changes of servers and instances are gathered for 500 ms instead of 200.

--- a/include/snipeferry/net/storeformat.h
+++ b/include/snipeferry/net/storeformat.h
@@ -39,8 +39,8 @@
 public:
     virtual ~StoreFormat() = default;
 
-    /** @brief Reads records of a topic behind a key; empty from the first one. */
-    virtual gateway::HttpRequest readPage(gateway::Topic topic, const std::string &afterKey) const = 0;
+    /** @brief Reads records of a topic behind a key; empty from the first one. @param mayBeOld takes an answer that is seconds old */
+    virtual gateway::HttpRequest readPage(gateway::Topic topic, const std::string &afterKey, bool mayBeOld) const = 0;
     virtual core::Expected<RecordPage> decodePage(const std::string &body) const = 0;
 
     /** @brief Waits for changes of a topic behind a revision. */
--- a/source/net/storeclient.cpp
+++ b/source/net/storeclient.cpp
@@ -20,8 +20,13 @@
 constexpr absl::Duration TURN_CHECK_PERIOD = absl::Milliseconds(200);
 /** Way to the store and back, to another region at most. */
 constexpr absl::Duration ON_TIME = absl::Milliseconds(200);
-/** Backend servers and instances change often in a large fleet; changes that follow each other come in one answer. */
-constexpr absl::Duration GATHERING_TIME = absl::Milliseconds(200);
+/**
+ * Backend servers and instances change often in a large fleet; changes that follow each other come in one answer. Three seconds
+ * are left for a backend server that drains, and what requests show counts before that.
+ */
+constexpr absl::Duration GATHERING_TIME = absl::Milliseconds(500);
+/** The first reading may be this old. It costs the store a tenth; what changed since comes from others, or from the first watch. */
+constexpr absl::Duration FIRST_READING_AGE = absl::Seconds(2);
 constexpr int HTTP_OK = 200;
 constexpr int HTTP_NOT_FOUND = 404;
 constexpr int HTTP_GONE = 410;
@@ -75,6 +80,8 @@
 
     void start()
     {
+        // What vouches for keys and routes is read as it is.
+        m_mayBeOld = m_topic != gateway::Topic::Operator;
         readAll();
     }
 
@@ -90,7 +97,7 @@
     void readPage(const std::string &afterKey)
     {
         m_journal.count("store_calls_total", "read", 1);
-        m_caller->call(m_format.readPage(m_topic, afterKey), READ_TIMEOUT,
+        m_caller->call(m_format.readPage(m_topic, afterKey, m_mayBeOld), READ_TIMEOUT,
             [self = shared_from_this()](const core::Expected<CallAnswer> &answer) { self->pageRead(answer); });
     }
 
@@ -113,7 +120,8 @@
             readPage(page->records.back().key);
             return;
         }
-        m_gateway.topicRead(m_topic, m_records, m_revision, m_startedAt);
+        m_gateway.topicRead(m_topic, m_records, m_revision, m_mayBeOld ? m_startedAt - FIRST_READING_AGE : m_startedAt);
+        m_mayBeOld = false;
         m_records.clear();
         m_records.shrink_to_fit();
         watch();
@@ -195,6 +203,7 @@
     Backoff m_backoff;
     std::vector<gateway::Record> m_records;
     core::Revision m_revision = 0;
+    bool m_mayBeOld = false;
     absl::Time m_startedAt;
     core::Subscription m_pause;
 };
--- a/tests/net/storeclienttest.cpp
+++ b/tests/net/storeclienttest.cpp
@@ -45,6 +45,8 @@
         const std::string call = read.substr(begin, read.find('\r', begin) - begin);
         if (absl::StrContains(call, "kv-range")) {
             ++reads;
+            oldReads += absl::StrContains(call, "allowStale=1") ? 1 : 0;
+            oldOperatorReads += absl::StrContains(call, "prefix=op/&allowStale") ? 1 : 0;
             const bool isServers = absl::StrContains(call, "prefix=servers/");
             const std::string items
                 = isServers ? absl::StrCat(R"({"key":"servers/i-1","value":")", absl::Base64Escape(SERVER), R"(","rev":3})") : std::string();
@@ -103,6 +105,8 @@
     int faultsLeft = 0;
     bool isLeaseLost = false;
     int reads = 0;
+    int oldReads = 0;
+    int oldOperatorReads = 0;
     int watches = 0;
     int leases = 0;
     int renewals = 0;
@@ -166,6 +170,9 @@
     fixture.start();
     REQUIRE(fixture.until([&] { return fixture.store.writes == 1 && fixture.gateway.revision(gateway::Topic::Members) == 5; }));
     CHECK(fixture.store.reads == 3);
+    // The first reading of servers and instances may be some seconds old and costs a tenth; the operator's word may not.
+    CHECK(fixture.store.oldReads == 2);
+    CHECK(fixture.store.oldOperatorReads == 0);
     CHECK(fixture.store.leases == 1);
     CHECK(fixture.gateway.hasRecord(gateway::Topic::BackendServers, "servers/i-1"));
 }
@@ -187,6 +194,7 @@
     fixture.store.faultsLeft = 2;
     fixture.start();
     CHECK(fixture.until([&] { return fixture.store.reads >= 5; }));
+    CHECK(fixture.store.oldReads == 2);
 }
 
 TEST_CASE("a lease that ended is opened again, and the announcement written again")
--- a/tests/platform-adapter/adaptertest.cpp
+++ b/tests/platform-adapter/adaptertest.cpp
@@ -171,8 +171,9 @@
 
 TEST_CASE("the store's calls are spelled as its page says")
 {
-    CHECK(STORE.readPage(gateway::Topic::BackendServers, "").target == "/api/kv-range?prefix=servers/");
-    CHECK(STORE.readPage(gateway::Topic::BackendServers, "servers/a b").target == "/api/kv-range?prefix=servers/&after=servers/a%20b");
+    CHECK(STORE.readPage(gateway::Topic::BackendServers, "", false).target == "/api/kv-range?prefix=servers/");
+    CHECK(STORE.readPage(gateway::Topic::BackendServers, "servers/a b", false).target == "/api/kv-range?prefix=servers/&after=servers/a%20b");
+    CHECK(STORE.readPage(gateway::Topic::BackendServers, "", true).target == "/api/kv-range?prefix=servers/&allowStale=1");
     CHECK(STORE.awaitChanges(gateway::Topic::Operator, 411, absl::Seconds(2)).target == "/api/kv-watch?prefix=op/&after=411&waitMs=2000");
     CHECK(STORE.openLease(absl::Seconds(3)).body == R"({"ttlMs":3000})");
     CHECK(STORE.renewLease({"77", {}}).target == "/api/kv-keep/77");
