--- a/bench/decisions/decisionbench.cpp
+++ b/bench/decisions/decisionbench.cpp
@@ -28,7 +28,7 @@
     template<typename Decision>
     void measure(Decision decision)
     {
-        const auto begin = std::chrono::steady_clock::now();
+        const std::chrono::steady_clock::time_point begin = std::chrono::steady_clock::now();
         decision();
         m_nanoseconds.push_back(std::chrono::duration<double, std::nano>(std::chrono::steady_clock::now() - begin).count());
     }
--- a/bench/policies/ferrypolicy.cpp
+++ b/bench/policies/ferrypolicy.cpp
@@ -411,11 +411,11 @@
     void carryOut(Instance &instance)
     {
         for (const messages::Action &action : instance.outbox.take()) {
-            if (const auto *send = std::get_if<messages::SendToPeer>(&action)) {
+            if (const messages::SendToPeer *send = std::get_if<messages::SendToPeer>(&action)) {
                 Instance &target = *m_instances[static_cast<std::size_t>(std::stoi(send->to.value().substr(1)))];
                 m_world.transfer(instance.region, target.region, 8000,
                     [&target, message = messages::PeerReceived{instance.self.id, send->message}] { target.ledger.handle(message); });
-            } else if (const auto *call = std::get_if<platform::Call>(&action)) {
+            } else if (const platform::Call *call = std::get_if<platform::Call>(&action)) {
                 callPlatform(instance, *call);
             }
         }
@@ -427,7 +427,7 @@
         reply.id = call.id;
         if (!m_world.isCut(instance.region, 0)) {
             reply.outcome = platform::Outcome::Answered;
-            const auto *transaction = std::get_if<platform::Transaction>(&call.request);
+            const platform::Transaction *transaction = std::get_if<platform::Transaction>(&call.request);
             if (transaction != nullptr) {
                 platform::KeyValue &stored = m_store[transaction->writes.front().key];
                 reply.succeeded = stored.modRevision == transaction->conditions.front().modRevision;
--- a/source/gateway/gatewayfleet.cpp
+++ b/source/gateway/gatewayfleet.cpp
@@ -124,7 +124,7 @@
     m_backends.memory().noteByOthers(message.readParts);
     // What a peer heard from the store counts here too, from the moment at which it surely held.
     for (const TopicState &state : message.topics) {
-        const auto index = static_cast<std::size_t>(state.topic);
+        const std::size_t index = static_cast<std::size_t>(state.topic);
         if (index >= m_mirrors.size()) {
             continue;
         }
@@ -179,7 +179,7 @@
 
 void Gateway::handle(const core::InstanceId &from, const RecordsRequest &message)
 {
-    const auto index = static_cast<std::size_t>(message.topic);
+    const std::size_t index = static_cast<std::size_t>(message.topic);
     if (index >= m_mirrors.size() || !m_mirrors[index].isLoaded() || m_mirrors[index].changeRevision() <= message.after) {
         return;
     }
@@ -188,7 +188,7 @@
 
 void Gateway::handle(const core::InstanceId &from, const RecordsTransfer &message)
 {
-    const auto index = static_cast<std::size_t>(message.topic);
+    const std::size_t index = static_cast<std::size_t>(message.topic);
     if (index >= m_mirrors.size()) {
         return;
     }
@@ -203,7 +203,7 @@
 
 void Gateway::handle(const core::InstanceId &from, const RecordsUpdate &message)
 {
-    const auto index = static_cast<std::size_t>(message.topic);
+    const std::size_t index = static_cast<std::size_t>(message.topic);
     if (index >= m_mirrors.size()) {
         return;
     }
--- a/source/peak/peakledger.cpp
+++ b/source/peak/peakledger.cpp
@@ -197,7 +197,7 @@
 
     void handle(const messages::PeerReceived &event)
     {
-        const auto *report = std::get_if<LedgerReport>(&event.message);
+        const LedgerReport *report = std::get_if<LedgerReport>(&event.message);
         if (report != nullptr) {
             merge(*report);
         }
--- a/source/platform/gatewaycodec.cpp
+++ b/source/platform/gatewaycodec.cpp
@@ -179,7 +179,7 @@
 std::string prefixEnd(std::string prefix)
 {
     while (!prefix.empty()) {
-        const auto last = static_cast<unsigned char>(prefix.back());
+        const unsigned char last = static_cast<unsigned char>(prefix.back());
         if (last < 0xff) {
             prefix.back() = static_cast<char>(last + 1);
             return prefix;
--- a/standins/support/fakeplatform.cpp
+++ b/standins/support/fakeplatform.cpp
@@ -226,7 +226,7 @@
             }
         }
         // A start revision names the first change that is wanted.
-        auto cursor = std::make_shared<std::int64_t>(wanted.startRevision - 1);
+        std::shared_ptr<std::int64_t> cursor = std::make_shared<std::int64_t>(wanted.startRevision - 1);
         response.set_chunked_content_provider(JSON_TYPE, [this, wanted, cursor](std::size_t, httplib::DataSink &sink) {
             const std::string line = nextWatchLine(wanted.prefix, *cursor);
             return !line.empty() && sink.write(line.data(), line.size());
--- a/tests/concurrent-configuration/racingoperatorstest.cpp
+++ b/tests/concurrent-configuration/racingoperatorstest.cpp
@@ -60,7 +60,7 @@
 
     void take(const messages::Event &event)
     {
-        if (const auto *replied = std::get_if<messages::PlatformReplied>(&event)) {
+        if (const messages::PlatformReplied *replied = std::get_if<messages::PlatformReplied>(&event)) {
             m_reply = replied->reply;
             m_loop.stop();
         }
--- a/tests/concurrent-platform/platformclienttest.cpp
+++ b/tests/concurrent-platform/platformclienttest.cpp
@@ -42,7 +42,7 @@
         platform::Reply found;
         const bool hasReply = waitFor([&](const std::vector<messages::Event> &events) {
             for (const messages::Event &event : events) {
-                const auto *replied = std::get_if<messages::PlatformReplied>(&event);
+                const messages::PlatformReplied *replied = std::get_if<messages::PlatformReplied>(&event);
                 if (replied != nullptr && replied->reply.id == id) {
                     found = replied->reply;
                     return true;
@@ -59,7 +59,7 @@
         return waitFor([&](const std::vector<messages::Event> &events) {
             std::optional<std::string> last = "not seen";
             for (const messages::Event &event : events) {
-                const auto *watched = std::get_if<messages::PlatformWatched>(&event);
+                const messages::PlatformWatched *watched = std::get_if<messages::PlatformWatched>(&event);
                 if (watched != nullptr && watched->event.key == key) {
                     last = watched->event.value;
                 }
@@ -266,7 +266,7 @@
 
     std::map<std::string, std::int64_t> latest;
     for (const messages::Event &event : mailbox.events()) {
-        if (const auto *watched = std::get_if<messages::PlatformWatched>(&event)) {
+        if (const messages::PlatformWatched *watched = std::get_if<messages::PlatformWatched>(&event)) {
             CHECK(watched->event.modRevision > latest[watched->event.key]);
             latest[watched->event.key] = watched->event.modRevision;
         }
@@ -290,7 +290,7 @@
             .dump());
     const bool isSeen = mailbox.waitFor([&](const std::vector<messages::Event> &events) {
         for (const messages::Event &event : events) {
-            const auto *changed = std::get_if<messages::DirectoryChanged>(&event);
+            const messages::DirectoryChanged *changed = std::get_if<messages::DirectoryChanged>(&event);
             const platform::DirectorySnapshot wanted{{server}, {instance}};
             if (changed != nullptr && changed->snapshot == wanted) {
                 return true;
--- a/tests/configuration/fleet.cpp
+++ b/tests/configuration/fleet.cpp
@@ -182,9 +182,9 @@
 void Fleet::carryOut(std::size_t index)
 {
     for (const messages::Action &action : m_instances[index]->outbox.take()) {
-        if (const auto *send = std::get_if<messages::SendToPeer>(&action)) {
+        if (const messages::SendToPeer *send = std::get_if<messages::SendToPeer>(&action)) {
             sendToPeer(index, *send);
-        } else if (const auto *call = std::get_if<platform::Call>(&action)) {
+        } else if (const platform::Call *call = std::get_if<platform::Call>(&action)) {
             callPlatform(index, *call);
         }
     }
@@ -192,7 +192,7 @@
 
 void Fleet::sendToPeer(std::size_t from, const messages::SendToPeer &action)
 {
-    const auto to = static_cast<std::size_t>(std::stoul(action.to.value().substr(1)));
+    const std::size_t to = static_cast<std::size_t>(std::stoul(action.to.value().substr(1)));
     const int copies = m_duplicates && chance(0.3) ? 2 : 1;
     for (int copy = 0; copy < copies; ++copy) {
         later([this, from, to, message = action.message] {
@@ -248,7 +248,7 @@
 
 void Fleet::startOperator()
 {
-    const auto worker = std::make_shared<Operator>();
+    const std::shared_ptr<Operator> worker = std::make_shared<Operator>();
     worker->nonce = "n" + std::to_string(++m_operators);
     stepOperator(worker);
 }
--- a/tests/peak/peakledgertest.cpp
+++ b/tests/peak/peakledgertest.cpp
@@ -84,14 +84,14 @@
     {
         for (const auto &member : members) {
             for (const messages::Action &action : member->outbox.take()) {
-                if (const auto *send = std::get_if<messages::SendToPeer>(&action)) {
+                if (const messages::SendToPeer *send = std::get_if<messages::SendToPeer>(&action)) {
                     for (const auto &other : members) {
                         if (other->self.id == send->to) {
                             other->ledger->handle(messages::PeerReceived{member->self.id, send->message});
                         }
                     }
                 }
-                if (const auto *call = std::get_if<platform::Call>(&action)) {
+                if (const platform::Call *call = std::get_if<platform::Call>(&action)) {
                     member->ledger->handle(messages::PlatformReplied{answer(*call)});
                 }
             }
@@ -106,7 +106,7 @@
             return reply;
         }
         reply.outcome = platform::Outcome::Answered;
-        const auto *transaction = std::get_if<platform::Transaction>(&call.request);
+        const platform::Transaction *transaction = std::get_if<platform::Transaction>(&call.request);
         if (transaction == nullptr) {
             for (const auto &entry : store) {
                 reply.values.push_back(entry.second);
