Mend what clang-tidy finds in the stand-ins and their tests

Cause: eleven findings in the new files (copies that are not needed since the timer service keeps its callback alive, comparisons with empty lists, a parameter by value). Ruled out: none is an exception to make. Change: those lines; tests say what was wrong in messages of their own.

--- a/standins/users/faultproxy.cpp
+++ b/standins/users/faultproxy.cpp
@@ -223,7 +223,7 @@
     });
 }
 
-FaultProxy::FaultProxy(net::EventLoop &loop, std::string target, const std::string &listenAddress)
+FaultProxy::FaultProxy(net::EventLoop &loop, const std::string &target, const std::string &listenAddress)
     : m_impl(std::make_shared<Impl>(loop, target, listenAddress))
 {
     const Tcp::endpoint endpoint = m_impl->acceptor.local_endpoint();
--- a/standins/users/faultproxy.h
+++ b/standins/users/faultproxy.h
@@ -23,7 +23,7 @@
 class FaultProxy
 {
 public:
-    FaultProxy(net::EventLoop &loop, std::string target, const std::string &listenAddress = "127.0.0.1:0");
+    FaultProxy(net::EventLoop &loop, const std::string &target, const std::string &listenAddress = "127.0.0.1:0");
     ~FaultProxy();
     FaultProxy(const FaultProxy &) = delete;
     FaultProxy &operator=(const FaultProxy &) = delete;
--- a/standins/users/usersrunner.cpp
+++ b/standins/users/usersrunner.cpp
@@ -198,28 +198,27 @@
     int last = 0;
     run->nextEvent = absl::SimpleAtoi(headerOf(seen.request, "Last-Event-Id"), &last) ? last + 1 : 1;
     run->timer = m_loop.timers().after(slowed(m_settings.workTime), [this, run] {
-        const std::shared_ptr<Run> kept = run;
         switch (m_fault) {
         case RunnerFault::Silent:
             return;
         case RunnerFault::AnswerLost:
-            kept->exchange->breakOff();
-            finish(kept, false);
+            run->exchange->breakOff();
+            finish(run, false);
             return;
         case RunnerFault::Failure:
-            kept->exchange->answer(headFor(*kept, FAILURE), "failed");
-            finish(kept, false);
+            run->exchange->answer(headFor(*run, FAILURE), "failed");
+            finish(run, false);
             return;
         default:
             break;
         }
-        if (kept->lastEvent == 0) {
-            kept->exchange->answer(headFor(*kept, OK), wholeBodyOf(headerOf(kept->seen->request, "Attempt-Id")));
-            finish(kept, true);
+        if (run->lastEvent == 0) {
+            run->exchange->answer(headFor(*run, OK), wholeBodyOf(headerOf(run->seen->request, "Attempt-Id")));
+            finish(run, true);
             return;
         }
-        kept->exchange->begin(headFor(*kept, OK));
-        sendEvent(kept);
+        run->exchange->begin(headFor(*run, OK));
+        sendEvent(run);
     });
 }
 
@@ -239,10 +238,7 @@
     }
     run->exchange->data(text);
     ++run->nextEvent;
-    run->timer = m_loop.timers().after(slowed(m_settings.eventGap), [this, run] {
-        const std::shared_ptr<Run> kept = run;
-        sendEvent(kept);
-    });
+    run->timer = m_loop.timers().after(slowed(m_settings.eventGap), [this, run] { sendEvent(run); });
 }
 
 void UsersRunner::finish(const std::shared_ptr<Run> &run, bool isComplete)
--- a/tests/concurrent-http/callerservertest.cpp
+++ b/tests/concurrent-http/callerservertest.cpp
@@ -97,7 +97,8 @@
     for (std::thread &caller : callers) {
         caller.join();
     }
-    CHECK(wrong == std::vector<std::string>());
+    CAPTURE(wrong);
+    CHECK(wrong.empty());
     CHECK(gateway.record().arrived == CALLERS * CALLS);
 }
 
--- a/tests/soak/caller.cpp
+++ b/tests/soak/caller.cpp
@@ -47,10 +47,8 @@
     m_seen.sentAt = m_loop.timers().now();
     m_text = requestText();
     const bool leavesEarly = m_leaveAfter < m_seen.timeLimit;
-    m_timer = m_loop.timers().after(leavesEarly ? m_leaveAfter : m_seen.timeLimit + PATIENCE, [self = shared_from_this(), leavesEarly] {
-        const std::shared_ptr<Caller> kept = self;
-        kept->leave(!leavesEarly);
-    });
+    m_timer = m_loop.timers().after(
+        leavesEarly ? m_leaveAfter : m_seen.timeLimit + PATIENCE, [self = shared_from_this(), leavesEarly] { self->leave(!leavesEarly); });
 
     // Use a connection that is open already.
     if (!m_kept.empty()) {
--- a/tests/soak/checkerstest.cpp
+++ b/tests/soak/checkerstest.cpp
@@ -205,7 +205,7 @@
 
 TEST_CASE("a sound history breaks no promise of the soak")
 {
-    CHECK(brokenPromises(soundHistory()) == std::vector<std::string>());
+    CHECK(brokenPromises(soundHistory()).empty());
 }
 
 TEST_CASE("each checker of the soak catches a planted fault, and no other checker takes it for its own")
@@ -232,7 +232,7 @@
     History history = soundHistory();
     history.disturbances.push_back({"gw-1", at(90), at(110)});
     history.routesTakenAway.push_back({"/stock/", at(100), at(108)});
-    CHECK(brokenPromises(history) == std::vector<std::string>());
+    CHECK(brokenPromises(history).empty());
     history.keysTakenAway.push_back({"k-bar-1", at(100), at(106)});
     CHECK(brokenPromises(history) == std::vector<std::string>{"a key that was taken away runs nothing"});
 }
--- a/tests/soak/soaktest.cpp
+++ b/tests/soak/soaktest.cpp
@@ -47,7 +47,7 @@
                 std::cout << "  seed " << seed << " VIOLATION " << checker.promise << ": " << lines[i] << "\n";
             }
             INFO("seed " << seed << ": " << checker.promise);
-            CHECK(lines.size() == 0);
+            CHECK(lines.empty());
         }
         if (!isClean) {
             const std::string kept = absl::StrCat("soak-", seed);
--- a/tests/users-platform/runnertest.cpp
+++ b/tests/users-platform/runnertest.cpp
@@ -36,6 +36,15 @@
     return wrong;
 }
 
+/** Shows what is wrong with the first answers, if any. */
+bool noneWrong(const std::vector<std::string> &wrong)
+{
+    for (const std::string &line : wrong) {
+        UNSCOPED_INFO(line);
+    }
+    return wrong.empty();
+}
+
 int served(UsersFixture &fixture, const std::string &path, int count)
 {
     int whole = 0;
@@ -60,7 +69,7 @@
         fixture.runner("i-b1").setFault(fault);
     });
     for (const char *path : {"/plan/x", "/answer/x", "/reserve/x", "/stock/x"}) {
-        CHECK(wrongAnswers(fixture, path, REQUESTS) == std::vector<std::string>());
+        CHECK(noneWrong(wrongAnswers(fixture, path, REQUESTS)));
     }
     // What may run again is served by the other runner.
     CHECK(served(fixture, "/stock/x", REQUESTS) == REQUESTS);
@@ -97,7 +106,7 @@
                 fixture.way(runner).harmAnswers(fault, 2);
             }
         });
-        CHECK(wrongAnswers(fixture, path, REQUESTS) == std::vector<std::string>());
+        CHECK(noneWrong(wrongAnswers(fixture, path, REQUESTS)));
     }
 }
 
@@ -125,7 +134,7 @@
     {
         fixture.onStandins([&] { fixture.way("i-b1").hold(true, false); });
     }
-    CHECK(wrongAnswers(fixture, "/reserve/x", REQUESTS) == std::vector<std::string>());
+    CHECK(noneWrong(wrongAnswers(fixture, "/reserve/x", REQUESTS)));
     CHECK(served(fixture, "/stock/x", REQUESTS) == REQUESTS);
 }
 
