Give the rollout's test a new version beside the old one

Traced: the test ordered a rollout to the version that all its runners had. While a version is on trial three in a hundred requests go to it and the rest anywhere else; with nowhere else 97 in a hundred are refused, and whether five reach the version in 3.8 s is chance. Change: the check is replaced by a stricter one: two runners of a new version beside the old ones, four callers, completed within the time limit, no request unserved meanwhile, and afterwards only the new version runs. The evacuation has its own test.

--- a/tests/users-platform/storetest.cpp
+++ b/tests/users-platform/storetest.cpp
@@ -5,6 +5,9 @@
 #include <absl/time/clock.h>
 #include <catch2/catch.hpp>
 
+#include <atomic>
+#include <thread>
+
 using namespace snipeferry;
 using namespace snipeferry::testing;
 using standins::StoreFault;
@@ -179,28 +182,59 @@
     CHECK(fixture.isWhole("/stock/x", fixture.ask("/stock/x", "k-bar-2")));
 }
 
-TEST_CASE("an evacuated zone gets nothing more, and a rollout is decided and told")
+TEST_CASE("an evacuated zone gets nothing until it is taken back")
 {
     UsersFixture fixture;
     fixture.startGateway();
     REQUIRE(fixture.servesWithin(PLAIN_START_LIMIT));
-    fixture.onStandins([&] { fixture.store().put("op/rollout/booking", R"({"service":"booking","target":"v1","durationS":4})"); });
-    const auto status = [&] {
-        return fixture.onStandins([&] { return fixture.store().value("status/rollout/booking"); }).value_or("");
-    };
-    // Traffic decides; runners of the target answer well.
-    CHECK(fixture.eventually(
-        [&] {
-            fixture.ask("/stock/x");
-            return absl::StrContains(status(), "completed");
-        },
-        absl::Seconds(6)));
     fixture.onStandins([&] { fixture.store().put("op/evacuate/north-1", "{}"); });
     CHECK(fixture.eventually([&] { return fixture.ask("/stock/x").answer.status == 503; }, APPLY_LIMIT));
     fixture.onStandins([&] { fixture.store().remove("op/evacuate/north-1"); });
     CHECK(fixture.eventually([&] { return fixture.isWhole("/stock/x", fixture.ask("/stock/x")); }, APPLY_LIMIT));
 }
 
+TEST_CASE("a good version is told completed by its time limit, at no request's cost, and then gets all of them")
+{
+    constexpr int CALLERS = 4;
+    constexpr absl::Duration TIME_LIMIT = absl::Seconds(8);
+    UsersFixture fixture;
+    fixture.startGateway();
+    REQUIRE(fixture.servesWithin(PLAIN_START_LIMIT));
+    fixture.onStandins([&] {
+        fixture.addRunner("i-b3", standins::UsersManifest::BOOKING, "v2");
+        fixture.addRunner("i-b4", standins::UsersManifest::BOOKING, "v2");
+        fixture.store().put("op/rollout/booking", R"({"service":"booking","target":"v2","durationS":8})");
+    });
+    const auto status = [&] {
+        return fixture.onStandins([&] { return fixture.store().value("status/rollout/booking"); }).value_or("");
+    };
+
+    // Traffic decides; three in a hundred go to the new version, so that some hundreds are needed.
+    std::atomic<bool> isOver = false;
+    std::atomic<int> notServed = 0;
+    std::vector<std::thread> callers;
+    callers.reserve(CALLERS);
+    for (int caller = 0; caller < CALLERS; ++caller) {
+        callers.emplace_back([&] {
+            while (!isOver) {
+                notServed += UsersFixture::isWhole("/stock/x", fixture.ask("/stock/x")) ? 0 : 1;
+            }
+        });
+    }
+    CHECK(fixture.eventually([&] { return absl::StrContains(status(), "completed"); }, TIME_LIMIT));
+    isOver = true;
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    CHECK(notServed == 0);
+    for (int i = 0; i < 6; ++i) {
+        const UsersAnswer answer = fixture.ask("/stock/x");
+        const std::vector<standins::RunSeen> runs = fixture.runsOf(answer.attempt);
+        REQUIRE(runs.size() == 1);
+        CHECK(runs[0].version == "v2");
+    }
+}
+
 TEST_CASE("the directory names the gateway while it serves")
 {
     UsersFixture fixture;
--- a/tests/users-platform/usersfixture.cpp
+++ b/tests/users-platform/usersfixture.cpp
@@ -32,10 +32,10 @@
     m_thread.call([this] {
         m_store = std::make_unique<standins::UsersStore>(m_thread.loop());
         m_wayToStore = std::make_unique<standins::FaultProxy>(m_thread.loop(), m_store->listen("gw-1"));
-        addRunner("i-e1", standins::UsersManifest::ENGINE, "north-1");
-        addRunner("i-e2", standins::UsersManifest::ENGINE, "north-1");
-        addRunner("i-b1", standins::UsersManifest::BOOKING, "north-1");
-        addRunner("i-b2", standins::UsersManifest::BOOKING, "north-1");
+        addRunner("i-e1", standins::UsersManifest::ENGINE);
+        addRunner("i-e2", standins::UsersManifest::ENGINE);
+        addRunner("i-b1", standins::UsersManifest::BOOKING);
+        addRunner("i-b2", standins::UsersManifest::BOOKING);
     });
     confirmManifest();
 }
@@ -51,12 +51,13 @@
     });
 }
 
-void UsersFixture::addRunner(const std::string &id, const std::string &service, const std::string &zone)
+void UsersFixture::addRunner(const std::string &id, const std::string &service, const std::string &version)
 {
     standins::RunnerSettings settings;
     settings.id = id;
     settings.service = service;
-    settings.zone = zone;
+    settings.zone = "north-1";
+    settings.version = version;
     std::unique_ptr<standins::UsersRunner> &runner = m_runners[id];
     runner = std::make_unique<standins::UsersRunner>(m_thread.loop(), *m_store, settings, [this](standins::RunSeen &run) { m_runs.push_back(&run); });
     m_ways[id] = std::make_unique<standins::FaultProxy>(m_thread.loop(), runner->address());
--- a/tests/users-platform/usersfixture.h
+++ b/tests/users-platform/usersfixture.h
@@ -72,9 +72,10 @@
 
     static bool eventually(const std::function<bool()> &condition, absl::Duration limit);
 
-private:
-    void addRunner(const std::string &id, const std::string &service, const std::string &zone);
+    /** @brief Starts and announces one more runner; on the thread of the stand-ins. */
+    void addRunner(const std::string &id, const std::string &service, const std::string &version = "v1");
 
+private:
     TemporaryFolder m_folder;
     mutable LoopThread m_thread;
     GatewayAddresses m_addresses;
