--- a/apps/snipeferry/main.cpp
+++ b/apps/snipeferry/main.cpp
@@ -31,6 +31,7 @@
         app.fallthrough();
         app.add_option("--platform", options.platforms, "Address of the platform; may be given several times")
             ->envname("SNIPEFERRY_PLATFORM")
+            ->allow_extra_args(false)
             ->check(checkAddress);
         app.add_option("--instance", options.instance, "Operations address of an instance")->envname("SNIPEFERRY_INSTANCE")->check(checkAddress);
         app.add_flag("--json", options.isJson, "Print JSON");
