Tell an intent's own faults when the platform cannot be reached

What operators saw: `check` and `plan` of a wrong intent said only "the platform does not answer", exit code 5, and nothing of the faults.

Cause: the intent was read against the platform's configuration or not at all.

Ruled out: checking the intent by itself first in all cases. References to what the platform holds would then be told in a second round, and not with the other faults.

Change: where the platform does not answer, the faults that the intent has by itself are told, exit code 3; a sound intent still ends with 5.

--- a/apps/snipeferry/configurationcommands.cpp
+++ b/apps/snipeferry/configurationcommands.cpp
@@ -63,7 +63,9 @@
     PlatformSession session(options.platforms);
     const core::Expected<configuration::PlanBase> base = readBase(session);
     if (!base.has_value()) {
-        return tl::make_unexpected(base.error());
+        // The faults that the intent has by itself need no platform.
+        const core::Expected<void> checked = configuration::checkIntent(*document);
+        return tl::make_unexpected(checked.has_value() ? base.error() : checked.error());
     }
     core::Expected<configuration::Configuration> target = configuration::applyIntent(*document, base->configuration);
     if (!target.has_value()) {
