Show that an instance with late news asks all its neighbours for whole topics

Cause, as traced: behind a link of 10 Mbit/s the news come late. An instance whose confirmation is older than 1.8 s then asks every neighbour whose pulse names a newer revision for the whole topic, at each pulse, and each answers with all of it.

Ruled out: the backend servers (the one asked answered 33 ms after the request reached it).

The new test is red: 20 neighbours are asked at once where one should be, 40 after a second where two should be.

--- a/tests/gateway/gatewaytest.cpp
+++ b/tests/gateway/gatewaytest.cpp
@@ -222,6 +222,34 @@
     CHECK(fixture.ask("/new/x")->finals == 0);
 }
 
+// Pattern: news are late behind a small machine's full link, and all neighbours tell in their pulses that they have them. A whole topic from
+// each of them keeps the link full.
+TEST_CASE("an instance whose news are late asks one other at a time for a whole topic")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.confirm();
+    fixture.timers.advance(absl::Seconds(2));
+    const auto hearAll = [&] {
+        for (int index = 2; index < 22; ++index) {
+            gateway::Pulse pulse;
+            pulse.sentAt = 1;
+            pulse.isReady = true;
+            pulse.topics = {{gateway::Topic::Operator, fixture.gateway.revision(gateway::Topic::Operator) + 5, absl::ZeroDuration()}};
+            fixture.gateway.received(core::InstanceId(absl::StrCat("gw-", index)), pulse);
+        }
+    };
+    for (int index = 2; index < 22; ++index) {
+        fixture.linkRemote(absl::StrCat("gw-", index), "north");
+    }
+    hearAll();
+    CHECK(fixture.links.all<gateway::RecordsRequest>().size() == 1);
+    // The one that was asked may be gone.
+    fixture.timers.advance(absl::Seconds(1));
+    hearAll();
+    CHECK(fixture.links.all<gateway::RecordsRequest>().size() == 2);
+}
+
 TEST_CASE("a large fleet keeps some links to each other data centre, and both ends choose alike")
 {
     core::VirtualTimerService timers;
