--- a/include/snipeferry/gateway/ports.h
+++ b/include/snipeferry/gateway/ports.h
@@ -70,9 +70,6 @@
 public:
     virtual ~FleetLinks() = default;
     virtual bool send(const core::InstanceId &to, const FleetMessage &message) = 0;
-
-    /** @brief Sends one message to several instances, and encodes it once. */
-    virtual void sendToAll(const std::vector<core::InstanceId> &to, const FleetMessage &message) = 0;
 };
 
 /** Takes log lines and counts. */
--- a/include/snipeferry/net/peerlinks.h
+++ b/include/snipeferry/net/peerlinks.h
@@ -38,7 +38,6 @@
     void keep(const std::vector<gateway::Member> &members);
 
     bool send(const core::InstanceId &to, const gateway::FleetMessage &message) override;
-    void sendToAll(const std::vector<core::InstanceId> &to, const gateway::FleetMessage &message) override;
 
     void stop();
 
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -80,9 +80,11 @@
     if (changes.empty()) {
         return;
     }
-    std::vector<core::InstanceId> mates = m_fleet.linked();
-    mates.erase(std::remove_if(mates.begin(), mates.end(), [this](const core::InstanceId &peer) { return !m_fleet.isInOwnRegion(peer); }), mates.end());
-    m_ports.links.sendToAll(mates, RecordsUpdate{topic, after, revision, changes});
+    for (const core::InstanceId &peer : m_fleet.linked()) {
+        if (m_fleet.isInOwnRegion(peer)) {
+            m_ports.links.send(peer, RecordsUpdate{topic, after, revision, changes});
+        }
+    }
 }
 
 bool Gateway::hasRecord(Topic topic, const std::string &key) const
--- a/source/gateway/records.cpp
+++ b/source/gateway/records.cpp
@@ -1,30 +1,9 @@
 #include "snipeferry/gateway/records.h"
 
-#include <absl/container/flat_hash_set.h>
-
 #include <algorithm>
-#include <utility>
 
 namespace snipeferry::gateway {
 
-namespace {
-
-/** @brief The last change of each record, in their order: what it replaces is never in force, and decoding it costs time. */
-std::vector<RecordChange> latestOfEach(std::vector<RecordChange> changes)
-{
-    absl::flat_hash_set<std::string> seen;
-    std::vector<RecordChange> latest;
-    for (auto change = changes.rbegin(); change != changes.rend(); ++change) {
-        if (seen.insert(change->key).second) {
-            latest.push_back(std::move(*change));
-        }
-    }
-    std::reverse(latest.begin(), latest.end());
-    return latest;
-}
-
-} // namespace
-
 RecordMirror::RecordMirror(core::TimerService &timers)
     : m_timers(timers)
 {
@@ -77,7 +56,7 @@
         news.push_back(change);
     }
     m_revision = std::max(m_revision, revision);
-    return latestOfEach(std::move(news));
+    return news;
 }
 
 void RecordMirror::confirm(absl::Time at)
--- a/source/net/peerlinks.cpp
+++ b/source/net/peerlinks.cpp
@@ -60,17 +60,11 @@
 
     bool send(const core::InstanceId &to, const gateway::FleetMessage &message)
     {
-        return hasRoom(to) && m_endpoint->send(m_links.at(to).id, encodeFleetMessage(message));
-    }
-
-    void sendToAll(const std::vector<core::InstanceId> &to, const gateway::FleetMessage &message)
-    {
-        const std::string bytes = encodeFleetMessage(message);
-        for (const core::InstanceId &instance : to) {
-            if (hasRoom(instance)) {
-                m_endpoint->send(m_links.at(instance).id, bytes);
-            }
+        const auto link = m_links.find(to);
+        if (link == m_links.end() || m_endpoint->queuedBytes(link->second.id) > MAX_QUEUED_BYTES) {
+            return false;
         }
+        return m_endpoint->send(link->second.id, encodeFleetMessage(message));
     }
 
     void stop()
@@ -100,13 +94,6 @@
         core::InstanceId dialled;
     };
 
-    /** Whether there is a link whose other end takes what is sent. */
-    bool hasRoom(const core::InstanceId &to) const
-    {
-        const auto link = m_links.find(to);
-        return link != m_links.end() && m_endpoint->queuedBytes(link->second.id) <= MAX_QUEUED_BYTES;
-    }
-
     void opened(LinkId link, bool isDialled)
     {
         if (!isDialled) {
@@ -259,11 +246,6 @@
     return m_impl->send(to, message);
 }
 
-void PeerLinks::sendToAll(const std::vector<core::InstanceId> &to, const gateway::FleetMessage &message)
-{
-    m_impl->sendToAll(to, message);
-}
-
 void PeerLinks::stop()
 {
     m_impl->stop();
--- a/source/net/storeclient.cpp
+++ b/source/net/storeclient.cpp
@@ -25,11 +25,6 @@
  * are left for a backend server that drains, and what requests show counts before that.
  */
 constexpr absl::Duration GATHERING_TIME = absl::Milliseconds(500);
-/**
- * Manifests may follow each other faster than small instances decode them. The first change is told at once; a configuration has
- * seconds to be in force.
- */
-constexpr absl::Duration OPERATOR_GATHERING_TIME = absl::Milliseconds(250);
 /** The first reading may be this old. It costs the store a tenth; what changed since comes from others, or from the first watch. */
 constexpr absl::Duration FIRST_READING_AGE = absl::Seconds(2);
 constexpr int HTTP_OK = 200;
@@ -162,12 +157,12 @@
         }
         m_backoff.reset();
         m_gateway.topicChanged(m_topic, page->changes, page->revision, confirmedAt(*page));
-        if (page->changes.empty()) {
+        const bool isPatient = m_topic != gateway::Topic::Operator && !page->changes.empty();
+        if (isPatient) {
+            m_pause = m_loop.timers().after(GATHERING_TIME, [self = shared_from_this()] { self->watch(); });
+        } else {
             watch();
-            return;
         }
-        const absl::Duration pause = m_topic == gateway::Topic::Operator ? OPERATOR_GATHERING_TIME : GATHERING_TIME;
-        m_pause = m_loop.timers().after(pause, [self = shared_from_this()] { self->watch(); });
     }
 
     /**
