--- a/include/snipeferry/gateway/backendtable.h
+++ b/include/snipeferry/gateway/backendtable.h
@@ -103,6 +103,12 @@
     /** @brief Adds or updates a backend server of another region. It receives no requests, but may be a source of cached prompt parts. */
     void announceRemote(const BackendServer &server);
 
+    /**
+     * @brief Refuses requests until a time, because the known backend servers may have left.
+     * @param until InfinitePast as soon as they are confirmed
+     */
+    void setUnconfirmedUntil(absl::Time until);
+
     /** @brief Sets the services of the deployment. */
     void configure(const std::vector<Service> &services);
 
@@ -118,6 +124,16 @@
     /** @brief Work of this instance, to be reported to the others. */
     std::vector<ServerWork> ownWork() const;
 
+    /** @brief Sums of this instance's work and the recent reports of others, to be sent by a relay. */
+    std::vector<ServerWork> regionWork();
+
+    /**
+     * @brief Sets the work of all other instances from a relay's sums, in place of its previous report.
+     * @param sums the relay's sums, this instance's own work included
+     * @param ownReported this instance's work as it was last reported to the relay
+     */
+    void setRegionWork(const std::vector<ServerWork> &sums, const std::vector<ServerWork> &ownReported);
+
     /** @brief Index of the prompt parts in the backend servers' caches. */
     PromptCacheIndex &promptCache();
 
@@ -128,7 +144,7 @@
     bool hasServers(const core::ServiceId &service) const;
 
     /** @brief Load and health of a backend server as a text for the log. */
-    std::string describe(const core::BackendServerId &id) const;
+    std::string describe(const core::BackendServerId &id);
 
     const BackendServer *find(const core::BackendServerId &id) const;
 
@@ -139,10 +155,10 @@
     std::vector<core::ServiceId> services() const;
 
     /** @brief Counts the backend servers and runs of a service. */
-    ServerCounts serverCounts(const core::ServiceId &service) const;
+    ServerCounts serverCounts(const core::ServiceId &service);
 
     /** @brief Shortest expected wait of a request without prompt, by urgency level; empty if no backend server is usable. */
-    std::vector<absl::Duration> leastWaits(const core::ServiceId &service) const;
+    std::vector<absl::Duration> leastWaits(const core::ServiceId &service);
 
     /** @brief Records that a run was dispatched to a backend server. */
     void started(const core::BackendServerId &id, int priority, std::int64_t unreadTokens, const std::vector<PromptPart> &parts);
@@ -221,7 +237,8 @@
     /** Expected time to the first event, or to the whole answer of a service that is not a model engine. */
     absl::Duration estimate(const ServerState &state, const ServiceState &service, int level, std::int64_t unreadTokens) const;
     ServerState *findState(const core::BackendServerId &id);
-    void rebuildPeerWork();
+    /** Adds up the reports of the other instances, if one has arrived since the last time. Done before each use and not for each report. */
+    void refreshPeerWork();
 
     core::InstanceId m_self;
     core::TimerService &m_timers;
@@ -239,6 +256,8 @@
         absl::Time receivedAt;
     };
     absl::flat_hash_map<core::InstanceId, PeerReport> m_peerReports;
+    bool m_isPeerWorkOutdated = false;
+    absl::Time m_unconfirmedUntil = absl::InfinitePast();
 };
 
 } // namespace snipeferry::gateway
--- a/include/snipeferry/gateway/eventstream.h
+++ b/include/snipeferry/gateway/eventstream.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -22,6 +23,9 @@
      */
     std::string feed(const std::string &data);
 
+    /** @brief Whether the incomplete event is longer than any event of a sound stream. */
+    bool isPartialTooLong() const;
+
     /** @brief Discards the incomplete event of an interrupted run. */
     void dropPartial();
 
@@ -40,6 +44,8 @@
 
     std::string m_lastEventId;
     std::string m_partial;
+    /** Number of bytes of the incomplete event in which no end of an event begins. */
+    std::size_t m_searchedBytes = 0;
     int m_eventCount = 0;
 };
 
--- a/include/snipeferry/gateway/fleetmessages.h
+++ b/include/snipeferry/gateway/fleetmessages.h
@@ -97,7 +97,7 @@
 struct RecordsUpdate
 {
     Topic topic = Topic::Operator;
-    /** Revision of the sender's copy before the changes. */
+    /** Revision of the newest change in the sender's copy before these changes. */
     core::Revision after = 0;
     core::Revision revision = 0;
     std::vector<RecordChange> changes;
@@ -188,8 +188,66 @@
     SNIPEFERRY_VALUE(AllowanceRequest, customer, tokens)
 };
 
+/**
+ * Report of an instance of a large region to one of the region's relays. The relay sends pulses in return.
+ *
+ * A region with few instances has no relays; each instance sends its pulses to all others.
+ */
+struct RelayReport
+{
+    Pulse pulse;
+    /** Whether the sender wants the relay's summaries. It asks one of the relays for them. */
+    bool wantsSummary = false;
+
+    SNIPEFERRY_VALUE(RelayReport, pulse, wantsSummary)
+};
+
+/** What a relay knows of one instance of its region. */
+struct InstanceState
+{
+    core::InstanceId instance;
+    /** Time since the instance was last heard of. */
+    absl::Duration heardAgo;
+    /** Whether it accepts callers. */
+    bool isReady = false;
+
+    SNIPEFERRY_VALUE(InstanceState, instance, heardAgo, isReady)
+};
+
+/** Merged reports of all instances of a large region, sent by a relay. */
+struct RegionSummary
+{
+    std::vector<InstanceState> instances;
+    /** Sums over all instances, the receiver included. */
+    std::vector<ServerWork> work;
+    /** Prompt parts that instances have reported since the relay's last summary. */
+    std::vector<ReadPart> readParts;
+    /** Evidence of the whole fleet, as far as the relay knows it. */
+    std::vector<RolloutReport> rollouts;
+
+    SNIPEFERRY_VALUE(RegionSummary, instances, work, readParts, rollouts)
+};
+
+/** Stops or continues the reading of a forwarded request's answer, because its caller takes it slowly. */
+struct ForwardFlow
+{
+    std::uint64_t number = 0;
+    bool isPaused = false;
+
+    SNIPEFERRY_VALUE(ForwardFlow, number, isPaused)
+};
+
+/** Part of an encoded message that is too long to be sent in one piece. Pieces of one message arrive in order, with other messages between them. */
+struct MessagePiece
+{
+    std::string bytes;
+    bool isLast = false;
+
+    SNIPEFERRY_VALUE(MessagePiece, bytes, isLast)
+};
+
 /** All messages. New ones are added at the end, because a message's index in the list is its type number on the wire. */
 using FleetMessage = std::variant<Greeting, Pulse, AllowanceTransfer, RecordsRequest, RecordsTransfer, ForwardRequest, ForwardHead, ForwardData, ForwardEnd,
-    ForwardFailed, ForwardCancel, RecordsUpdate, AllowanceRequest>;
+    ForwardFailed, ForwardCancel, RecordsUpdate, AllowanceRequest, RelayReport, RegionSummary, MessagePiece, ForwardFlow>;
 
 } // namespace snipeferry::gateway
--- a/include/snipeferry/gateway/fleetview.h
+++ b/include/snipeferry/gateway/fleetview.h
@@ -5,6 +5,7 @@
 #include "snipeferry/gateway/fleetmessages.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include <map>
 #include <string>
@@ -60,8 +61,32 @@
     /** @brief Returns a pulse to a peer with only sentAt and echo set. */
     Pulse startPulse(const core::InstanceId &to) const;
 
+    /** @brief Whether this instance's region is so large that its instances report to relays and not to each other. */
+    bool usesRelays() const;
+
     /**
-     * @brief Announced members to which this instance keeps links: all of its region, and a few of each data centre of other regions.
+     * @brief Checks which relays are usable and replaces those that are not. Must be called several times a second.
+     * @return whether the relays, and so the members to link, have changed
+     */
+    bool updateRelays();
+
+    /** @brief Relays of this instance's region, the best first; empty in a small region. May contain this instance. */
+    const std::vector<core::InstanceId> &relays() const;
+    bool isRelay() const;
+    /** @brief The relay from which this instance gets summaries: one of its data centre, if there is one. Empty for a relay. */
+    core::InstanceId nearestRelay() const;
+    /** @brief Whether an instance of another region is one of its region's relays, as far as the announcements tell. */
+    bool isRelayOfOtherRegion(const core::InstanceId &id) const;
+
+    /** @brief Processes the states of this region's instances from a relay's summary. */
+    void receiveStates(const std::vector<InstanceState> &states);
+    /** @brief States of this region's instances, this one included, for a summary. */
+    std::vector<InstanceState> regionStates(bool isSelfReady) const;
+
+    /**
+     * @brief Announced members to which this instance keeps links.
+     *
+     * In a small region all of its members, in a large one its relays, and from a relay all of its region. A few of each data centre of other regions.
      *
      * Both ends of a link apply the same rule, so that neither keeps a link that the other end would close.
      */
@@ -70,13 +95,13 @@
     std::vector<core::InstanceId> linkedInstances() const;
     bool isInOwnRegion(const core::InstanceId &id) const;
 
-    /** @brief This instance and those of its data centre with a recent pulse. */
+    /** @brief This instance and those of its data centre that were heard of recently. */
     std::vector<core::InstanceId> dataCentreInstances() const;
 
-    /** @brief This instance and those of its region with a recent pulse. */
+    /** @brief This instance and those of its region that were heard of recently. */
     std::vector<core::InstanceId> regionInstances() const;
 
-    /** @brief Whether another instance of a region has a recent pulse and accepts callers. */
+    /** @brief Whether another instance of a region was heard of recently and accepts callers. */
     bool hasReadyInstance(const core::RegionId &region) const;
 
     /** @brief Number of instances that may spend shared allowances, this one included. */
@@ -111,6 +136,14 @@
         absl::Time lastHeardAt = absl::InfinitePast();
         /** The sentAt of the last pulse received; returned to the peer as echo. */
         std::int64_t lastSentAt = 0;
+        /** Last time at which a relay had heard of the instance. */
+        absl::Time reportedAliveAt = absl::InfinitePast();
+        /** Whether the relay reported that the instance accepts callers. */
+        bool isReportedReady = false;
+        /** Since when the instance is expected to answer as a relay; InfiniteFuture if it is none or answers. */
+        absl::Time relayExpectedSince = absl::InfiniteFuture();
+        /** Until when the instance is not used as a relay, because it did not answer as one. */
+        absl::Time relayAvoidedUntil = absl::InfinitePast();
         /** Expected waits in the peer's region, from its last pulse. */
         std::vector<ServiceRoom> rooms;
         /** Requests forwarded to the peer that have not ended. */
@@ -120,12 +153,30 @@
     };
 
     bool shouldLink(const Member &member) const;
+    /** Decides to which members this instance keeps links, if the announcements or the relays have changed since the last time. */
+    void refreshLinkTargets() const;
+    bool linksInOwnRegion(const Member &member) const;
+    /** Whether each end of a link between regions, or both, has chosen the other by rendezvous hashing. */
+    void selectLinksToOtherRegions() const;
     bool hasRecentPulse(const Peer &peer) const;
+    /** Whether the instance was heard of recently, by a pulse or through a relay. */
+    bool isAlive(const Peer &peer) const;
+    /** Whether an instance that was heard of recently accepts callers. */
+    bool acceptsCallers(const Peer &peer) const;
     bool mayBeAlive(const Peer &peer) const;
+    /** Whether the instance may be chosen as a relay; notes if it did not answer as one. */
+    bool isUsableAsRelay(Peer &peer, absl::Time now) const;
 
     Member m_self;
     core::TimerService &m_timers;
     std::map<core::InstanceId, Peer> m_peers;
+    std::vector<core::InstanceId> m_relays;
+    absl::Time m_summaryReceivedAt = absl::InfinitePast();
+    /** Derived from the announcements and the relays on demand: each costs a hash for each pair of members. */
+    mutable absl::flat_hash_set<core::InstanceId> m_linkTargets;
+    mutable absl::flat_hash_set<core::InstanceId> m_otherRegionsRelays;
+    mutable std::size_t m_ownRegionSize = 1;
+    mutable bool m_areLinkTargetsOutdated = true;
 };
 
 } // namespace snipeferry::gateway
--- a/include/snipeferry/gateway/forwardreceiver.h
+++ b/include/snipeferry/gateway/forwardreceiver.h
@@ -24,11 +24,12 @@
 
     void handle(const core::InstanceId &from, const ForwardRequest &message);
     void handle(const core::InstanceId &from, const ForwardCancel &message);
+    void handle(const core::InstanceId &from, const ForwardFlow &message);
     void linkDown(const core::InstanceId &peer);
 
     void runHead(Number run, const HttpHead &head) override;
     void runData(Number run, const std::string &data) override;
-    void runEnd(Number run) override;
+    void runEnd(Number run, AnswerEnd end) override;
     void runFailed(Number run, bool mayHaveRun, const std::string &reason) override;
 
     /** @brief Number of forwarded requests that are running. */
@@ -59,9 +60,14 @@
         bool isAnswering = false;
         /** Number of pieces of the answer sent to the origin. */
         std::uint64_t sentPieces = 0;
+        bool isStream = false;
+        /** Last bytes of the answer, by which the end of a stream's last event is recognized. */
+        std::string tail;
     };
 
     void refuse(const core::InstanceId &to, Number number, const core::RequestId &request, const std::string &reason);
+    /** Ends a run whose answer cannot be passed on, and tells the origin. */
+    void breakOff(Number run, RunEnd end, const std::string &reason);
     /** Removes a run and updates the statistics of its backend server and rollout. */
     void end(Number run, RunEnd end);
     /** Records when the first data of the answer arrived. */
--- a/include/snipeferry/gateway/gateway.h
+++ b/include/snipeferry/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,8 @@
     FlowSettings flow;
     RepeatBudgetSettings repeats;
     AllowanceSettings allowances;
+    /** Longest time for which a backend server may get requests after the store accepted that it leaves. */
+    absl::Duration serverDrainTime = absl::Seconds(3);
     /** Region of each data centre of the fleet. */
     std::map<core::DataCentreId, core::RegionId> regions;
     /** Shortest interval between two pulses to instances of the own region. In a large region the interval is longer. */
@@ -66,13 +69,20 @@
 
     /**
      * @brief Applies a full read of a topic from the store.
-     * @param confirmedAt time at which the store confirmed that the records were the newest
+     * @param confirmedAt time at which the store confirmed that the records were the newest; InfinitePast if they may be old
      */
     void topicRead(Topic topic, const std::vector<Record> &records, core::Revision revision, absl::Time confirmedAt);
 
     /** @brief Applies changes of a topic that the store reported. The list is empty if the store only confirmed that nothing changed. */
     void topicChanged(Topic topic, const std::vector<RecordChange> &changes, core::Revision revision, absl::Time confirmedAt);
 
+    /**
+     * @brief Whether a copy that was read from the store may be old: neither the store nor another instance has confirmed it since.
+     *
+     * An old copy may contain backend servers that have left.
+     */
+    bool isUnconfirmed(Topic topic) const;
+
     /** @brief Reports that the store did not answer or returned an error. */
     void storeFailed();
 
@@ -83,8 +93,8 @@
      * @brief Whether this instance should read and watch a topic at the store itself.
      *
      * One instance of each data centre watches a topic and sends its changes to the other instances of the region. Each instance selects the watching
-     * one by rendezvous hashing among the instances from which it currently receives pulses. An instance whose copy has not been confirmed for too
-     * long also reads the topic itself.
+     * one by rendezvous hashing among the instances that were heard of recently, and in a large region among the relays. An instance whose copy has not been
+     * confirmed for too long also reads the topic itself.
      */
     bool shouldWatch(Topic topic) const;
 
@@ -95,6 +105,9 @@
     void linkDown(const core::InstanceId &peer);
     void received(const core::InstanceId &from, const FleetMessage &message);
 
+    /** @brief Members to which the transport should keep links, as FleetView::membersToLink(). */
+    std::vector<Member> membersToLink() const;
+
     /** @brief Handles the requests of this instance's callers. */
     RequestFlow &requests();
     /** @brief Addresses of the instances that callers at a location should use, as FleetView::callerAddresses(). */
@@ -123,10 +136,12 @@
 
     void runHead(Number run, const HttpHead &head) override;
     void runData(Number run, const std::string &data) override;
-    void runEnd(Number run) override;
+    void runEnd(Number run, AnswerEnd end) override;
     void runFailed(Number run, bool mayHaveRun, const std::string &reason) override;
 
 private:
+    /** Age of a topic's last confirmation beyond which this instance reads the topic itself. */
+    absl::Duration maxConfirmationAge(Topic topic) const;
     RecordMirror &mirror(Topic topic);
     const RecordMirror &mirror(Topic topic) const;
     /** Component that started a run and receives its events. */
@@ -135,6 +150,8 @@
     void applyOperatorRecord(const RecordChange &change);
     void applyBackendServerRecord(const RecordChange &change);
     void applyMemberRecord(const RecordChange &change);
+    /** Time from which a backend server whose announcement is still missing after a store outage counts as gone. */
+    absl::Time lapsedServersRemovedAt() const;
     void removeLapsedServers();
     /** Records a time at which the store confirmed that the copy of a topic was up to date. */
     void confirm(Topic topic, absl::Time at);
@@ -143,16 +160,25 @@
     /** Sends pulses to the own region, unless the region is so large that it is too early for the next ones. */
     void sendRegionPulses();
     void sendPulses(bool isToOwnRegion);
+    /** Sends pulses to the instances of this region, or in a large region reports to the relays and answers to those that report here. */
+    void sendToRegion();
+    /** Processes what every pulse contains, also one in a report to a relay. */
+    void receivePulse(const core::InstanceId &from, const Pulse &message);
     /** Whether the next pulses include the allowance reports. If so, notes the current time as the last time they were sent. */
     bool shouldSendAllowances(bool isToOwnRegion);
     void sendChangesToRegion(Topic topic, core::Revision after, core::Revision revision, const std::vector<RecordChange> &changes);
-    Pulse buildPulse(const core::InstanceId &peer, bool isToOwnRegion);
+    /** A pulse for one peer: the parts that all peers get, with the peer's time stamps. */
+    Pulse addressPulse(const Pulse &common, const core::InstanceId &peer) const;
+    /** The parts of a pulse that all peers of this region, or all of other regions, get. */
+    Pulse buildPulse(bool isToOwnRegion);
 
     void handle(const core::InstanceId &from, const Greeting &message);
     void handle(const core::InstanceId &from, const Pulse &message);
     void handle(const core::InstanceId &from, const AllowanceTransfer &message);
     void handle(const core::InstanceId &from, const AllowanceRequest &message);
     void requestTokens(const AllowanceShortage &shortage);
+    /** Requests a topic from a peer, unless another peer was asked for it recently. */
+    void requestRecords(const core::InstanceId &peer, Topic topic);
     void handle(const core::InstanceId &from, const RecordsRequest &message);
     void handle(const core::InstanceId &from, const RecordsTransfer &message);
     void handle(const core::InstanceId &from, const RecordsUpdate &message);
@@ -162,10 +188,39 @@
     void handle(const core::InstanceId &from, const ForwardEnd &message);
     void handle(const core::InstanceId &from, const ForwardFailed &message);
     void handle(const core::InstanceId &from, const ForwardCancel &message);
+    void handle(const core::InstanceId &from, const ForwardFlow &message);
+    void handle(const core::InstanceId &from, const RelayReport &message);
+    void handle(const core::InstanceId &from, const RegionSummary &message);
+    void handle(const core::InstanceId &from, const MessagePiece &message);
+
+    /** Checks the relays of this region and tells the components if they have changed. */
+    void updateRelays();
+    /** Sends this instance's report to the relays of its region. */
+    void sendRelayReports();
+    /** Sends pulses to the instances that report to this relay, and summaries to those that want them. */
+    void answerRelayClients();
+    RegionSummary buildSummary();
+    /** As a relay, keeps reported prompt parts for the next summaries and, if they are of this region, for other regions. */
+    void notePartsAsRelay(const std::vector<ReadPart> &parts, bool isOwnRegion);
+
+    /** An instance that reports to this relay. */
+    struct RelayClient
+    {
+        absl::Time reportedAt;
+        bool wantsSummary = false;
+    };
+
+    /** The last request for a topic's records. */
+    struct RecordsQuery
+    {
+        core::InstanceId peer;
+        absl::Time sentAt = absl::InfinitePast();
+    };
 
     GatewaySettings m_settings;
     GatewayPorts m_ports;
     std::vector<RecordMirror> m_mirrors;
+    std::array<RecordsQuery, TOPIC_COUNT> m_recordsQueries;
     BackendTable m_backends;
     FleetView m_fleet;
     RateLimiter m_allowances;
@@ -177,18 +232,27 @@
     std::shared_ptr<const RouteTable> m_routes;
     /** Instance that each record key of the members topic announces. */
     std::map<std::string, core::InstanceId> m_memberKeys;
-    /** Backend servers whose announcements may have lapsed because of a store outage, with the time at which each is removed. */
-    std::map<core::BackendServerId, absl::Time> m_lapsedServers;
+    /** Backend servers whose announcements may have lapsed because of a store outage. They are in use until lapsedServersRemovedAt(). */
+    std::set<core::BackendServerId> m_lapsedServers;
     absl::Time m_storeFailedAt = absl::InfinitePast();
+    absl::Time m_storeRegainedAt = absl::InfinitePast();
     /** Whether the store failed and has not confirmed any topic since. */
     bool m_isStoreLost = false;
     bool m_isDraining = false;
     core::Signal<MembersChanged> m_membersChanged;
     core::Signal<LimitsChanged> m_limitsChanged;
+    std::map<core::InstanceId, RelayClient> m_relayClients;
+    /** Prompt parts that this relay has not yet passed on to its region, and to other regions. */
+    std::vector<ReadPart> m_partsForRegion;
+    std::vector<ReadPart> m_partsForOtherRegions;
+    /** This instance's work as last reported to the relays. */
+    std::vector<ServerWork> m_reportedWork;
     core::Subscription m_regionPulseTimer;
     absl::Time m_regionPulseSentAt = absl::InfinitePast();
     /** When allowance reports were last sent to the own region. */
     absl::Time m_allowancesSentToRegionAt = absl::InfinitePast();
+    /** When allowance reports were last sent to the instances that report to this relay. */
+    absl::Time m_allowancesSentToClientsAt = absl::InfinitePast();
     /** When allowance reports were last sent to other regions. */
     absl::Time m_allowancesSentToOthersAt = absl::InfinitePast();
     core::Subscription m_otherRegionsPulseTimer;
--- a/include/snipeferry/gateway/model.h
+++ b/include/snipeferry/gateway/model.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 /**
@@ -51,6 +52,8 @@
     absl::Duration timeout = absl::Seconds(30);
     /** Objective for the time to the whole answer, or to the first event of a stream. */
     absl::Duration latencyObjective = absl::Seconds(1);
+    /** Objective for the longest pause between two events of a stream; zero if there is none. */
+    absl::Duration pauseObjective;
     /** 0 is the most urgent. */
     int priority = 5;
     /** Highest number of backend servers that may run one request. */
@@ -59,8 +62,8 @@
     /** Regions where the request may run; empty for all. */
     std::vector<core::RegionId> homeRegions;
 
-    SNIPEFERRY_VALUE(
-        Route, name, host, pathPrefix, repeatRule, isStream, isResumable, isOpen, timeout, latencyObjective, priority, maxAttempts, services, homeRegions)
+    SNIPEFERRY_VALUE(Route, name, host, pathPrefix, repeatRule, isStream, isResumable, isOpen, timeout, latencyObjective, pauseObjective, priority, maxAttempts,
+        services, homeRegions)
 };
 
 struct Service
@@ -168,8 +171,42 @@
     std::string callerAddress;
     /** Where instances connect, "a.b.c.d:port". */
     std::string peerAddress;
-
-    SNIPEFERRY_VALUE(Member, id, incarnation, dataCentre, region, callerAddress, peerAddress)
+    /** Share of a processor core that the instance has. 0 if it does not state it: it runs an earlier build, which knows no relays. */
+    double capacity = 0;
+
+    auto tied() const
+    {
+        return std::tie(id, incarnation, dataCentre, region, callerAddress, peerAddress, capacity);
+    }
+    friend bool operator==(const Member &left, const Member &right)
+    {
+        return left.tied() == right.tied();
+    }
+    friend bool operator!=(const Member &left, const Member &right)
+    {
+        return !(left == right);
+    }
+    template<typename BasicJson>
+    friend void to_json(BasicJson &json, const Member &member)
+    {
+        json = BasicJson{{"id", member.id}, {"incarnation", member.incarnation}, {"dataCentre", member.dataCentre}, {"region", member.region},
+            {"callerAddress", member.callerAddress}, {"peerAddress", member.peerAddress}};
+        // An earlier build's record is written again as it was.
+        if (member.capacity > 0) {
+            json["capacity"] = member.capacity;
+        }
+    }
+    template<typename BasicJson>
+    friend void from_json(const BasicJson &json, Member &member)
+    {
+        json.at("id").get_to(member.id);
+        json.at("incarnation").get_to(member.incarnation);
+        json.at("dataCentre").get_to(member.dataCentre);
+        json.at("region").get_to(member.region);
+        json.at("callerAddress").get_to(member.callerAddress);
+        json.at("peerAddress").get_to(member.peerAddress);
+        member.capacity = json.value("capacity", 0.0);
+    }
 };
 
 } // namespace snipeferry::gateway
--- a/include/snipeferry/gateway/ports.h
+++ b/include/snipeferry/gateway/ports.h
@@ -5,6 +5,7 @@
 #include "snipeferry/gateway/fleetmessages.h"
 
 #include <string>
+#include <vector>
 
 /** Interfaces between the decision logic and the transport. Implementations must not call back into the decision logic before a call returns. */
 namespace snipeferry::gateway {
@@ -31,6 +32,9 @@
 
     /** @brief Sends an error answer of the gateway itself. */
     virtual void refuse(const core::Error &error) = 0;
+
+    /** @brief Bytes of the answer that the caller has not yet taken. */
+    virtual std::size_t unsentBytes() const = 0;
 };
 
 /** Sends requests to backend servers. */
@@ -48,6 +52,17 @@
 
     /** @brief Closes the run's connection. No events of the run follow. */
     virtual void cancel(Number run) = 0;
+
+    /** @brief Stops or continues the reading of a run's answer. The backend server has to wait meanwhile. */
+    virtual void setPaused(Number run, bool isPaused) = 0;
+};
+
+/** How an answer has ended. */
+enum class AnswerEnd {
+    /** Its length was known, or its last chunk has arrived. */
+    Framed,
+    /** The backend server closed the connection, which is the end of an answer without a length. Whether the answer is whole is unknown. */
+    ConnectionClosed,
 };
 
 /** Receives the events of runs. */
@@ -57,7 +72,7 @@
     virtual ~RunEvents() = default;
     virtual void runHead(Number run, const HttpHead &head) = 0;
     virtual void runData(Number run, const std::string &data) = 0;
-    virtual void runEnd(Number run) = 0;
+    virtual void runEnd(Number run, AnswerEnd end) = 0;
 
     /** @param mayHaveRun false only if certainly no byte of the request was sent */
     virtual void runFailed(Number run, bool mayHaveRun, const std::string &reason) = 0;
@@ -70,6 +85,9 @@
     virtual ~FleetLinks() = default;
     /** @return false if the message was not sent, because no link to the receiver is up or its send queue is full */
     virtual bool send(const core::InstanceId &to, const FleetMessage &message) = 0;
+
+    /** @brief Sends the same message to several instances; it is encoded once. */
+    virtual void sendToAll(const std::vector<core::InstanceId> &to, const FleetMessage &message) = 0;
 };
 
 /** Receives log lines and metrics. */
--- a/include/snipeferry/gateway/ratelimiter.h
+++ b/include/snipeferry/gateway/ratelimiter.h
@@ -77,6 +77,16 @@
     /** @brief Adds the tokens of a request that certainly did not run to the balance again. */
     void refund(const core::CustomerId &customer, double cost);
 
+    /**
+     * @brief Sets whether tokens are collected at the relays of a large region.
+     *
+     * Instances then keep few idle tokens, because a relay grants them within one round trip.
+     */
+    void setUsesRelays(bool usesRelays);
+
+    /** @brief Adds the demand of an instance that reports to this relay to the demand that this relay reports itself. */
+    void noteClientReports(const core::InstanceId &client, const std::vector<AllowanceReport> &clientReports);
+
     /** @brief Balance and demand of every customer with a rate limit. */
     std::vector<AllowanceReport> reports();
 
@@ -101,6 +111,8 @@
         double burst = 0;
         double balance = 0;
         double demand = 0;
+        /** Demand of the instances that report to this relay. */
+        double clientDemand = 0;
         double costSinceDemandUpdate = 0;
         absl::Time updatedAt;
         absl::Time demandUpdatedAt;
@@ -113,7 +125,18 @@
     /** An instance that has lost the store stops accepting customers' keys, and so stops spending their tokens, within this time. */
     static constexpr absl::Duration COUNT_DECREASE_DELAY = absl::Seconds(6);
 
+    /** The last reports of an instance that reports to this relay. */
+    struct ClientReports
+    {
+        absl::Time receivedAt;
+        std::vector<AllowanceReport> reports;
+    };
+
     void refill(Bucket &bucket);
+    void addClientDemand(const std::vector<AllowanceReport> &clientReports, double sign);
+    void removeSilentClients();
+    /** Demand that the fair balance assumes for an idle instance. */
+    double idleDemand(const Bucket &bucket);
     void scaleBalances(double factor);
     /** Gives each bucket its initial balance as soon as a started process knows the number of instances. */
     void initializeBalances();
@@ -131,6 +154,8 @@
     absl::Time m_countDecreaseAt = absl::InfiniteFuture();
     absl::Time m_startedAt;
     bool m_isInstanceCountKnown = false;
+    bool m_usesRelays = false;
+    absl::flat_hash_map<core::InstanceId, ClientReports> m_clientReports;
 };
 
 } // namespace snipeferry::gateway
--- a/include/snipeferry/gateway/requestflow.h
+++ b/include/snipeferry/gateway/requestflow.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "snipeferry/gateway/answermemory.h"
 #include "snipeferry/gateway/backendtable.h"
 #include "snipeferry/gateway/eventstream.h"
 #include "snipeferry/gateway/fleetview.h"
@@ -29,6 +30,7 @@
     double spillShare = 0.35;
     /** Fraction of the latency objective. A request that would wait longer than this before its own prompt is read is refused. */
     double refuseShare = 1.0;
+    AnswerLimits answers;
     std::uint64_t seed = 1;
 };
 
@@ -77,7 +79,7 @@
 
     void runHead(Number run, const HttpHead &head) override;
     void runData(Number run, const std::string &data) override;
-    void runEnd(Number run) override;
+    void runEnd(Number run, AnswerEnd end) override;
     void runFailed(Number run, bool mayHaveRun, const std::string &reason) override;
 
     /** @brief Processes the answers to requests that were forwarded to other instances. */
@@ -85,6 +87,8 @@
     void handle(const core::InstanceId &from, const ForwardData &message);
     void handle(const core::InstanceId &from, const ForwardEnd &message);
     void handle(const core::InstanceId &from, const ForwardFailed &message);
+    /** @brief Bytes of answers that wait in this process. */
+    std::size_t answerBytes() const;
     void linkDown(const core::InstanceId &peer);
 
     /**
@@ -157,6 +161,10 @@
         /** Buffered answer, if it is not a stream. */
         std::string body;
         EventStream events;
+        /** Bytes counted in AnswerMemory: of the buffered answer, of the incomplete event, and those that the caller has not taken. */
+        std::size_t countedBytes = 0;
+        /** Whether nothing more is read from the run, because the caller takes its answer slowly. */
+        bool isPaused = false;
     };
 
     using OpenRequestPointer = std::unique_ptr<OpenRequest>;
@@ -198,6 +206,18 @@
     /** Passes complete events of a stream to the caller; buffers any other answer. */
     void relayData(OpenRequest &open, const std::string &data);
     void complete(OpenRequest &open);
+    /** Whether the answer is passed on event by event. */
+    static bool isEventStream(const OpenRequest &open);
+    /** Who sends the answer of the current run, for AnswerMemory. */
+    static std::string answerSource(const OpenRequest &open);
+    /** Counts the bytes of the answer that wait here; ends the run if they exceed a bound, and then returns false. */
+    bool countBytes(OpenRequest &open);
+    /** Stops reading from the run while the caller has many bytes left to take, and goes on when it has few. */
+    void adjustReading(OpenRequest &open);
+    /** Ends a run whose answer has exceeded a bound; the backend server is judged by the given end. */
+    void endOversizedAnswer(OpenRequest &open, const std::string &bound, RunEnd end);
+    /** Longest time without progress that a sound run may need. */
+    absl::Duration silenceLimit(const OpenRequest &open) const;
     /** Answers the caller with an error and closes the request. */
     void fail(OpenRequest &open, const core::Error &error);
     /** Cancels the current run, if any, and forgets the request. */
@@ -218,6 +238,7 @@
     absl::Time m_refuseNewFrom = absl::InfiniteFuture();
     /** While draining, the time at which the instance stops. */
     absl::Time m_stopAt = absl::InfiniteFuture();
+    AnswerMemory m_answerMemory;
     absl::flat_hash_map<Number, OpenRequestPointer> m_openRequests;
     absl::flat_hash_map<Number, Number> m_requestByRun;
     Number m_lastNumber = 0;
--- a/include/snipeferry/gateway/rolloutguard.h
+++ b/include/snipeferry/gateway/rolloutguard.h
@@ -6,6 +6,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <functional>
 #include <map>
 #include <random>
 #include <string>
@@ -54,6 +55,16 @@
     SNIPEFERRY_VALUE(RolloutReport, service, order, state, age, evidence)
 };
 
+/** Which part an instance has in the storing of reverts. */
+enum class RolloutRole {
+    /** Instance of a small region: stores the reverts that it decides on. */
+    Equal,
+    /** Stores the reverts that it decides on, and those that instances which report to it have decided on. */
+    Relay,
+    /** Instance that reports to relays: leaves the storing to them. */
+    Reporting,
+};
+
 /** Which versions of a service a request may go to; both empty for any. */
 struct VersionChoice
 {
@@ -93,16 +104,20 @@
      * @brief Sets the live instances.
      *
      * The first one in a rollout's rendezvous order stores its decisions. Only a revert after a regression is stored by every
-     * instance that detects it.
+     * instance that detects it, as its role permits.
      */
-    void setInstances(std::vector<core::InstanceId> instances);
+    void setInstances(std::vector<core::InstanceId> instances, RolloutRole role = RolloutRole::Equal);
 
     /** @brief Chooses the versions for one request. */
     VersionChoice choose(const core::ServiceId &service);
     /** @brief Adds the answer of one run to the statistics. */
     void observe(const core::ServiceId &service, const std::string &route, const core::VersionId &version, bool hasFailed, absl::Duration latency);
 
+    /** @brief Reports on this instance's own requests. */
     std::vector<RolloutReport> reports() const;
+
+    /** @brief Reports with the evidence of this instance and of the peers that the predicate selects. */
+    std::vector<RolloutReport> mergedReports(const std::function<bool(const core::InstanceId &)> &includesPeer) const;
     void receive(const core::InstanceId &from, const std::vector<RolloutReport> &reports);
 
     /** @brief Adopts a decision from the store, whichever instance has made it. */
@@ -123,7 +138,7 @@
     };
 
     static VersionEvidence &evidenceFor(std::vector<VersionEvidence> &all, const std::string &route, bool isTarget);
-    std::vector<VersionEvidence> mergedEvidence(const RolloutProgress &progress) const;
+    static std::vector<VersionEvidence> mergedEvidence(const RolloutProgress &progress, const std::function<bool(const core::InstanceId &)> &includesPeer);
     /** Why the new version is worse than the old one; empty if it is not. */
     std::string findRegression(const RolloutProgress &progress) const;
     bool hasEnoughAnswers(const RolloutProgress &progress) const;
@@ -136,6 +151,7 @@
     core::TimerService &m_timers;
     std::mt19937_64 m_random;
     std::vector<core::InstanceId> m_instances;
+    RolloutRole m_role = RolloutRole::Equal;
     absl::flat_hash_map<core::ServiceId, RolloutProgress> m_rollouts;
     core::Signal<RolloutDecision> m_decided;
     core::Subscription m_timer;
--- a/include/snipeferry/net/backendpool.h
+++ b/include/snipeferry/net/backendpool.h
@@ -21,6 +21,8 @@
     int maxConnectionsPerServer = 100;
     /** Without it each run has a connection of its own, which is closed behind its answer. */
     bool reusesConnections = true;
+    /** Whether each answer names its request. On a connection that served another request before, an answer that names none is then no answer. */
+    bool doAnswersNameRequests = false;
 };
 
 /** Connections to backend servers; each serves one run at a time. */
@@ -39,6 +41,7 @@
     void start(gateway::Number run, const gateway::BackendServer &server, const gateway::HttpRequest &request, const core::RequestId &id,
         bool mayReuseConnection) override;
     void cancel(gateway::Number run) override;
+    void setPaused(gateway::Number run, bool isPaused) override;
 
     /** @brief Connections opened since the start. */
     std::uint64_t openedCount() const;
--- a/include/snipeferry/net/gatewaysettings.h
+++ b/include/snipeferry/net/gatewaysettings.h
@@ -11,9 +11,19 @@
 
 namespace snipeferry::net {
 
+/** The machine on which a gateway process runs. */
+struct MachineSettings
+{
+    /** Memory that the process may use, in MB. */
+    double memoryMb = 256;
+    /** Share of a processor core that the process gets. */
+    double cpuShare = 0.25;
+};
+
 /** Settings of one gateway process. */
 struct GatewayProcessSettings
 {
+    MachineSettings machine;
     gateway::GatewaySettings gateway;
     /** "a.b.c.d:port" for callers, for the directory, for readiness, and for metrics; the last may be empty. */
     std::string directoryAddress;
--- a/include/snipeferry/net/httpserver.h
+++ b/include/snipeferry/net/httpserver.h
@@ -74,6 +74,9 @@
     /** @brief Closes the connection, so that the answer cannot look complete. */
     virtual void breakOff() = 0;
 
+    /** @brief Bytes of the answer that were not yet written to the connection. */
+    virtual std::size_t unsentBytes() const = 0;
+
     /** @brief Called once if the client closes its connection before the answer is complete. */
     virtual void onClosed(std::function<void()> callback) = 0;
 };
@@ -102,9 +105,16 @@
     /** @brief Tells clients with each answer that the connection closes. */
     void closeAfterAnswers();
 
-    /** @brief Closes connections that wait for a request, and takes no new ones. */
+    /**
+     * @brief Takes no new connections and closes those that wait for a request.
+     *
+     * Connections whose clients have connected or sent something already are served before they close.
+     */
     void stop();
 
+    /** @brief Whether every request that has begun to arrive is answered, and each answer sent. */
+    bool isDrained() const;
+
     std::size_t connectionCount() const;
 
     /** @brief Connections whose request is being read or whose answer is not sent completely. */
--- a/include/snipeferry/net/peerlinks.h
+++ b/include/snipeferry/net/peerlinks.h
@@ -38,6 +38,9 @@
     void keep(const std::vector<gateway::Member> &members);
 
     bool send(const core::InstanceId &to, const gateway::FleetMessage &message) override;
+    /** @brief Bytes and messages that wait on all links, counted as one number; 0 if nothing waits. */
+    std::size_t queuedBytes() const;
+    void sendToAll(const std::vector<core::InstanceId> &to, const gateway::FleetMessage &message) override;
 
     void stop();
 
--- a/include/snipeferry/net/storeclient.h
+++ b/include/snipeferry/net/storeclient.h
@@ -20,6 +20,8 @@
     absl::Duration memberWait = absl::Milliseconds(4000);
     /** Time for an answer beyond the wait that was asked for. */
     absl::Duration answerTimeout = absl::Milliseconds(900);
+    /** Longest answer to a call for records or changes. */
+    std::size_t maxAnswerBytes = 32U << 20U;
     absl::Duration leaseTime = absl::Seconds(9);
     absl::Duration renewPeriod = absl::Seconds(3);
 };
--- a/include/snipeferry/settings/yamlreader.h
+++ b/include/snipeferry/settings/yamlreader.h
@@ -76,12 +76,12 @@
     std::int64_t integer(const std::string &key, std::int64_t minimum, std::int64_t maximum, std::int64_t defaultValue);
 
     /** @brief Reads a number from minimum to maximum, both included. */
-    double fraction(const std::string &key, double minimum, double maximum, double defaultValue);
+    double number(const std::string &key, double minimum, double maximum, double defaultValue);
 
     /** @brief Reads true or false. */
     bool flag(const std::string &key, bool defaultValue);
 
-    /** @brief Reads a duration such as 500ms, 2s or 1m30s, from minimum to maximum, both included. */
+    /** @brief Reads a duration such as 500ms, 2s, 1m30s or 2.5e3ms, from minimum to maximum, both included. */
     absl::Duration duration(const std::string &key, absl::Duration minimum, absl::Duration maximum);
     absl::Duration duration(const std::string &key, absl::Duration minimum, absl::Duration maximum, absl::Duration defaultValue);
 
--- a/source/gateway/backendchoice.cpp
+++ b/source/gateway/backendchoice.cpp
@@ -27,6 +27,8 @@
 /** If more are eligible, this many with the highest rendezvous weights are compared, and this many random ones. */
 constexpr int RANKED_CANDIDATES = 3;
 constexpr int RANDOM_CANDIDATES = 3;
+/** Retry-after time while the known backend servers are not confirmed. */
+constexpr absl::Duration UNCONFIRMED_RETRY_DELAY = absl::Milliseconds(200);
 /** Costs that differ by less than this count as equal. */
 constexpr double SIMILAR_COST_MS = 40.0;
 /** The expected time is multiplied by 1 plus this factor times the backend server's failure share. */
@@ -190,7 +192,12 @@
 
 core::Expected<ServerChoice> BackendTable::choose(const ServerQuery &query)
 {
+    refreshPeerWork();
     const absl::Time now = m_timers.now();
+    if (now < m_unconfirmedUntil) {
+        return tl::make_unexpected(
+            core::makeError(core::ErrorKind::NoBackendServer, "The known backend servers are not confirmed yet.", UNCONFIRMED_RETRY_DELAY));
+    }
     const auto service = m_services.find(query.service);
     if (service == m_services.end()) {
         return tl::make_unexpected(core::makeError(core::ErrorKind::NoBackendServer, "No backend server of the service is known.", absl::Seconds(1)));
--- a/source/gateway/backendtable.cpp
+++ b/source/gateway/backendtable.cpp
@@ -89,6 +89,11 @@
     m_promptCache.removeServer(id);
 }
 
+void BackendTable::setUnconfirmedUntil(absl::Time until)
+{
+    m_unconfirmedUntil = until;
+}
+
 void BackendTable::configure(const std::vector<Service> &services)
 {
     m_serviceConfigurations.clear();
@@ -124,11 +129,15 @@
 void BackendTable::setPeerWork(const core::InstanceId &instance, const std::vector<ServerWork> &work)
 {
     m_peerReports[instance] = PeerReport{work, m_timers.now()};
-    rebuildPeerWork();
+    m_isPeerWorkOutdated = true;
 }
 
-void BackendTable::rebuildPeerWork()
+void BackendTable::refreshPeerWork()
 {
+    if (!m_isPeerWorkOutdated) {
+        return;
+    }
+    m_isPeerWorkOutdated = false;
     const absl::Time now = m_timers.now();
     for (auto &entry : m_servers) {
         entry.second.peerRunning = 0;
@@ -170,6 +179,53 @@
     return all;
 }
 
+std::vector<ServerWork> BackendTable::regionWork()
+{
+    absl::flat_hash_map<core::BackendServerId, ServerWork> sums;
+    const auto add = [&sums](const ServerWork &work) {
+        ServerWork &sum = sums[work.server];
+        sum.server = work.server;
+        sum.running += work.running;
+        for (std::size_t level = 0; level < std::min(sum.unreadTokens.size(), work.unreadTokens.size()); ++level) {
+            sum.unreadTokens[level] += work.unreadTokens[level];
+        }
+    };
+    for (const ServerWork &work : ownWork()) {
+        add(work);
+    }
+    const absl::Time now = m_timers.now();
+    for (const auto &report : m_peerReports) {
+        if (now - report.second.receivedAt <= PEER_REPORT_LIFETIME) {
+            for (const ServerWork &work : report.second.work) {
+                add(work);
+            }
+        }
+    }
+    std::vector<ServerWork> all;
+    for (auto &entry : sums) {
+        all.push_back(std::move(entry.second));
+    }
+    return all;
+}
+
+void BackendTable::setRegionWork(const std::vector<ServerWork> &sums, const std::vector<ServerWork> &ownReported)
+{
+    std::vector<ServerWork> others = sums;
+    for (ServerWork &work : others) {
+        const auto own = std::find_if(ownReported.begin(), ownReported.end(), [&work](const ServerWork &reported) { return reported.server == work.server; });
+        if (own == ownReported.end()) {
+            continue;
+        }
+        work.running = std::max(0, work.running - own->running);
+        for (std::size_t level = 0; level < std::min(work.unreadTokens.size(), own->unreadTokens.size()); ++level) {
+            work.unreadTokens[level] = std::max<std::int64_t>(0, work.unreadTokens[level] - own->unreadTokens[level]);
+        }
+    }
+    // The sums contain all that single instances have reported before, for example while the region was small.
+    m_peerReports.clear();
+    setPeerWork(core::InstanceId(), others);
+}
+
 bool BackendTable::acceptsRequests(const ServerState &state) const
 {
     return !state.server.isDraining && !m_evacuatedDataCentres.contains(state.server.dataCentre);
@@ -201,8 +257,9 @@
         it->second.servers.begin(), it->second.servers.end(), [this](const core::BackendServerId &id) { return acceptsRequests(m_servers.at(id)); });
 }
 
-std::string BackendTable::describe(const core::BackendServerId &id) const
+std::string BackendTable::describe(const core::BackendServerId &id)
 {
+    refreshPeerWork();
     const auto it = m_servers.find(id);
     if (it == m_servers.end()) {
         return "gone";
@@ -235,8 +292,9 @@
     return all;
 }
 
-ServerCounts BackendTable::serverCounts(const core::ServiceId &service) const
+ServerCounts BackendTable::serverCounts(const core::ServiceId &service)
 {
+    refreshPeerWork();
     ServerCounts counts;
     const auto it = m_services.find(service);
     if (it == m_services.end()) {
@@ -264,8 +322,9 @@
     return all;
 }
 
-std::vector<absl::Duration> BackendTable::leastWaits(const core::ServiceId &service) const
+std::vector<absl::Duration> BackendTable::leastWaits(const core::ServiceId &service)
 {
+    refreshPeerWork();
     const auto it = m_services.find(service);
     std::vector<absl::Duration> least;
     if (it == m_services.end()) {
@@ -287,6 +346,7 @@
 
 void BackendTable::started(const core::BackendServerId &id, int priority, std::int64_t unreadTokens, const std::vector<PromptPart> &parts)
 {
+    refreshPeerWork();
     ServerState *target = findState(id);
     if (target == nullptr) {
         return;
@@ -311,6 +371,7 @@
 
 void BackendTable::answered(const core::BackendServerId &id, int priority, std::int64_t unreadTokens, absl::Duration latency)
 {
+    refreshPeerWork();
     ServerState *target = findState(id);
     if (target == nullptr) {
         return;
@@ -360,6 +421,7 @@
 
 void BackendTable::reportLoad(const core::BackendServerId &id, int running, int waiting)
 {
+    refreshPeerWork();
     ServerState *target = findState(id);
     if (target == nullptr || running < 0 || waiting < 0) {
         return;
--- a/source/gateway/eventstream.cpp
+++ b/source/gateway/eventstream.cpp
@@ -6,15 +6,25 @@
 #include <absl/strings/str_split.h>
 #include <absl/strings/string_view.h>
 
+#include <algorithm>
+
 namespace snipeferry::gateway {
 
 namespace {
 
+/** Longest event that is passed on. Events of a stream hold some tokens each. */
+constexpr std::size_t MAX_EVENT_BYTES = 1U << 20U;
+/** Bytes of the longest mark between two events, less one: so much of it may have arrived already. */
+constexpr std::size_t MARK_OVERLAP = 3;
+
 /** Offset after the first complete event, or npos if there is none. */
 std::size_t eventEnd(const std::string &text, std::size_t from)
 {
     const std::size_t plain = text.find("\n\n", from);
-    const std::size_t withReturns = text.find("\r\n\r\n", from);
+    // The other mark is looked for only before the first one found, so that no byte is searched again for each event.
+    const absl::string_view before = absl::string_view(text).substr(0, plain == std::string::npos ? text.size() : plain + 1);
+    const std::size_t found = before.find("\r\n\r\n", from);
+    const std::size_t withReturns = found == absl::string_view::npos ? std::string::npos : found;
     if (plain == std::string::npos && withReturns == std::string::npos) {
         return std::string::npos;
     }
@@ -43,7 +53,7 @@
     m_partial += data;
     std::string whole;
     std::size_t begin = 0;
-    std::size_t end = eventEnd(m_partial, begin);
+    std::size_t end = eventEnd(m_partial, m_searchedBytes);
     while (end != std::string::npos) {
         const std::string event = m_partial.substr(begin, end - begin);
         if (acceptIfNew(event)) {
@@ -54,6 +64,7 @@
         end = eventEnd(m_partial, begin);
     }
     m_partial.erase(0, begin);
+    m_searchedBytes = m_partial.size() - std::min(m_partial.size(), MARK_OVERLAP);
     return whole;
 }
 
@@ -76,6 +87,12 @@
 void EventStream::dropPartial()
 {
     m_partial.clear();
+    m_searchedBytes = 0;
+}
+
+bool EventStream::isPartialTooLong() const
+{
+    return m_partial.size() > MAX_EVENT_BYTES;
 }
 
 const std::string &EventStream::partial() const
--- a/source/gateway/fleetview.cpp
+++ b/source/gateway/fleetview.cpp
@@ -1,5 +1,6 @@
 #include "snipeferry/gateway/fleetview.h"
 
+#include "snipeferry/gateway/relayranking.h"
 #include "snipeferry/gateway/rendezvous.h"
 #include "snipeferry/gateway/routetable.h"
 
@@ -21,8 +22,6 @@
 constexpr double REGION_TOKENS_PER_MS = 120.0;
 /** Limit of the addresses that callers receive. */
 constexpr std::size_t MAX_CALLER_ADDRESSES = 64;
-/** Number of links that an instance selects to each data centre of another region. With three, one is left if one instance fails while another restarts. */
-constexpr int LINKS_PER_DATA_CENTRE = 3;
 
 } // namespace
 
@@ -49,6 +48,7 @@
     if (!peer.isAnnounced || peer.member.incarnation != member.incarnation) {
         peer.announcedAt = m_timers.now();
     }
+    m_areLinkTargetsOutdated = m_areLinkTargetsOutdated || !peer.isAnnounced || peer.member != member;
     peer.member = member;
     peer.isAnnounced = true;
 }
@@ -60,6 +60,7 @@
         return;
     }
     it->second.isAnnounced = false;
+    m_areLinkTargetsOutdated = true;
     // A linked instance is running even if its announcement lapsed, for example in a store outage.
     if (!it->second.isLinked) {
         m_peers.erase(it);
@@ -116,30 +117,6 @@
     return pulse;
 }
 
-bool FleetView::shouldLink(const Member &member) const
-{
-    if (member.region == m_self.region) {
-        return true;
-    }
-    // Rendezvous hashing: each instance ranks the members of a data centre and selects the first ones. A link exists if either end selects the other.
-    const auto isTopRanked = [this](const Member &ranker, const Member &candidateMember) {
-        const double weight = rendezvousWeight(ranker.id.value(), candidateMember.id.value());
-        int higherRanked = 0;
-        const auto countIfRankedHigher = [&](const Member &other) {
-            const bool isCompetitor = other.dataCentre == candidateMember.dataCentre && other.id != candidateMember.id;
-            higherRanked += isCompetitor && rendezvousWeight(ranker.id.value(), other.id.value()) > weight ? 1 : 0;
-        };
-        countIfRankedHigher(m_self);
-        for (const auto &entry : m_peers) {
-            if (entry.second.isAnnounced) {
-                countIfRankedHigher(entry.second.member);
-            }
-        }
-        return higherRanked < LINKS_PER_DATA_CENTRE;
-    };
-    return isTopRanked(m_self, member) || isTopRanked(member, m_self);
-}
-
 std::vector<Member> FleetView::membersToLink() const
 {
     std::vector<Member> all;
@@ -173,18 +150,38 @@
     return peer.isLinked && m_timers.now() - peer.lastHeardAt < PULSE_TIMEOUT;
 }
 
+bool FleetView::isAlive(const Peer &peer) const
+{
+    return hasRecentPulse(peer) || m_timers.now() - peer.reportedAliveAt < PULSE_TIMEOUT;
+}
+
+bool FleetView::acceptsCallers(const Peer &peer) const
+{
+    return hasRecentPulse(peer) ? peer.isReady : isAlive(peer) && peer.isReportedReady;
+}
+
 bool FleetView::mayBeAlive(const Peer &peer) const
 {
-    // This instance receives no pulses from members to which it keeps no link. They count as alive while their announcement exists.
-    const bool isWithinLinkGrace = m_timers.now() - peer.announcedAt < LINK_GRACE;
-    return hasRecentPulse(peer) || (!peer.isLinked && peer.isAnnounced && (isWithinLinkGrace || !shouldLink(peer.member)));
+    if (isAlive(peer)) {
+        return true;
+    }
+    if (peer.isLinked || !peer.isAnnounced) {
+        return false;
+    }
+    if (m_timers.now() - peer.announcedAt < LINK_GRACE) {
+        return true;
+    }
+    // This instance hears of its own region's members directly or through a relay. Other members to which it keeps no link count as alive while their
+    // announcement exists.
+    const bool isHeardOf = peer.member.region == m_self.region && m_timers.now() - m_summaryReceivedAt < PULSE_TIMEOUT;
+    return !isHeardOf && !shouldLink(peer.member);
 }
 
 std::vector<core::InstanceId> FleetView::dataCentreInstances() const
 {
     std::vector<core::InstanceId> all{m_self.id};
     for (const auto &entry : m_peers) {
-        if (entry.second.member.dataCentre == m_self.dataCentre && hasRecentPulse(entry.second)) {
+        if (entry.second.member.dataCentre == m_self.dataCentre && isAlive(entry.second)) {
             all.push_back(entry.first);
         }
     }
@@ -195,7 +192,7 @@
 {
     std::vector<core::InstanceId> all{m_self.id};
     for (const auto &entry : m_peers) {
-        if (entry.second.member.region == m_self.region && hasRecentPulse(entry.second)) {
+        if (entry.second.member.region == m_self.region && isAlive(entry.second)) {
             all.push_back(entry.first);
         }
     }
@@ -205,7 +202,7 @@
 bool FleetView::hasReadyInstance(const core::RegionId &region) const
 {
     for (const auto &entry : m_peers) {
-        if (entry.second.member.region == region && entry.second.isReady && hasRecentPulse(entry.second)) {
+        if (entry.second.member.region == region && acceptsCallers(entry.second)) {
             return true;
         }
     }
@@ -239,10 +236,10 @@
         draining.push_back(m_self.callerAddress);
     }
     for (const auto &entry : m_peers) {
-        const bool isOffered = entry.second.isLinked ? entry.second.isReady && hasRecentPulse(entry.second) : mayBeAlive(entry.second);
+        const bool isOffered = isAlive(entry.second) ? acceptsCallers(entry.second) : mayBeAlive(entry.second);
         if (isOffered) {
             add(entry.second.member);
-        } else if (hasRecentPulse(entry.second) && entry.second.member.region == region) {
+        } else if (isAlive(entry.second) && entry.second.member.region == region) {
             draining.push_back(entry.second.member.callerAddress);
         }
     }
--- a/source/gateway/forwardreceiver.cpp
+++ b/source/gateway/forwardreceiver.cpp
@@ -3,8 +3,10 @@
 #include "snipeferry/gateway/requestflow.h"
 #include "snipeferry/gateway/routetable.h"
 
+#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <vector>
 
 namespace snipeferry::gateway {
@@ -16,6 +18,9 @@
 constexpr absl::Duration RETURN_TIME = absl::Milliseconds(60);
 /** Lowest HTTP status that means a failure of the server. */
 constexpr int MIN_SERVER_ERROR_STATUS = 500;
+constexpr int EVENT_STREAM_STATUS = 200;
+/** Length of the longest mark at the end of an event. */
+constexpr std::size_t EVENT_MARK_BYTES = 4;
 
 } // namespace
 
@@ -80,6 +85,7 @@
     forwardedRun.version = m_backends.find(choice->server)->version;
     forwardedRun.priority = message.priority;
     forwardedRun.unreadTokens = choice->unreadTokens;
+    forwardedRun.isStream = message.isStream;
     forwardedRun.startedAt = now;
     forwardedRun.deadline = now + message.timeLeft;
     m_forwardedRuns.emplace(run, forwardedRun);
@@ -128,6 +134,29 @@
     }
 }
 
+void ForwardReceiver::handle(const core::InstanceId &from, const ForwardFlow &message)
+{
+    for (const auto &entry : m_forwardedRuns) {
+        if (entry.second.origin == from && entry.second.originNumber == message.number) {
+            m_runs.setPaused(entry.first, message.isPaused);
+            return;
+        }
+    }
+}
+
+void ForwardReceiver::breakOff(Number run, RunEnd runEnd, const std::string &reason)
+{
+    const ForwardedRun forwardedRun = m_forwardedRuns.at(run);
+    m_runs.cancel(run);
+    end(run, runEnd);
+    m_journal.log(core::LogEvent{"forward_failed", {}}
+                      .with("request", forwardedRun.request.value())
+                      .with("server", forwardedRun.server.value())
+                      .with("reason", reason)
+                      .with("may_have_run", "true"));
+    m_links.send(forwardedRun.origin, ForwardFailed{forwardedRun.originNumber, true, reason});
+}
+
 void ForwardReceiver::linkDown(const core::InstanceId &peer)
 {
     std::vector<Number> orphanedRuns;
@@ -176,16 +205,28 @@
     if (it == m_forwardedRuns.end()) {
         return;
     }
-    noteFirstData(it->second);
-    m_links.send(it->second.origin, ForwardData{it->second.originNumber, it->second.sentPieces++, data});
+    ForwardedRun &forwardedRun = it->second;
+    noteFirstData(forwardedRun);
+    forwardedRun.tail = (forwardedRun.tail + data.substr(data.size() - std::min(data.size(), EVENT_MARK_BYTES)));
+    forwardedRun.tail.erase(0, forwardedRun.tail.size() - std::min(forwardedRun.tail.size(), EVENT_MARK_BYTES));
+    if (!m_links.send(forwardedRun.origin, ForwardData{forwardedRun.originNumber, forwardedRun.sentPieces++, data})) {
+        breakOff(run, RunEnd::Cancelled, "link_full");
+    }
 }
 
-void ForwardReceiver::runEnd(Number run)
+void ForwardReceiver::runEnd(Number run, AnswerEnd answerEnd)
 {
     const auto it = m_forwardedRuns.find(run);
     if (it == m_forwardedRuns.end()) {
         return;
     }
+    // A stream that ends with its connection in the middle of an event is not whole. The origin is not told how the answer ended.
+    const bool isEventStream = it->second.isStream && it->second.status == EVENT_STREAM_STATUS;
+    const bool endsWithEvent = it->second.tail.empty() || absl::EndsWith(it->second.tail, "\n\n") || absl::EndsWith(it->second.tail, "\r\n\r\n");
+    if (answerEnd == AnswerEnd::ConnectionClosed && isEventStream && !endsWithEvent) {
+        breakOff(run, RunEnd::Unreachable, "answer_broken_off");
+        return;
+    }
     noteFirstData(it->second);
     m_links.send(it->second.origin, ForwardEnd{it->second.originNumber, it->second.sentPieces});
     end(run, it->second.status >= MIN_SERVER_ERROR_STATUS ? RunEnd::ServerError : RunEnd::Success);
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -12,20 +12,28 @@
 namespace {
 
 /**
- * How long a backend server whose announcement lapsed in a store outage stays in use after the store's return. Its new announcement arrives within
- * about two seconds.
+ * How long after the store's return a backend server whose announcement lapsed stays in use. Its new announcement arrives within about two seconds of
+ * the return.
  */
 constexpr absl::Duration REANNOUNCE_TIMEOUT = absl::Milliseconds(2600);
-/** An announcement that is removed within this time after a failure of the store may have lapsed because of that failure. */
-constexpr absl::Duration OUTAGE_LAPSE_WINDOW = absl::Seconds(3);
+/** The same as a limit by the time in which a leaving backend server may get requests: it may also have left just after the store's return. */
+constexpr double REANNOUNCE_DRAIN_FRACTION = 0.85;
+/** If nobody confirms a first reading of the backend servers in this time, the instance is alone and serves with what it knows. */
+constexpr absl::Duration CONFIRMATION_TIMEOUT = absl::Seconds(2);
 constexpr absl::Duration LAPSED_SERVER_CHECK_PERIOD = absl::Milliseconds(200);
 /**
- * Largest age of a topic's last confirmation, by topic. If it is older, the instance reads the topic itself.
+ * Largest age of the last confirmation of the operator's records. If it is older, the instance reads them itself.
  *
- * For the operator's topic, the watching instance gets a confirmation every second, and a pulse passes it on within another second. A change has to
- * take effect within three seconds.
+ * The watching instance gets a confirmation every second, and pulses pass it on within another second. A change has to take effect within three seconds.
  */
-constexpr std::array<absl::Duration, TOPIC_COUNT> MAX_CONFIRMATION_AGES = {absl::Milliseconds(1900), absl::Milliseconds(3000), absl::Milliseconds(6000)};
+constexpr absl::Duration MAX_OPERATOR_CONFIRMATION_AGE = absl::Milliseconds(1900);
+constexpr absl::Duration MAX_MEMBER_CONFIRMATION_AGE = absl::Milliseconds(6000);
+/**
+ * The same for the backend servers, as a fraction of the time in which a leaving one may get requests. The rest is for the reading, which may find a
+ * connection that has gone silent, and for the requests that were sent before.
+ */
+constexpr double SERVER_CONFIRMATION_DRAIN_FRACTION = 0.6;
+constexpr absl::Duration MIN_SERVER_CONFIRMATION_AGE = absl::Milliseconds(500);
 /**
  * Fraction of the key withdrawal time. If the last confirmation of the deployment is older, the instance is not ready, so that callers move to
  * another instance before it has to refuse their keys.
@@ -72,15 +80,35 @@
     return mirror(topic).isLoaded() ? mirror(topic).revision() : 0;
 }
 
+absl::Duration Gateway::maxConfirmationAge(Topic topic) const
+{
+    switch (topic) {
+    case Topic::Operator:
+        return MAX_OPERATOR_CONFIRMATION_AGE;
+    case Topic::BackendServers:
+        return std::max(MIN_SERVER_CONFIRMATION_AGE, m_settings.serverDrainTime * SERVER_CONFIRMATION_DRAIN_FRACTION);
+    case Topic::Members:
+        return MAX_MEMBER_CONFIRMATION_AGE;
+    }
+    return MAX_OPERATOR_CONFIRMATION_AGE;
+}
+
 bool Gateway::shouldWatch(Topic topic) const
 {
     const RecordMirror &own = mirror(topic);
-    if (!own.isLoaded() || m_ports.timers.now() - own.confirmedAt() > MAX_CONFIRMATION_AGES[static_cast<std::size_t>(topic)]) {
+    if (!own.isLoaded() || m_ports.timers.now() - own.confirmedAt() > maxConfirmationAge(topic)) {
         return true;
     }
-    // Each topic has its own watching instance, to spread the load.
+    // Each topic has its own watching instance, to spread the load. In a large region a relay watches, from which the others get their pulses.
     const std::string key = absl::StrCat("topic-", static_cast<int>(topic));
-    return rendezvousFirst(key, m_fleet.dataCentreInstances()) == m_settings.self.id;
+    std::vector<core::InstanceId> watchers = m_fleet.dataCentreInstances();
+    if (!m_fleet.relays().empty()) {
+        const auto isNoRelay = [this](const core::InstanceId &id) {
+            return std::find(m_fleet.relays().begin(), m_fleet.relays().end(), id) == m_fleet.relays().end();
+        };
+        watchers.erase(std::remove_if(watchers.begin(), watchers.end(), isNoRelay), watchers.end());
+    }
+    return rendezvousFirst(key, watchers) == m_settings.self.id;
 }
 
 void Gateway::sendChangesToRegion(Topic topic, core::Revision after, core::Revision revision, const std::vector<RecordChange> &changes)
@@ -88,11 +116,12 @@
     if (changes.empty()) {
         return;
     }
-    for (const core::InstanceId &peer : m_fleet.linkedInstances()) {
-        if (m_fleet.isInOwnRegion(peer)) {
-            m_ports.links.send(peer, RecordsUpdate{topic, after, revision, changes});
-        }
-    }
+    std::vector<core::InstanceId> peers = m_fleet.linkedInstances();
+    const auto isOfOtherRegion = [this](const core::InstanceId &peer) {
+        return !m_fleet.isInOwnRegion(peer);
+    };
+    peers.erase(std::remove_if(peers.begin(), peers.end(), isOfOtherRegion), peers.end());
+    m_ports.links.sendToAll(peers, RecordsUpdate{topic, after, revision, changes});
 }
 
 bool Gateway::hasRecord(Topic topic, const std::string &key) const
@@ -108,25 +137,38 @@
                             .with("revision", absl::StrCat(revision))
                             .with("changes", absl::StrCat(changes.size())));
     applyRecordChanges(topic, changes);
+    if (topic == Topic::BackendServers && confirmedAt == absl::InfinitePast()) {
+        m_backends.setUnconfirmedUntil(m_ports.timers.now() + CONFIRMATION_TIMEOUT);
+    }
     confirm(topic, confirmedAt);
 }
 
 void Gateway::topicChanged(Topic topic, const std::vector<RecordChange> &changes, core::Revision revision, absl::Time confirmedAt)
 {
-    const core::Revision after = mirror(topic).revision();
+    // The copy's own revision also rises with each confirmation, of which the others are told no revision. They have the same changes.
+    const core::Revision after = mirror(topic).changeRevision();
     const std::vector<RecordChange> newChanges = mirror(topic).apply(changes, revision);
     applyRecordChanges(topic, newChanges);
     confirm(topic, confirmedAt);
     sendChangesToRegion(topic, after, revision, newChanges);
 }
 
+bool Gateway::isUnconfirmed(Topic topic) const
+{
+    return mirror(topic).isLoaded() && mirror(topic).confirmedAt() == absl::InfinitePast();
+}
+
 void Gateway::confirm(Topic topic, absl::Time at)
 {
     mirror(topic).confirm(at);
     if (m_isStoreLost && at > m_storeFailedAt) {
         m_isStoreLost = false;
+        m_storeRegainedAt = m_ports.timers.now();
         m_ports.journal.log(core::LogEvent{"store_regained", {}}.with("topic", absl::StrCat(static_cast<int>(topic))));
     }
+    if (topic == Topic::BackendServers && !isUnconfirmed(topic)) {
+        m_backends.setUnconfirmedUntil(absl::InfinitePast());
+    }
     if (topic == Topic::Operator) {
         m_requestFlow.confirmDeployment(mirror(topic).confirmedAt());
     }
@@ -214,10 +256,9 @@
 {
     const core::BackendServerId id = m_ports.records.backendServerOf(change.key);
     if (!change.value.has_value()) {
-        const absl::Time now = m_ports.timers.now();
-        const bool mayHaveLapsed = m_isStoreLost || now - m_storeFailedAt < OUTAGE_LAPSE_WINDOW;
+        const bool mayHaveLapsed = m_isStoreLost || m_ports.timers.now() < lapsedServersRemovedAt();
         if (mayHaveLapsed) {
-            m_lapsedServers[id] = now + REANNOUNCE_TIMEOUT;
+            m_lapsedServers.insert(id);
         } else {
             m_backends.remove(id);
         }
@@ -248,20 +289,18 @@
                             .with("revision", absl::StrCat(change.revision)));
 }
 
+absl::Time Gateway::lapsedServersRemovedAt() const
+{
+    return m_storeRegainedAt + std::min(REANNOUNCE_TIMEOUT, m_settings.serverDrainTime * REANNOUNCE_DRAIN_FRACTION);
+}
+
 void Gateway::removeLapsedServers()
 {
-    const absl::Time now = m_ports.timers.now();
-    for (auto it = m_lapsedServers.begin(); it != m_lapsedServers.end();) {
-        // Start the timeout at the store's return: before that, no backend server can renew its announcement.
-        if (m_isStoreLost) {
-            it->second = now + REANNOUNCE_TIMEOUT;
-        }
-        if (it->second <= now) {
-            m_backends.remove(it->first);
-            m_ports.journal.log(core::LogEvent{"server_gone", {}}.with("server", it->first.value()).with("is_held", "false"));
-            it = m_lapsedServers.erase(it);
-        } else {
-            ++it;
+    // No backend server can renew its announcement before the store's return.
+    if (!m_isStoreLost && m_ports.timers.now() >= lapsedServersRemovedAt()) {
+        for (const core::BackendServerId &id : std::exchange(m_lapsedServers, {})) {
+            m_backends.remove(id);
+            m_ports.journal.log(core::LogEvent{"server_gone", {}}.with("server", id.value()).with("is_held", "false"));
         }
     }
     updateInstances();
@@ -293,9 +332,24 @@
     m_allowances.setInstanceCount(count);
     m_repeats.setInstanceCount(count);
     m_backends.setRegionInstances(m_fleet.regionInstances());
+    m_allowances.setUsesRelays(m_fleet.usesRelays());
     std::vector<core::InstanceId> live = m_fleet.linkedInstances();
     live.push_back(m_settings.self.id);
-    m_rollouts.setInstances(std::move(live));
+    if (!m_fleet.usesRelays()) {
+        m_rollouts.setInstances(std::move(live));
+        return;
+    }
+    const auto isNoRelay = [this](const core::InstanceId &id) {
+        const std::vector<core::InstanceId> &relays = m_fleet.relays();
+        return !m_fleet.isRelayOfOtherRegion(id) && std::find(relays.begin(), relays.end(), id) == relays.end();
+    };
+    live.erase(std::remove_if(live.begin(), live.end(), isNoRelay), live.end());
+    m_rollouts.setInstances(std::move(live), m_fleet.isRelay() ? RolloutRole::Relay : RolloutRole::Reporting);
+}
+
+std::vector<Member> Gateway::membersToLink() const
+{
+    return m_fleet.membersToLink();
 }
 
 RequestFlow &Gateway::requests()
@@ -312,14 +366,15 @@
 {
     const RecordMirror &operatorCopy = mirror(Topic::Operator);
     const bool isConfirmed = m_ports.timers.now() - operatorCopy.confirmedAt() < m_settings.flow.keyWithdrawalTime * READY_WITHDRAWAL_FRACTION;
-    return m_routes != nullptr && mirror(Topic::BackendServers).isLoaded() && isConfirmed && !m_isDraining;
+    const bool knowsServers = mirror(Topic::BackendServers).isLoaded() && !isUnconfirmed(Topic::BackendServers);
+    return m_routes != nullptr && knowsServers && isConfirmed && !m_isDraining;
 }
 
 void Gateway::drain(absl::Duration timeLeft)
 {
     m_isDraining = true;
     m_requestFlow.beginDrain(m_ports.timers.now() + timeLeft);
-    sendPulses(true);
+    sendToRegion();
     sendPulses(false);
 }
 
@@ -371,9 +426,9 @@
     ownerOf(run).runData(run, data);
 }
 
-void Gateway::runEnd(Number run)
+void Gateway::runEnd(Number run, AnswerEnd end)
 {
-    ownerOf(run).runEnd(run);
+    ownerOf(run).runEnd(run, end);
 }
 
 void Gateway::runFailed(Number run, bool mayHaveRun, const std::string &reason)
--- a/source/gateway/gatewayfleet.cpp
+++ b/source/gateway/gatewayfleet.cpp
@@ -12,6 +12,8 @@
 
 /** If the last confirmation of a topic is older than this, the instance requests newer records from another instance. */
 constexpr absl::Duration STALE_CONFIRMATION_AGE = absl::Milliseconds(1800);
+/** Time between two requests for a whole topic. */
+constexpr absl::Duration RECORDS_REQUEST_INTERVAL = absl::Seconds(1);
 /** The period of region pulses grows by this time for each instance of the region, so that the number of pulses that an instance receives stays limited. */
 constexpr absl::Duration PULSE_PERIOD_PER_INSTANCE = absl::Milliseconds(12);
 /** Limit of the instances that are asked at once for a customer's tokens. */
@@ -20,7 +22,8 @@
 constexpr double TOKEN_REQUEST_FACTOR = 2.0;
 /** The period of allowance reports grows by this time for each instance of the fleet: 8 instances send them with each pulse, 72 every 1.4 s. */
 constexpr absl::Duration ALLOWANCE_PERIOD_PER_INSTANCE = absl::Milliseconds(20);
-constexpr absl::Duration MAX_REGION_PULSE_PERIOD = absl::Milliseconds(800);
+/** Period of the reports to the relays of a large region, and of their summaries. */
+constexpr absl::Duration RELAY_REPORT_PERIOD = absl::Milliseconds(400);
 
 } // namespace
 
@@ -29,8 +32,7 @@
     m_fleet.linkUp(peer);
     updateInstances();
     m_ports.journal.log(core::LogEvent{"peer_linked", {}}.with("instance", peer.id.value()));
-    const bool isToOwnRegion = m_fleet.isInOwnRegion(peer.id);
-    m_ports.links.send(peer.id, buildPulse(peer.id, isToOwnRegion));
+    m_ports.links.send(peer.id, addressPulse(buildPulse(m_fleet.isInOwnRegion(peer.id)), peer.id));
 }
 
 void Gateway::linkDown(const core::InstanceId &peer)
@@ -42,9 +44,18 @@
     m_forwardReceiver.linkDown(peer);
 }
 
-Pulse Gateway::buildPulse(const core::InstanceId &peer, bool isToOwnRegion)
+Pulse Gateway::addressPulse(const Pulse &common, const core::InstanceId &peer) const
 {
-    Pulse pulse = m_fleet.startPulse(peer);
+    Pulse pulse = common;
+    const Pulse stamps = m_fleet.startPulse(peer);
+    pulse.sentAt = stamps.sentAt;
+    pulse.echo = stamps.echo;
+    return pulse;
+}
+
+Pulse Gateway::buildPulse(bool isToOwnRegion)
+{
+    Pulse pulse;
     const absl::Time now = m_ports.timers.now();
     pulse.isReady = isReady();
     for (int index = 0; index < TOPIC_COUNT; ++index) {
@@ -63,21 +74,37 @@
             }
         }
     }
-    pulse.rollouts = m_rollouts.reports();
+    if (isToOwnRegion || !m_fleet.usesRelays()) {
+        pulse.rollouts = m_rollouts.reports();
+    } else if (m_fleet.isRelay() && m_fleet.relays().front() == m_settings.self.id) {
+        // The first relay alone tells other regions the evidence of its region, so that none is counted twice.
+        pulse.rollouts = m_rollouts.mergedReports([this](const core::InstanceId &peer) { return m_fleet.isInOwnRegion(peer); });
+    }
     return pulse;
 }
 
 void Gateway::sendRegionPulses()
 {
-    // In a large region each instance sends fewer pulses, so that the number that each instance receives stays the same.
+    updateRelays();
+    // With more instances, each sends fewer pulses, so that the number that each instance receives stays the same.
     const absl::Time now = m_ports.timers.now();
     const absl::Duration period
-        = std::clamp(PULSE_PERIOD_PER_INSTANCE * m_fleet.regionInstances().size(), m_settings.regionPulsePeriod, MAX_REGION_PULSE_PERIOD);
+        = m_fleet.usesRelays() ? RELAY_REPORT_PERIOD : std::max(m_settings.regionPulsePeriod, PULSE_PERIOD_PER_INSTANCE * m_fleet.regionInstances().size());
     if (now - m_regionPulseSentAt < period - m_settings.regionPulsePeriod / 2) {
         return;
     }
     m_regionPulseSentAt = now;
-    sendPulses(true);
+    sendToRegion();
+}
+
+void Gateway::sendToRegion()
+{
+    if (m_fleet.usesRelays()) {
+        sendRelayReports();
+        answerRelayClients();
+    } else {
+        sendPulses(true);
+    }
 }
 
 bool Gateway::shouldSendAllowances(bool isToOwnRegion)
@@ -94,15 +121,29 @@
 
 void Gateway::sendPulses(bool isToOwnRegion)
 {
-    const std::vector<ReadPart> readParts = m_backends.promptCache().takeUnreported(isToOwnRegion);
-    const std::vector<AllowanceReport> allowances = shouldSendAllowances(isToOwnRegion) ? m_allowances.reports() : std::vector<AllowanceReport>();
+    // In a large region only its relays tell other regions what concerns all of the region.
+    const bool isReportedByRelays = m_fleet.usesRelays() && !m_fleet.isRelay();
+    Pulse common = buildPulse(isToOwnRegion);
+    common.readParts = m_backends.promptCache().takeUnreported(isToOwnRegion);
+    if (isReportedByRelays) {
+        common.readParts.clear();
+    } else if (shouldSendAllowances(isToOwnRegion)) {
+        common.allowances = m_allowances.reports();
+    }
+    if (m_fleet.isRelay()) {
+        common.readParts = std::exchange(m_partsForOtherRegions, {});
+    }
     for (const core::InstanceId &peer : m_fleet.linkedInstances()) {
-        if (m_fleet.isInOwnRegion(peer) == isToOwnRegion) {
-            Pulse pulse = buildPulse(peer, isToOwnRegion);
-            pulse.readParts = readParts;
-            pulse.allowances = allowances;
-            m_ports.links.send(peer, pulse);
+        if (m_fleet.isInOwnRegion(peer) != isToOwnRegion) {
+            continue;
+        }
+        Pulse pulse = addressPulse(common, peer);
+        if (m_fleet.isRelay() && !m_fleet.isRelayOfOtherRegion(peer)) {
+            pulse.readParts.clear();
+            pulse.allowances.clear();
+            pulse.rollouts.clear();
         }
+        m_ports.links.send(peer, pulse);
     }
 }
 
@@ -118,11 +159,18 @@
 
 void Gateway::handle(const core::InstanceId &from, const Pulse &message)
 {
-    const absl::Time sentNoEarlierThan = m_fleet.receive(from, message);
-    if (m_fleet.isInOwnRegion(from)) {
+    // In a large region pulses contain no work: it is in the reports to the relays and in their summaries.
+    if (m_fleet.isInOwnRegion(from) && !m_fleet.usesRelays()) {
         m_backends.setPeerWork(from, message.work);
     }
+    receivePulse(from, message);
+}
+
+void Gateway::receivePulse(const core::InstanceId &from, const Pulse &message)
+{
+    const absl::Time sentNoEarlierThan = m_fleet.receive(from, message);
     m_backends.promptCache().notePeerReports(message.readParts);
+    notePartsAsRelay(message.readParts, m_fleet.isInOwnRegion(from));
     // A confirmation that the peer got from the store is valid here too. Its time is computed from the earliest time at which the peer can have sent the pulse.
     for (const TopicState &state : message.topics) {
         const std::size_t index = static_cast<std::size_t>(state.topic);
@@ -135,7 +183,7 @@
                 confirm(state.topic, sentNoEarlierThan - state.confirmedAgo);
             }
         } else if (m_ports.timers.now() - own.confirmedAt() > STALE_CONFIRMATION_AGE) {
-            m_ports.links.send(from, RecordsRequest{state.topic, own.changeRevision()});
+            requestRecords(from, state.topic);
         }
     }
     m_rollouts.receive(from, message.rollouts);
@@ -162,10 +210,12 @@
 
 void Gateway::requestTokens(const AllowanceShortage &shortage)
 {
-    // Select instances of the region at random: on average they have equally many tokens.
+    // Select instances of the region at random: on average they have equally many tokens. In a large region the relays have collected them.
     std::vector<core::InstanceId> peers;
+    const std::vector<core::InstanceId> &relays = m_fleet.relays();
     for (const core::InstanceId &peer : m_fleet.linkedInstances()) {
-        if (m_fleet.isInOwnRegion(peer)) {
+        const bool mayHaveTokens = !m_fleet.usesRelays() || std::find(relays.begin(), relays.end(), peer) != relays.end();
+        if (m_fleet.isInOwnRegion(peer) && mayHaveTokens) {
             peers.push_back(peer);
         }
     }
@@ -178,6 +228,25 @@
     }
 }
 
+void Gateway::requestRecords(const core::InstanceId &peer, Topic topic)
+{
+    // All peers report a newer revision at about the same time. One whole topic at a time is requested, so that the answers cannot fill this
+    // instance's link; the next request goes to another peer, because the last one may have failed.
+    const absl::Time now = m_ports.timers.now();
+    RecordsQuery &last = m_recordsQueries[static_cast<std::size_t>(topic)];
+    const absl::Duration interval = peer == last.peer ? 2 * RECORDS_REQUEST_INTERVAL : RECORDS_REQUEST_INTERVAL;
+    if (now - last.sentAt < interval) {
+        return;
+    }
+    last = RecordsQuery{peer, now};
+    m_ports.journal.log(core::LogEvent{"topic_requested", {}}
+                            .with("topic", absl::StrCat(static_cast<int>(topic)))
+                            .with("from", peer.value())
+                            .with("revision", absl::StrCat(mirror(topic).changeRevision()))
+                            .with("confirmed_ms", absl::StrCat(absl::ToInt64Milliseconds(now - mirror(topic).confirmedAt()))));
+    m_ports.links.send(peer, RecordsRequest{topic, mirror(topic).changeRevision()});
+}
+
 void Gateway::handle(const core::InstanceId &from, const RecordsRequest &message)
 {
     const std::size_t index = static_cast<std::size_t>(message.topic);
@@ -209,9 +278,9 @@
         return;
     }
     RecordMirror &own = m_mirrors[index];
-    if (!own.isLoaded() || own.revision() < message.after) {
+    if (!own.isLoaded() || std::max(own.revision(), own.changeRevision()) < message.after) {
         // Earlier changes are missing here, so request the whole topic.
-        m_ports.links.send(from, RecordsRequest{message.topic, own.changeRevision()});
+        requestRecords(from, message.topic);
         return;
     }
     applyRecordChanges(message.topic, own.apply(message.changes, message.revision));
@@ -247,4 +316,9 @@
     m_forwardReceiver.handle(from, message);
 }
 
+void Gateway::handle(const core::InstanceId &from, const ForwardFlow &message)
+{
+    m_forwardReceiver.handle(from, message);
+}
+
 } // namespace snipeferry::gateway
--- a/source/gateway/ratelimiter.cpp
+++ b/source/gateway/ratelimiter.cpp
@@ -18,6 +18,10 @@
 constexpr double MIN_GRANT_SHARE = 0.01;
 /** Demand, as a fraction of the rate, that the fair balance assumes in addition to the measured one, so that an idle instance keeps some tokens. */
 constexpr double IDLE_DEMAND_SHARE = 0.01;
+/** The same for all instances of a fleet with relays together. */
+constexpr double FLEET_IDLE_DEMAND_SHARE = 0.1;
+/** An instance that has not reported to this relay for this long has no demand. */
+constexpr absl::Duration CLIENT_REPORT_LIFETIME = absl::Seconds(3);
 /** Fraction of the tolerance that the buckets use. The rest covers changes of the number of instances. */
 constexpr double USED_TOLERANCE_SHARE = 0.7;
 constexpr absl::Duration MAX_RETRY_AFTER = absl::Seconds(10);
@@ -240,14 +244,56 @@
     }
 }
 
+void RateLimiter::setUsesRelays(bool usesRelays)
+{
+    m_usesRelays = usesRelays;
+}
+
+double RateLimiter::idleDemand(const Bucket &bucket)
+{
+    return bucket.rate * (m_usesRelays ? FLEET_IDLE_DEMAND_SHARE / instanceCount() : IDLE_DEMAND_SHARE);
+}
+
+void RateLimiter::noteClientReports(const core::InstanceId &client, const std::vector<AllowanceReport> &clientReports)
+{
+    ClientReports &last = m_clientReports[client];
+    addClientDemand(last.reports, -1);
+    last = ClientReports{m_timers.now(), clientReports};
+    addClientDemand(last.reports, 1);
+}
+
+void RateLimiter::addClientDemand(const std::vector<AllowanceReport> &clientReports, double sign)
+{
+    for (const AllowanceReport &report : clientReports) {
+        const auto it = m_buckets.find(report.customer);
+        if (it != m_buckets.end()) {
+            it->second.clientDemand = std::max(0.0, it->second.clientDemand + sign * report.demand);
+        }
+    }
+}
+
+void RateLimiter::removeSilentClients()
+{
+    const absl::Time limit = m_timers.now() - CLIENT_REPORT_LIFETIME;
+    for (auto it = m_clientReports.begin(); it != m_clientReports.end();) {
+        if (it->second.receivedAt < limit) {
+            addClientDemand(it->second.reports, -1);
+            m_clientReports.erase(it++);
+        } else {
+            ++it;
+        }
+    }
+}
+
 std::vector<AllowanceReport> RateLimiter::reports()
 {
+    removeSilentClients();
     std::vector<AllowanceReport> all;
     all.reserve(m_buckets.size());
     for (auto &entry : m_buckets) {
         refill(entry.second);
         updateDemand(entry.second);
-        all.push_back({entry.first, entry.second.balance, entry.second.demand});
+        all.push_back({entry.first, entry.second.balance, entry.second.demand + entry.second.clientDemand});
     }
     return all;
 }
@@ -263,9 +309,10 @@
         Bucket &bucket = it->second;
         refill(bucket);
         // The fair balance divides the tokens of both instances in proportion to their demands.
-        const double idleDemand = IDLE_DEMAND_SHARE * bucket.rate;
+        const double idle = idleDemand(bucket);
+        const double ownDemand = bucket.demand + bucket.clientDemand;
         const double totalBalance = bucket.balance + report.balance;
-        const double fairBalance = totalBalance * (bucket.demand + idleDemand) / (bucket.demand + report.demand + 2 * idleDemand);
+        const double fairBalance = totalBalance * (ownDemand + idle) / (ownDemand + report.demand + 2 * idle);
         const double remainingCapacity = bucket.burst - report.balance;
         const double tokens = std::min(GRANTED_SURPLUS_SHARE * (bucket.balance - fairBalance), remainingCapacity);
         if (tokens > MIN_GRANT_SHARE * bucket.burst / instanceCount()) {
--- a/source/gateway/requestanswer.cpp
+++ b/source/gateway/requestanswer.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-/** Limit of a buffered answer, that is, of any answer that is not a stream. */
-constexpr std::size_t MAX_BUFFERED_ANSWER_BYTES = 8U << 20U;
+/** Name of the bound of one event of a stream in the log. */
+constexpr const char *EVENT_BOUND = "event";
 
 } // namespace
 
@@ -88,7 +88,6 @@
         return;
     }
     const absl::Time now = m_dependencies.timers.now();
-    open->lastDataAt = now;
     if (!open->isAnswering) {
         open->isAnswering = true;
         open->timeToFirstData = now - open->runStartedAt;
@@ -102,33 +101,120 @@
 
 void RequestFlow::relayData(OpenRequest &open, const std::string &data)
 {
-    const bool isStream = open.route.isStream && open.head.status == 200;
-    if (!isStream) {
+    if (!isEventStream(open)) {
+        open.lastDataAt = m_dependencies.timers.now();
         open.body += data;
-        if (open.body.size() > MAX_BUFFERED_ANSWER_BYTES) {
-            cancelRun(open);
-            open.mayHaveRun = true;
-            fail(open, core::makeError(core::ErrorKind::BackendFailed, "The answer is too large."));
-        }
+        countBytes(open);
         return;
     }
+    const int eventsBefore = open.events.eventCount();
     std::string events = open.events.feed(data);
-    if (events.empty()) {
+    if (open.events.isPartialTooLong()) {
+        endOversizedAnswer(open, EVENT_BOUND, RunEnd::ServerError);
         return;
     }
-    if (!open.hasBegunAnswer) {
-        open.hasBegunAnswer = true;
-        open.sink->begin(open.head);
+    // Only whole events are progress: a stalled backend server may still send a byte now and then.
+    if (open.events.eventCount() > eventsBefore) {
+        open.lastDataAt = m_dependencies.timers.now();
+    }
+    if (!events.empty()) {
+        if (!open.hasBegunAnswer) {
+            open.hasBegunAnswer = true;
+            open.sink->begin(open.head);
+        }
+        // The caller may be gone by the end of this call, and the request with it.
+        const Number number = open.number;
+        open.sink->data(std::move(events));
+        if (m_openRequests.find(number) == m_openRequests.end()) {
+            return;
+        }
+    }
+    if (countBytes(open)) {
+        adjustReading(open);
+    }
+}
+
+bool RequestFlow::isEventStream(const OpenRequest &open)
+{
+    return open.route.isStream && open.head.status == 200;
+}
+
+std::string RequestFlow::answerSource(const OpenRequest &open)
+{
+    return open.server.isEmpty() ? open.instance.value() : open.server.value();
+}
+
+bool RequestFlow::countBytes(OpenRequest &open)
+{
+    const std::size_t unsent = open.hasBegunAnswer ? open.sink->unsentBytes() : 0;
+    const std::size_t bytes = open.body.size() + open.events.partial().size() + unsent;
+    const std::string source = answerSource(open);
+    const AnswerBound bound = m_answerMemory.update(source, open.countedBytes, bytes);
+    open.countedBytes = bytes;
+    if (bound == AnswerBound::None) {
+        return true;
+    }
+    // Bytes that the caller has not taken are no fault of the backend server, from which nothing more is read until they are fewer.
+    if (unsent == bytes && bound == AnswerBound::Answer && open.isPaused) {
+        return true;
     }
-    open.sink->data(std::move(events));
+    endOversizedAnswer(open, answerBoundName(bound), unsent < bytes ? RunEnd::ServerError : RunEnd::Cancelled);
+    return false;
 }
 
-void RequestFlow::runEnd(Number run)
+void RequestFlow::endOversizedAnswer(OpenRequest &open, const std::string &bound, RunEnd end)
+{
+    m_dependencies.journal.log(makeLogEvent("answer_too_large", open)
+                                   .with("bound", bound)
+                                   .with("server", open.server.value())
+                                   .with("instance", open.instance.value())
+                                   .with("bytes", absl::StrCat(open.countedBytes))
+                                   .with("process_bytes", absl::StrCat(m_answerMemory.bytes())));
+    m_dependencies.journal.count("answers_too_large_total", bound, 1);
+    stopTransport(open);
+    endRun(open, end);
+    open.mayHaveRun = true;
+    fail(open, core::makeError(core::ErrorKind::BackendFailed, "The answer is too large."));
+}
+
+void RequestFlow::adjustReading(OpenRequest &open)
+{
+    if (open.run == 0) {
+        return;
+    }
+    const std::size_t unsent = open.sink->unsentBytes();
+    const AnswerLimits &limits = m_answerMemory.limits();
+    const bool shouldPause = open.isPaused ? unsent > limits.resumeBelow : unsent > limits.pauseAbove;
+    if (shouldPause == open.isPaused) {
+        return;
+    }
+    open.isPaused = shouldPause;
+    // The time for which nothing was read is no silence of the backend server.
+    open.lastDataAt = m_dependencies.timers.now();
+    m_dependencies.journal.log(makeLogEvent(shouldPause ? "reading_paused" : "reading_resumed", open).with("unsent", absl::StrCat(unsent)));
+    if (open.server.isEmpty()) {
+        m_dependencies.links.send(open.instance, ForwardFlow{open.run, shouldPause});
+    } else {
+        m_dependencies.runs.setPaused(open.run, shouldPause);
+    }
+}
+
+std::size_t RequestFlow::answerBytes() const
+{
+    return m_answerMemory.bytes();
+}
+
+void RequestFlow::runEnd(Number run, AnswerEnd end)
 {
     OpenRequest *open = findByRun(run);
     if (open == nullptr) {
         return;
     }
+    // A stream that ends with its connection in the middle of an event is not whole.
+    if (end == AnswerEnd::ConnectionClosed && isEventStream(*open) && !open->events.partial().empty()) {
+        retryOrFail(open->number, true, RunEnd::Unreachable, "answer_broken_off");
+        return;
+    }
     if (!open->isAnswering && !open->server.isEmpty()) {
         open->isAnswering = true;
         open->timeToFirstData = m_dependencies.timers.now() - open->runStartedAt;
@@ -140,8 +226,7 @@
 
 void RequestFlow::complete(OpenRequest &open)
 {
-    const bool isStream = open.route.isStream && open.head.status == 200;
-    if (!isStream) {
+    if (!isEventStream(open)) {
         open.sink->answer(open.head, std::move(open.body));
     } else {
         if (!open.hasBegunAnswer) {
@@ -229,7 +314,8 @@
         retryOrFail(open->number, true, RunEnd::Unreachable, "forward_piece_lost");
         return;
     }
-    runEnd(message.number);
+    // The instance that ran the request has checked how the answer ended.
+    runEnd(message.number, AnswerEnd::Framed);
 }
 
 void RequestFlow::handle(const core::InstanceId &from, const ForwardFailed &message)
--- a/source/gateway/requestflow.cpp
+++ b/source/gateway/requestflow.cpp
@@ -17,6 +17,10 @@
  */
 constexpr double SILENCE_LATENCY_FACTOR = 1.6;
 constexpr absl::Duration MIN_SILENCE_TIMEOUT = absl::Milliseconds(1100);
+/** The same for a stream that has sent events, as a multiple of the latency objective and of the objective for pauses, but at least the minimum. */
+constexpr double STREAM_SILENCE_LATENCY_FACTOR = 2.4;
+constexpr double STREAM_SILENCE_PAUSE_FACTOR = 4.8;
+constexpr absl::Duration MIN_STREAM_SILENCE_TIMEOUT = absl::Seconds(2);
 
 /** How long a request waits for tokens that were requested from other instances of the region: one round trip and the time to send them. */
 constexpr absl::Duration TOKEN_WAIT = absl::Milliseconds(15);
@@ -33,6 +37,7 @@
 RequestFlow::RequestFlow(FlowSettings settings, FlowDependencies dependencies)
     : m_settings(settings),
       m_dependencies(dependencies),
+      m_answerMemory(settings.answers),
       m_random(settings.seed),
       m_sweepTimer(dependencies.timers.every(SWEEP_PERIOD, [this] { sweep(); }))
 {
@@ -118,6 +123,7 @@
         return;
     }
     cancelRun(*it->second);
+    m_answerMemory.update(answerSource(*it->second), it->second->countedBytes, 0);
     m_openRequests.erase(it);
 }
 
@@ -143,20 +149,30 @@
     close(request);
 }
 
+absl::Duration RequestFlow::silenceLimit(const OpenRequest &open) const
+{
+    if (open.events.eventCount() == 0) {
+        return std::max(MIN_SILENCE_TIMEOUT, open.route.latencyObjective * SILENCE_LATENCY_FACTOR);
+    }
+    // A stream that is slow but sound is cheaper to wait for than to read in again elsewhere.
+    return std::max(
+        {MIN_STREAM_SILENCE_TIMEOUT, open.route.latencyObjective * STREAM_SILENCE_LATENCY_FACTOR, open.route.pauseObjective * STREAM_SILENCE_PAUSE_FACTOR});
+}
+
 void RequestFlow::sweep()
 {
     const absl::Time now = m_dependencies.timers.now();
     std::vector<Number> due;
     std::vector<Number> silent;
+    std::vector<Number> paused;
     for (const auto &entry : m_openRequests) {
         const OpenRequest &open = *entry.second;
         if (open.deadline <= now) {
             due.push_back(entry.first);
-        } else if (open.run != 0 && mayRepeat(open)) {
-            const absl::Duration limit = std::max(MIN_SILENCE_TIMEOUT, open.route.latencyObjective * SILENCE_LATENCY_FACTOR);
-            if (now - open.lastDataAt > limit) {
-                silent.push_back(entry.first);
-            }
+        } else if (open.isPaused) {
+            paused.push_back(entry.first);
+        } else if (open.run != 0 && mayRepeat(open) && now - open.lastDataAt > silenceLimit(open)) {
+            silent.push_back(entry.first);
         }
     }
     for (const Number number : due) {
@@ -172,6 +188,12 @@
             hasRun ? core::makeError(core::ErrorKind::BackendTimeout, "The answer was not complete within the time limit.")
                    : core::makeError(core::ErrorKind::DeadlineUnreachable, "The time limit passed before a backend server ran the request."));
     }
+    for (const Number number : paused) {
+        const auto it = m_openRequests.find(number);
+        if (it != m_openRequests.end() && countBytes(*it->second)) {
+            adjustReading(*it->second);
+        }
+    }
     for (const Number number : silent) {
         const auto it = m_openRequests.find(number);
         if (it != m_openRequests.end()) {
--- a/source/gateway/requestplacement.cpp
+++ b/source/gateway/requestplacement.cpp
@@ -200,6 +200,7 @@
     }
     m_requestByRun.erase(open.run);
     open.run = 0;
+    open.isPaused = false;
 }
 
 void RequestFlow::stopTransport(const OpenRequest &open)
@@ -256,6 +257,7 @@
     open.hasHead = false;
     open.body.clear();
     open.events.dropPartial();
+    m_answerMemory.update(answerSource(open), std::exchange(open.countedBytes, 0), 0);
     const bool isPermitted = !mayHaveRun || (mayRepeat(open) && open.possibleRuns < open.route.maxAttempts);
     const bool isInTime = open.sendCount < MAX_SENDS && open.deadline > m_dependencies.timers.now();
     if (isPermitted && isInTime && m_dependencies.repeats.tryTake(open.service)) {
@@ -283,6 +285,7 @@
         return false;
     }
     open.events.dropPartial();
+    m_answerMemory.update(answerSource(open), std::exchange(open.countedBytes, 0), 0);
     m_dependencies.journal.count("requests_repeated_total", "resumed", 1);
     return place(open).has_value();
 }
--- a/source/gateway/rolloutguard.cpp
+++ b/source/gateway/rolloutguard.cpp
@@ -29,6 +29,11 @@
 /** A version with fewer answers than this is not accepted as good. */
 constexpr int MIN_TARGET_ANSWERS = 5;
 
+bool includeAll(const core::InstanceId & /*peer*/)
+{
+    return true;
+}
+
 } // namespace
 
 RolloutGuard::RolloutGuard(core::InstanceId self, std::uint64_t seed, core::TimerService &timers)
@@ -45,9 +50,10 @@
     return m_decided;
 }
 
-void RolloutGuard::setInstances(std::vector<core::InstanceId> instances)
+void RolloutGuard::setInstances(std::vector<core::InstanceId> instances, RolloutRole role)
 {
     m_instances = std::move(instances);
+    m_role = role;
 }
 
 void RolloutGuard::order(const RolloutOrder &order, core::Revision revision)
@@ -115,10 +121,13 @@
     evidence.latencyMs += absl::ToDoubleMilliseconds(latency);
 }
 
-std::vector<VersionEvidence> RolloutGuard::mergedEvidence(const RolloutProgress &progress) const
+std::vector<VersionEvidence> RolloutGuard::mergedEvidence(const RolloutProgress &progress, const std::function<bool(const core::InstanceId &)> &includesPeer)
 {
     std::vector<VersionEvidence> sum = progress.ownEvidence;
     for (const auto &peer : progress.peerEvidence) {
+        if (!includesPeer(peer.first)) {
+            continue;
+        }
         for (const VersionEvidence &evidence : peer.second) {
             VersionEvidence &total = evidenceFor(sum, evidence.route, evidence.isTarget);
             total.answers += evidence.answers;
@@ -131,7 +140,7 @@
 
 std::string RolloutGuard::findRegression(const RolloutProgress &progress) const
 {
-    std::vector<VersionEvidence> all = mergedEvidence(progress);
+    std::vector<VersionEvidence> all = mergedEvidence(progress, includeAll);
     const std::vector<VersionEvidence> targets = all;
     for (const VersionEvidence &target : targets) {
         if (!target.isTarget || target.answers < MIN_ROUTE_ANSWERS) {
@@ -157,7 +166,7 @@
 bool RolloutGuard::hasEnoughAnswers(const RolloutProgress &progress) const
 {
     int answers = 0;
-    for (const VersionEvidence &evidence : mergedEvidence(progress)) {
+    for (const VersionEvidence &evidence : mergedEvidence(progress, includeAll)) {
         answers += evidence.isTarget ? evidence.answers : 0;
     }
     return answers >= MIN_TARGET_ANSWERS;
@@ -185,7 +194,7 @@
         }
         const std::string regression = findRegression(progress);
         if (!regression.empty()) {
-            changeState(progress, RolloutState::Reverted, regression, true);
+            changeState(progress, RolloutState::Reverted, regression, m_role != RolloutRole::Reporting);
             continue;
         }
         const absl::Duration age = m_timers.now() - progress.startedAt;
@@ -212,6 +221,15 @@
     return all;
 }
 
+std::vector<RolloutReport> RolloutGuard::mergedReports(const std::function<bool(const core::InstanceId &)> &includesPeer) const
+{
+    std::vector<RolloutReport> all = reports();
+    for (RolloutReport &report : all) {
+        report.evidence = mergedEvidence(m_rollouts.at(report.service), includesPeer);
+    }
+    return all;
+}
+
 void RolloutGuard::receive(const core::InstanceId &from, const std::vector<RolloutReport> &reports)
 {
     for (const RolloutReport &report : reports) {
@@ -225,7 +243,7 @@
         progress.startedAt = std::min(progress.startedAt, m_timers.now() - report.age);
         const bool isOpen = progress.state == RolloutState::Trial || progress.state == RolloutState::Takeover;
         if (isOpen && report.state == RolloutState::Reverted) {
-            progress.state = RolloutState::Reverted;
+            changeState(progress, RolloutState::Reverted, absl::StrCat("reverted by ", from.value()), m_role == RolloutRole::Relay);
         }
     }
 }
--- a/source/http/backendclient.cpp
+++ b/source/http/backendclient.cpp
@@ -64,7 +64,7 @@
 
     void runHead(gateway::Number run, const gateway::HttpHead &head) override;
     void runData(gateway::Number run, const std::string &data) override;
-    void runEnd(gateway::Number run) override;
+    void runEnd(gateway::Number run, gateway::AnswerEnd end) override;
     void runFailed(gateway::Number run, bool mayHaveRun, const std::string &reason) override;
 
     void awaitMore(gateway::Number run, Attempt &attempt);
@@ -154,7 +154,7 @@
     }
 }
 
-void BackendClient::Impl::runEnd(gateway::Number run)
+void BackendClient::Impl::runEnd(gateway::Number run, gateway::AnswerEnd /*end*/)
 {
     if (m_attempts.count(run) > 0) {
         const Key key = remove(run);
--- a/source/net/backendpool.cpp
+++ b/source/net/backendpool.cpp
@@ -33,6 +33,10 @@
 constexpr double IDLE_TIMEOUT_SHARE = 0.6;
 /** Answers to earlier requests that are skipped before the connection is given up. */
 constexpr int MAX_SKIPPED_ANSWERS = 3;
+/** Interim answers before the real one. */
+constexpr int MAX_INTERIM_ANSWERS = 16;
+/** Bytes of heads and bodies that belong to no request, before the connection is given up. */
+constexpr std::uint64_t MAX_UNUSED_BYTES = 1U << 20U;
 
 } // namespace
 
@@ -111,6 +115,15 @@
         send();
     }
 
+    void setPaused(bool isPaused)
+    {
+        m_isPaused = isPaused;
+        if (!isPaused && m_isReadingHeld) {
+            m_isReadingHeld = false;
+            readBody();
+        }
+    }
+
     bool isUsable(absl::Time now, absl::Duration maxIdle) const
     {
         return !m_isClosed && now - m_idleSince < std::min(maxIdle, m_idleLimit);
@@ -147,7 +160,11 @@
         m_bytes = std::move(bytes);
         m_isHead = isHead;
         m_isWritten = false;
+        m_isPaused = false;
+        m_isReadingHeld = false;
         m_skipped = 0;
+        m_interims = 0;
+        m_unusedBytes = 0;
     }
 
     void send()
@@ -191,6 +208,10 @@
         const auto &message = m_parser->get();
         // An interim answer announces nothing.
         if (message.result_int() >= 100 && message.result_int() < 200) {
+            if (++m_interims > MAX_INTERIM_ANSWERS) {
+                fail(true, "interim_answers_without_end");
+                return;
+            }
             readHead();
             return;
         }
@@ -201,7 +222,12 @@
 
         // An answer to an earlier request may come where this one's is due.
         const core::RequestId answered = pool->answeredRequest(head);
-        m_isSkipping = !answered.isEmpty() && answered != m_request;
+        // On a connection that served others before, an answer that names no request may be a late copy of another one's.
+        if (answered.isEmpty() && m_hasServedOthers && pool->settings.doAnswersNameRequests) {
+            fail(true, "answer_without_request_id");
+            return;
+        }
+        m_isSkipping = !answered.isEmpty() && !absl::EqualsIgnoreCase(answered.value(), m_request.value());
         if (m_isSkipping && ++m_skipped > MAX_SKIPPED_ANSWERS) {
             fail(true, "foreign_answers");
             return;
@@ -236,6 +262,10 @@
             answerRead();
             return;
         }
+        if (m_isPaused) {
+            m_isReadingHeld = true;
+            return;
+        }
         http::async_read_some(m_socket, m_buffer, *m_parser, [self = shared_from_this()](ErrorCode error, std::size_t /*bytes*/) {
             if (self->m_isClosed) {
                 return;
@@ -266,6 +296,11 @@
             return false;
         }
         if (m_isSkipping) {
+            m_unusedBytes += data.size();
+            if (m_unusedBytes > MAX_UNUSED_BYTES) {
+                fail(true, "foreign_answers");
+                return false;
+            }
             return true;
         }
         const gateway::Number run = m_run;
@@ -282,6 +317,7 @@
         const std::shared_ptr<BackendPool::Impl> pool = m_pool.lock();
         const gateway::Number run = m_run;
         // Bytes behind the answer belong to no request, and a request that was not read whole would be read on later.
+        const gateway::AnswerEnd end = m_parser->need_eof() ? gateway::AnswerEnd::ConnectionClosed : gateway::AnswerEnd::Framed;
         const bool isSpent = !m_parser->keep_alive() || m_parser->need_eof() || pool == nullptr || !pool->settings.reusesConnections;
         const bool isReusable = !isSpent && m_isWritten && m_buffer.size() == 0;
         m_parser.reset();
@@ -291,6 +327,7 @@
         }
         pool->runs.erase(run);
         m_run = 0;
+        m_hasServedOthers = true;
         if (isReusable) {
             m_buffer = beast::flat_buffer();
             m_idleSince = m_loop.timers().now();
@@ -299,7 +336,7 @@
         } else {
             close();
         }
-        pool->events->runEnd(run);
+        pool->events->runEnd(run, end);
     }
 
     void watchIdle()
@@ -343,7 +380,16 @@
     bool m_isSkipping = false;
     bool m_isWatching = false;
     bool m_isClosed = false;
+    /** Whether an answer to another request was read on this connection before. */
+    bool m_hasServedOthers = false;
+    /** Whether the answer is not read on for now. */
+    bool m_isPaused = false;
+    /** Whether a read is due as soon as the answer is read on. */
+    bool m_isReadingHeld = false;
     int m_skipped = 0;
+    int m_interims = 0;
+    /** Bytes of bodies that belong to no request, since the request was sent. */
+    std::uint64_t m_unusedBytes = 0;
     absl::Time m_idleSince = absl::InfinitePast();
     absl::Duration m_idleLimit = absl::Seconds(5);
     core::Subscription m_timer;
@@ -417,6 +463,15 @@
     connection->connect(Tcp::endpoint(ip, static_cast<unsigned short>(parts->second)), run, id, std::move(bytes), isHead);
 }
 
+void BackendPool::setPaused(gateway::Number run, bool isPaused)
+{
+    const auto it = m_impl->runs.find(run);
+    if (it != m_impl->runs.end()) {
+        const std::shared_ptr<BackendConnection> connection = it->second;
+        connection->setPaused(isPaused);
+    }
+}
+
 void BackendPool::cancel(gateway::Number run)
 {
     const auto it = m_impl->runs.find(run);
--- a/source/net/gatewayprocess.cpp
+++ b/source/net/gatewayprocess.cpp
@@ -14,7 +14,12 @@
 constexpr absl::Duration SHORTEST_STOP = absl::Milliseconds(2500);
 /** Part of the grace time that is left to the supervisor. */
 constexpr absl::Duration STOP_MARGIN = absl::Milliseconds(300);
+/** Time for the requests of connections that were open when the process stopped listening. */
+constexpr absl::Duration LAST_CONNECTIONS_TIME = absl::Milliseconds(100);
 constexpr absl::Duration STOP_CHECK_PERIOD = absl::Milliseconds(50);
+constexpr double BYTES_PER_MB = 1e6;
+/** Fraction of the memory that the bodies of open requests may use. */
+constexpr double REQUEST_BODIES_FRACTION = 0.25;
 constexpr int HTTP_OK = 200;
 constexpr int HTTP_NOT_FOUND = 404;
 constexpr int HTTP_UNAVAILABLE = 503;
@@ -60,12 +65,24 @@
         m_exchange->answer({core::errorAnswer(error.kind).httpStatus, m_headers.answerHeaders(m_request, error)}, error.message + "\n");
     }
 
+    std::size_t unsentBytes() const override
+    {
+        return m_exchange->unsentBytes();
+    }
+
 private:
     std::shared_ptr<HttpExchange> m_exchange;
     const gateway::HeaderCodec &m_headers;
     core::RequestId m_request;
 };
 
+HttpServerSettings callerServerSettings(const MachineSettings &machine)
+{
+    HttpServerSettings settings;
+    settings.maxBufferedBytes = static_cast<std::size_t>(machine.memoryMb * BYTES_PER_MB * REQUEST_BODIES_FRACTION);
+    return settings;
+}
+
 gateway::Member withIncarnation(gateway::Member member, core::TimerService &timers)
 {
     member.incarnation = static_cast<core::Incarnation>(absl::ToUnixMillis(timers.wallNow()));
@@ -80,7 +97,9 @@
       m_adapter(adapter),
       m_journal(m_loop, m_settings.journal, STDOUT_FILENO),
       m_pool(m_loop, m_settings.backends, [this](const gateway::HttpHead &head) { return m_adapter.headers.decodeAnswer(head).request; }),
-      m_callers(m_loop, [this](gateway::HttpRequest request, const std::shared_ptr<HttpExchange> &exchange) { answerCaller(std::move(request), exchange); }),
+      m_callers(
+          m_loop, [this](gateway::HttpRequest request, const std::shared_ptr<HttpExchange> &exchange) { answerCaller(std::move(request), exchange); },
+          callerServerSettings(m_settings.machine)),
       m_directory(m_loop, [this](const gateway::HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) { answerDirectory(request, *exchange); }),
       m_readiness(m_loop, [this](const gateway::HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) { answerReadiness(request, *exchange); }),
       m_metrics(m_loop,
@@ -199,8 +218,14 @@
 void GatewayProcess::checkStopped()
 {
     const absl::Time now = m_loop.timers().now();
-    const bool isDone = now >= m_stopEarliest && m_gateway->openCount() == 0;
-    if (!isDone && now < m_stopAt) {
+    const bool isDone = m_gateway->openCount() == 0 && m_callers.isDrained() && m_links->queuedBytes() == 0;
+    if (now < m_stopAt && (now < m_stopEarliest || !isDone)) {
+        return;
+    }
+    // Requests that came with the last connections are served before the end.
+    if (m_callers.isListening() && now < m_stopAt) {
+        m_callers.stop();
+        m_stopEarliest = now + LAST_CONNECTIONS_TIME;
         return;
     }
     m_journal.log(core::LogEvent{"stopped", {}}.with("open_requests", absl::StrCat(m_gateway->openCount())));
--- a/source/net/gatewaysettings.cpp
+++ b/source/net/gatewaysettings.cpp
@@ -2,6 +2,8 @@
 
 #include "snipeferry/settings/yamlreader.h"
 
+#include <algorithm>
+
 namespace snipeferry::net {
 
 namespace {
@@ -9,9 +11,20 @@
 using settings::YamlDocument;
 using settings::YamlMap;
 
-constexpr absl::Duration SHORTEST = absl::Milliseconds(1);
-constexpr absl::Duration LONGEST = absl::Hours(1);
-constexpr std::int64_t MAX_SLACK = 1'000'000'000;
+constexpr absl::Duration MIN_STORE_WAIT = absl::Milliseconds(100);
+/** Longest wait of a call for changes of backend servers, as a fraction of the time in which a leaving one may get requests. */
+constexpr double SERVER_WAIT_DRAIN_FRACTION = 1.0 / 3.0;
+/** Limits of what a deployment may promise. They only rule out values that cannot be meant, or that arithmetic with times cannot represent. */
+constexpr absl::Duration LONGEST = absl::Hours(24 * 365 * 100);
+constexpr double MAX_QUANTITY = 1e15;
+constexpr double MAX_RATIO = 1e12;
+constexpr double MIN_MEMORY_MB = 16.0;
+constexpr double MAX_MEMORY_MB = 1 << 20;
+constexpr double BYTES_PER_MB = 1e6;
+/** Fraction of the memory that one answer of the store may use. */
+constexpr double STORE_ANSWER_FRACTION = 0.1;
+constexpr double MIN_CPU_SHARE = 0.001;
+constexpr double MAX_CPU_SHARE = 1024.0;
 
 core::Expected<GatewayProcessSettings> read(YamlDocument &document)
 {
@@ -39,26 +52,39 @@
     settings.metricsAddress = listen.address("metrics", "");
     listen.finish();
 
+    YamlMap machine = root.map("machine");
+    settings.machine.memoryMb = machine.number("memory_mb", MIN_MEMORY_MB, MAX_MEMORY_MB, settings.machine.memoryMb);
+    settings.machine.cpuShare = machine.number("cpu_share", MIN_CPU_SHARE, MAX_CPU_SHARE, settings.machine.cpuShare);
+    machine.finish();
+    self.capacity = settings.machine.cpuShare;
+    settings.store.maxAnswerBytes = static_cast<std::size_t>(settings.machine.memoryMb * BYTES_PER_MB * STORE_ANSWER_FRACTION);
+    settings.backends.doAnswersNameRequests = true;
+    settings.gateway.flow.answers = gateway::answerLimitsFor(settings.machine.memoryMb);
+
+    YamlMap promises = root.map("promises");
+    gateway::GatewaySettings &gateway = settings.gateway;
+    gateway.flow.keyWithdrawalTime = promises.duration("key_withdrawal", absl::ZeroDuration(), LONGEST, gateway.flow.keyWithdrawalTime);
+    gateway.serverDrainTime = promises.duration("server_drain", absl::ZeroDuration(), LONGEST, gateway.serverDrainTime);
+    gateway.repeats.share = promises.number("repeat_share", 0.0, MAX_RATIO, gateway.repeats.share);
+    gateway.repeats.slack = promises.number("repeat_slack", 0.0, MAX_QUANTITY, 0.0);
+    gateway.repeats.window = promises.duration("repeat_window", absl::ZeroDuration(), LONGEST, gateway.repeats.window);
+    gateway.allowances.slack = promises.number("allowance_slack", 0.0, MAX_QUANTITY, 0.0);
+    gateway.allowances.excess = promises.number("allowance_excess", 0.0, MAX_RATIO, 0.0);
+    settings.directoryTimeToLive = promises.duration("directory_time_to_live", absl::ZeroDuration(), LONGEST, settings.directoryTimeToLive);
+    settings.stopGrace = promises.duration("stop_grace", absl::ZeroDuration(), LONGEST, settings.stopGrace);
+    promises.finish();
+
     YamlMap store = root.map("store");
     settings.store.address = store.address("address");
     settings.store.leaseTime = store.duration("lease_time", absl::Seconds(1), absl::Minutes(10), settings.store.leaseTime);
     settings.store.renewPeriod = store.duration("renew_period", absl::Milliseconds(100), absl::Minutes(5), settings.store.renewPeriod);
-    settings.store.operatorWait = store.duration("operator_wait", absl::Milliseconds(100), absl::Seconds(30), settings.store.operatorWait);
-    settings.store.backendServerWait = store.duration("backend_server_wait", absl::Milliseconds(100), absl::Seconds(30), settings.store.backendServerWait);
-    settings.store.memberWait = store.duration("member_wait", absl::Milliseconds(100), absl::Seconds(30), settings.store.memberWait);
+    settings.store.operatorWait = store.duration("operator_wait", MIN_STORE_WAIT, absl::Seconds(30), settings.store.operatorWait);
+    // A confirmation is at most as old as the wait, and news of a leaving backend server have to be known well within its drain time.
+    const absl::Duration serverWait = std::clamp(gateway.serverDrainTime * SERVER_WAIT_DRAIN_FRACTION, MIN_STORE_WAIT, settings.store.backendServerWait);
+    settings.store.backendServerWait = store.duration("backend_server_wait", MIN_STORE_WAIT, absl::Seconds(30), serverWait);
+    settings.store.memberWait = store.duration("member_wait", MIN_STORE_WAIT, absl::Seconds(30), settings.store.memberWait);
     store.finish();
 
-    YamlMap promises = root.map("promises");
-    settings.gateway.flow.keyWithdrawalTime = promises.duration("key_withdrawal", absl::Milliseconds(500), LONGEST, settings.gateway.flow.keyWithdrawalTime);
-    settings.gateway.repeats.share = promises.fraction("repeat_share", 0.0, 1.0, settings.gateway.repeats.share);
-    settings.gateway.repeats.slack = static_cast<double>(promises.integer("repeat_slack", 0, MAX_SLACK, 0));
-    settings.gateway.repeats.window = promises.duration("repeat_window", SHORTEST, LONGEST, settings.gateway.repeats.window);
-    settings.gateway.allowances.slack = static_cast<double>(promises.integer("allowance_slack", 0, MAX_SLACK, 0));
-    settings.gateway.allowances.excess = promises.fraction("allowance_excess", 0.0, 1.0, 0.0);
-    settings.directoryTimeToLive = promises.duration("directory_time_to_live", SHORTEST, LONGEST, settings.directoryTimeToLive);
-    settings.stopGrace = promises.duration("stop_grace", SHORTEST, LONGEST, settings.stopGrace);
-    promises.finish();
-
     YamlMap log = root.map("log");
     settings.journal.linesPerSecond = static_cast<int>(log.integer("lines_per_second", 0, 100000, settings.journal.linesPerSecond));
     log.finish();
@@ -110,6 +136,9 @@
         {"store.backend_server_wait", settings.store.backendServerWait == fresh.store.backendServerWait},
         {"store.member_wait", settings.store.memberWait == fresh.store.memberWait},
         {"promises.key_withdrawal", before.flow.keyWithdrawalTime == after.flow.keyWithdrawalTime},
+        {"machine.memory_mb", settings.machine.memoryMb == fresh.machine.memoryMb},
+        {"machine.cpu_share", settings.machine.cpuShare == fresh.machine.cpuShare},
+        {"promises.server_drain", before.serverDrainTime == after.serverDrainTime},
         {"promises.repeat_share", before.repeats.share == after.repeats.share},
         {"promises.repeat_slack", before.repeats.slack == after.repeats.slack},
         {"promises.repeat_window", before.repeats.window == after.repeats.window},
--- a/source/net/httpconnection.cpp
+++ b/source/net/httpconnection.cpp
@@ -68,9 +68,18 @@
     return m_isOverBound;
 }
 
+bool Connection::hasUnreadBytes() const
+{
+    if (m_state != State::Idle) {
+        return false;
+    }
+    char byte = 0;
+    return ::recv(const_cast<Tcp::socket &>(m_socket).native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void Connection::closeIfIdle()
 {
-    if (m_state == State::Idle) {
+    if (m_state == State::Idle && !hasUnreadBytes()) {
         close();
     }
 }
@@ -132,6 +141,11 @@
     }
 }
 
+std::size_t Connection::unsentBytes() const
+{
+    return m_unsent.size() + m_sending.size() - m_sent;
+}
+
 void Connection::onClosed(std::function<void()> callback)
 {
     m_onClosed = std::move(callback);
@@ -392,6 +406,7 @@
         return;
     }
     m_sending = std::string();
+    m_sent = 0;
     if (m_state == State::Breaking) {
         close();
     } else if (m_state == State::Finishing) {
--- a/source/net/httpconnection.h
+++ b/source/net/httpconnection.h
@@ -30,6 +30,7 @@
     }
 
     void accept();
+    void acceptWaiting();
     void take(boost::asio::ip::tcp::socket socket);
     bool makeRoom();
 
@@ -67,8 +68,12 @@
 
     bool isBusy() const;
 
+    /** Whether the client has sent bytes that were not read yet. */
+    bool hasUnreadBytes() const;
+
     bool isOverBound() const;
 
+    /** Closes the connection if it waits for a request of which nothing has arrived. */
     void closeIfIdle();
 
     void answer(const gateway::HttpHead &head, const std::string &body) override;
@@ -81,6 +86,8 @@
 
     void breakOff() override;
 
+    std::size_t unsentBytes() const override;
+
     void onClosed(std::function<void()> callback) override;
 
 private:
--- a/source/net/httpserver.cpp
+++ b/source/net/httpserver.cpp
@@ -76,6 +76,23 @@
     }
 }
 
+/** Takes the connections that the kernel has accepted already: a close of the listening socket would reset them. */
+void HttpServer::Impl::acceptWaiting()
+{
+    ErrorCode error;
+    if (!acceptor.is_open()) {
+        return;
+    }
+    acceptor.non_blocking(true, error);
+    while (!error) {
+        Tcp::socket socket(loop.context());
+        acceptor.accept(socket, error);
+        if (!error) {
+            take(std::move(socket));
+        }
+    }
+}
+
 /** Closes the connection that has been idle for longest if there is no room for another. */
 bool HttpServer::Impl::makeRoom()
 {
@@ -148,6 +165,7 @@
 void HttpServer::stop()
 {
     m_impl->isClosing = true;
+    m_impl->acceptWaiting();
     ErrorCode ignored;
     m_impl->acceptor.close(ignored);
     const std::set<std::shared_ptr<Connection>> connections = m_impl->connections;
@@ -167,6 +185,12 @@
         m_impl->connections.begin(), m_impl->connections.end(), [](const std::shared_ptr<Connection> &connection) { return connection->isBusy(); }));
 }
 
+bool HttpServer::isDrained() const
+{
+    return std::none_of(m_impl->connections.begin(), m_impl->connections.end(),
+        [](const std::shared_ptr<Connection> &connection) { return connection->isBusy() || connection->hasUnreadBytes(); });
+}
+
 bool HttpServer::isListening() const
 {
     return m_impl->acceptor.is_open();
--- a/source/net/peerlinks.cpp
+++ b/source/net/peerlinks.cpp
@@ -2,6 +2,10 @@
 
 #include "snipeferry/net/fleetcodec.h"
 #include "snipeferry/net/linkendpoint.h"
+#include "snipeferry/net/linkqueue.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include <map>
 
@@ -9,8 +13,14 @@
 
 namespace {
 
-/** Bytes waiting on one link beyond which a message is dropped. */
-constexpr std::size_t MAX_QUEUED_BYTES = 8U << 20U;
+/** Bytes that the connection of one link may hold unsent. Further messages wait in the link's queue, where newer ones can replace them. */
+constexpr std::size_t MAX_UNSENT_BYTES = 32768;
+/** Interval at which a link whose queue is not empty is checked for room. */
+constexpr absl::Duration QUEUE_CHECK_PERIOD = absl::Milliseconds(10);
+/** A queue that was not empty for this long is logged, and again after the same time. */
+constexpr absl::Duration FULL_QUEUE_LOG_PERIOD = absl::Seconds(1);
+/** An instance waits this long for the other end to open a wanted link before it opens the link itself. */
+constexpr absl::Duration OTHER_END_DIAL_TIME = absl::Milliseconds(600);
 /** Pulses come every second or more often. */
 constexpr absl::Duration SILENCE_LIMIT = absl::Milliseconds(2800);
 constexpr absl::Duration CHECK_PERIOD = absl::Milliseconds(300);
@@ -51,25 +61,41 @@
 
     void keep(const std::vector<gateway::Member> &members)
     {
-        m_wanted.clear();
+        std::map<core::InstanceId, Wanted> wanted;
         for (const gateway::Member &member : members) {
-            m_wanted[member.id] = member;
+            const auto known = m_wanted.find(member.id);
+            wanted[member.id] = Wanted{member, known == m_wanted.end() ? m_loop.timers().now() : known->second.since};
         }
+        m_wanted = std::move(wanted);
         check();
     }
 
-    bool send(const core::InstanceId &to, const gateway::FleetMessage &message)
+    bool send(const core::InstanceId &to, const std::shared_ptr<OutgoingMessage> &message)
     {
         const auto link = m_links.find(to);
-        if (link == m_links.end() || m_endpoint->queuedBytes(link->second.id) > MAX_QUEUED_BYTES) {
+        if (link == m_links.end() || !link->second.queue.push(message)) {
             return false;
         }
-        return m_endpoint->send(link->second.id, encodeFleetMessage(message));
+        sendQueued(to, link->second);
+        return true;
+    }
+
+    std::size_t queuedBytes() const
+    {
+        std::size_t bytes = 0;
+        for (const auto &entry : m_links) {
+            bytes += m_endpoint->queuedBytes(entry.second.id);
+            for (const auto &kind : entry.second.queue.bytesByKind()) {
+                bytes += kind.second;
+            }
+        }
+        return bytes;
     }
 
     void stop()
     {
         m_checkTimer.cancel();
+        m_queueTimer.cancel();
         m_endpoint->stopListening();
         m_isStopped = true;
         const std::map<core::InstanceId, Link> links = m_links;
@@ -84,6 +110,18 @@
     {
         LinkId id = 0;
         absl::Time heardAt;
+        LinkQueue queue;
+        PieceJoiner joiner;
+        /** Since when the queue is not empty; InfiniteFuture if it is. */
+        absl::Time queuedSince = absl::InfiniteFuture();
+    };
+
+    /** A member to which a link has to exist. */
+    struct Wanted
+    {
+        gateway::Member member;
+        /** Since when the link is wanted, or when it was last lost. */
+        absl::Time since;
     };
 
     /** A link that is being opened, or whose other end has not said who it is. */
@@ -112,6 +150,10 @@
         const core::InstanceId id = name->second;
         m_names.erase(name);
         m_links.erase(id);
+        const auto wanted = m_wanted.find(id);
+        if (wanted != m_wanted.end()) {
+            wanted->second.since = m_loop.timers().now();
+        }
         if (!m_isStopped) {
             m_events.down(id);
         }
@@ -134,8 +176,13 @@
         const auto name = m_names.find(link);
         if (name != m_names.end()) {
             const core::InstanceId id = name->second;
-            m_links[id].heardAt = m_loop.timers().now();
-            m_events.received(id, *message);
+            Link &known = m_links.at(id);
+            known.heardAt = m_loop.timers().now();
+            if (const gateway::MessagePiece *piece = std::get_if<gateway::MessagePiece>(&*message)) {
+                receivedPiece(link, known, *piece);
+            } else {
+                m_events.received(id, *message);
+            }
             return;
         }
         // The first message says who is there.
@@ -147,6 +194,53 @@
         greeted(link, greeting->sender);
     }
 
+    void receivedPiece(LinkId link, Link &known, const gateway::MessagePiece &piece)
+    {
+        const core::Expected<std::optional<std::string>> whole = known.joiner.add(piece);
+        if (!whole) {
+            m_journal.log(core::LogEvent{"peer_message_unreadable", {}}.with("error", whole.error().message));
+            terminate(link);
+        } else if (whole->has_value()) {
+            received(link, **whole);
+        }
+    }
+
+    /** Hands waiting messages to the connection as long as it has room; a timer goes on with the rest. */
+    void sendQueued(const core::InstanceId &to, Link &link)
+    {
+        while (!link.queue.isEmpty() && m_endpoint->queuedBytes(link.id) < MAX_UNSENT_BYTES) {
+            const std::optional<std::string> bytes = link.queue.pop();
+            if (!bytes.has_value() || !m_endpoint->send(link.id, *bytes)) {
+                break;
+            }
+        }
+        const absl::Time now = m_loop.timers().now();
+        if (link.queue.isEmpty()) {
+            link.queuedSince = absl::InfiniteFuture();
+            return;
+        }
+        if (link.queuedSince == absl::InfiniteFuture()) {
+            link.queuedSince = now;
+        } else if (now - link.queuedSince >= FULL_QUEUE_LOG_PERIOD) {
+            link.queuedSince = now;
+            m_journal.log(core::LogEvent{"link_queue_full", {}}
+                              .with("instance", to.value())
+                              .with("unsent", absl::StrCat(m_endpoint->queuedBytes(link.id)))
+                              .with("waiting", absl::StrJoin(link.queue.bytesByKind(), ",", absl::PairFormatter(":"))));
+        }
+        if (!m_isAwaitingRoom) {
+            m_isAwaitingRoom = true;
+            m_queueTimer = m_loop.timers().after(QUEUE_CHECK_PERIOD, [this] {
+                m_isAwaitingRoom = false;
+                for (auto &entry : m_links) {
+                    if (!entry.second.queue.isEmpty()) {
+                        sendQueued(entry.first, entry.second);
+                    }
+                }
+            });
+        }
+    }
+
     void greeted(LinkId link, const gateway::Member &peer)
     {
         const auto before = m_links.find(peer.id);
@@ -156,7 +250,7 @@
         }
         m_opening.erase(link);
         m_names[link] = peer.id;
-        m_links[peer.id] = Link{link, m_loop.timers().now()};
+        m_links.emplace(peer.id, Link{link, m_loop.timers().now(), LinkQueue(peer.capacity > 0), PieceJoiner(), absl::InfiniteFuture()});
         m_events.up(peer);
     }
 
@@ -164,9 +258,12 @@
     {
         closeSilent();
         // Open what is missing.
+        const absl::Time now = m_loop.timers().now();
         for (const auto &entry : m_wanted) {
-            if (m_self.id < entry.first && m_links.count(entry.first) == 0 && !isDialling(entry.first)) {
-                dial(entry.second);
+            // Both ends want most links, and the one with the lower identifier opens them. A link to a relay may be wanted by the other end alone.
+            const bool isDueHere = m_self.id < entry.first || now - entry.second.since > OTHER_END_DIAL_TIME;
+            if (isDueHere && m_links.count(entry.first) == 0 && !isDialling(entry.first)) {
+                dial(entry.second.member);
             }
         }
     }
@@ -217,11 +314,13 @@
     gateway::Journal &m_journal;
     std::unique_ptr<LinkEndpoint> m_endpoint;
     bool m_isStopped = false;
-    std::map<core::InstanceId, gateway::Member> m_wanted;
+    std::map<core::InstanceId, Wanted> m_wanted;
     std::map<core::InstanceId, Link> m_links;
     std::map<LinkId, core::InstanceId> m_names;
     std::map<LinkId, Opening> m_opening;
+    bool m_isAwaitingRoom = false;
     core::Subscription m_checkTimer;
+    core::Subscription m_queueTimer;
 };
 
 PeerLinks::PeerLinks(EventLoop &loop, gateway::Member self, LinkEvents events, gateway::Journal &journal)
@@ -243,7 +342,20 @@
 
 bool PeerLinks::send(const core::InstanceId &to, const gateway::FleetMessage &message)
 {
-    return m_impl->send(to, message);
+    return m_impl->send(to, std::make_shared<OutgoingMessage>(message));
+}
+
+std::size_t PeerLinks::queuedBytes() const
+{
+    return m_impl->queuedBytes();
+}
+
+void PeerLinks::sendToAll(const std::vector<core::InstanceId> &to, const gateway::FleetMessage &message)
+{
+    const std::shared_ptr<OutgoingMessage> shared = std::make_shared<OutgoingMessage>(message);
+    for (const core::InstanceId &instance : to) {
+        m_impl->send(instance, shared);
+    }
 }
 
 void PeerLinks::stop()
--- a/source/net/storeclient.cpp
+++ b/source/net/storeclient.cpp
@@ -25,8 +25,12 @@
  * are left for a backend server that drains, and what requests show counts before that.
  */
 constexpr absl::Duration GATHERING_TIME = absl::Milliseconds(500);
-/** The first reading may be this old. It costs the store a tenth; what changed since comes from others, or from the first watch. */
+/** Age of a first reading of the instances, of which old ones do no harm. */
 constexpr absl::Duration FIRST_READING_AGE = absl::Seconds(2);
+/** Wait of the call that follows a first reading, which may be old: it returns the changes since, or confirms that there are none. */
+constexpr absl::Duration FIRST_CONFIRMATION_WAIT = absl::Milliseconds(1);
+/** Time for which other instances may confirm a first reading before the store is called for it. */
+constexpr absl::Duration PEER_CONFIRMATION_TIME = absl::Milliseconds(300);
 constexpr int HTTP_OK = 200;
 constexpr int HTTP_NOT_FOUND = 404;
 constexpr int HTTP_GONE = 410;
@@ -76,6 +80,7 @@
           m_caller(std::make_shared<HttpCaller>(loop, settings.address)),
           m_backoff(std::random_device()())
     {
+        m_caller->setMaxAnswerBytes(settings.maxAnswerBytes);
     }
 
     void start()
@@ -120,11 +125,17 @@
             readPage(page->records.back().key);
             return;
         }
-        m_gateway.topicRead(m_topic, m_records, m_revision, m_mayBeOld ? m_startedAt - FIRST_READING_AGE : m_startedAt);
-        m_mayBeOld = false;
+        // A reading that may be old costs the store a tenth. Other instances or the first watch confirm it or bring what has changed since.
+        const absl::Time oldest = m_topic == gateway::Topic::Members ? m_startedAt - FIRST_READING_AGE : absl::InfinitePast();
+        m_gateway.topicRead(m_topic, m_records, m_revision, m_mayBeOld ? oldest : m_startedAt);
+        const bool isOld = std::exchange(m_mayBeOld, false);
         m_records.clear();
         m_records.shrink_to_fit();
-        watch();
+        if (isOld && m_topic == gateway::Topic::BackendServers) {
+            m_pause = m_loop.timers().after(PEER_CONFIRMATION_TIME, [self = shared_from_this()] { self->watch(); });
+        } else {
+            watch();
+        }
     }
 
     void watch()
@@ -135,7 +146,8 @@
         }
         m_journal.count("store_calls_total", "watch", 1);
         m_startedAt = m_loop.timers().now();
-        m_caller->call(m_format.awaitChanges(m_topic, m_gateway.revision(m_topic), m_wait), m_wait + m_answerTimeout,
+        m_currentWait = m_gateway.isUnconfirmed(m_topic) ? FIRST_CONFIRMATION_WAIT : m_wait;
+        m_caller->call(m_format.awaitChanges(m_topic, m_gateway.revision(m_topic), m_currentWait), m_currentWait + m_answerTimeout,
             [self = shared_from_this()](const core::Expected<CallAnswer> &answer) { self->watched(answer); });
     }
 
@@ -146,6 +158,11 @@
             readAll();
             return;
         }
+        if (!answer && answer.error().kind == core::ErrorKind::RequestTooLarge) {
+            // Read in pages what is too much in one answer.
+            failed(answer, [self = shared_from_this()] { self->readAll(); });
+            return;
+        }
         if (!answer || answer->status != HTTP_OK) {
             failed(answer, [self = shared_from_this()] { self->watch(); });
             return;
@@ -172,8 +189,8 @@
     absl::Time confirmedAt(const ChangePage &page) const
     {
         const absl::Duration elapsed = m_loop.timers().now() - m_startedAt;
-        const bool isOnTime = elapsed >= m_wait && elapsed < m_wait + ON_TIME;
-        return page.changes.empty() && isOnTime ? m_startedAt + m_wait : m_startedAt;
+        const bool isOnTime = elapsed >= m_currentWait && elapsed < m_currentWait + ON_TIME;
+        return page.changes.empty() && isOnTime ? m_startedAt + m_currentWait : m_startedAt;
     }
 
     void failed(const core::Expected<CallAnswer> &answer, std::function<void()> again)
@@ -196,6 +213,8 @@
     absl::Duration m_answerTimeout;
     gateway::Topic m_topic;
     absl::Duration m_wait;
+    /** Wait of the call in progress. */
+    absl::Duration m_currentWait;
     const StoreFormat &m_format;
     gateway::Gateway &m_gateway;
     gateway::Journal &m_journal;
--- a/source/platform/prefixwatch.cpp
+++ b/source/platform/prefixwatch.cpp
@@ -196,7 +196,7 @@
     }
 }
 
-void PrefixWatch::runEnd(gateway::Number run)
+void PrefixWatch::runEnd(gateway::Number run, gateway::AnswerEnd /*end*/)
 {
     runFailed(run, true, "ended");
 }
--- a/source/platform/prefixwatch.h
+++ b/source/platform/prefixwatch.h
@@ -50,7 +50,7 @@
 private:
     void runHead(gateway::Number run, const gateway::HttpHead &head) override;
     void runData(gateway::Number run, const std::string &data) override;
-    void runEnd(gateway::Number run) override;
+    void runEnd(gateway::Number run, gateway::AnswerEnd end) override;
     void runFailed(gateway::Number run, bool mayHaveRun, const std::string &reason) override;
 
     void readAgain();
--- a/source/settings/yamlreader.cpp
+++ b/source/settings/yamlreader.cpp
@@ -3,12 +3,15 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
+#include <absl/strings/strip.h>
 #include <absl/time/time.h>
 #include <arpa/inet.h>
 #include <yaml-cpp/yaml.h>
 
 #include <algorithm>
+#include <cmath>
 #include <set>
+#include <utility>
 
 namespace snipeferry::settings {
 
@@ -34,6 +37,25 @@
     return "\"" + node.Scalar().substr(0, MAX_QUOTED_CHARACTERS) + "\"";
 }
 
+/** Reads a duration; besides what absl reads, one number with an exponent and a unit, such as 2.5e3ms. */
+bool parseDuration(const std::string &text, absl::Duration &duration)
+{
+    if (absl::ParseDuration(text, &duration)) {
+        return true;
+    }
+    const std::pair<absl::string_view, absl::Duration> units[] = {{"ms", absl::Milliseconds(1)}, {"s", absl::Seconds(1)}, {"m", absl::Minutes(1)}};
+    for (const std::pair<absl::string_view, absl::Duration> &unit : units) {
+        absl::string_view number = text;
+        double amount = 0;
+        if (absl::ConsumeSuffix(&number, unit.first)) {
+            const bool isNumber = absl::SimpleAtod(number, &amount) && std::isfinite(amount);
+            duration = amount * unit.second;
+            return isNumber;
+        }
+    }
+    return false;
+}
+
 } // namespace
 
 class YamlMap::Impl
@@ -176,7 +198,7 @@
     return readInteger(key, minimum, maximum, false).value_or(defaultValue);
 }
 
-double YamlMap::fraction(const std::string &key, double minimum, double maximum, double defaultValue)
+double YamlMap::number(const std::string &key, double minimum, double maximum, double defaultValue)
 {
     const std::string allowed = absl::StrCat("a number from ", minimum, " to ", maximum);
     const std::optional<std::string> value = scalar(key, allowed, false);
@@ -205,13 +227,13 @@
 std::optional<absl::Duration> YamlMap::readDuration(const std::string &key, absl::Duration minimum, absl::Duration maximum, bool isRequired)
 {
     const std::string allowed
-        = absl::StrCat("a duration such as 500ms, 2s or 1m30s, from ", absl::FormatDuration(minimum), " to ", absl::FormatDuration(maximum));
+        = absl::StrCat("a duration such as 500ms, 2s, 1m30s or 2.5e3ms, from ", absl::FormatDuration(minimum), " to ", absl::FormatDuration(maximum));
     const std::optional<std::string> value = scalar(key, allowed, isRequired);
     if (!value.has_value()) {
         return std::nullopt;
     }
     absl::Duration duration;
-    if (!absl::ParseDuration(*value, &duration) || duration < minimum || duration > maximum) {
+    if (!parseDuration(*value, duration) || duration < minimum || duration > maximum) {
         problem(key, describe(m_impl->child(key)), allowed);
         return std::nullopt;
     }
--- a/tests/gateway/gatewaytest.cpp
+++ b/tests/gateway/gatewaytest.cpp
@@ -45,6 +45,25 @@
     CHECK(fixture.ask("/once/x")->status == 503);
 }
 
+// An announcement that lapsed in an outage is back about two seconds after the store's return. One that is removed later than its backend server's
+// peers were back belongs to a backend server that leaves, and the time until its last request counts from its leaving.
+TEST_CASE("a backend server that leaves after the store's return is not held as if its announcement had lapsed")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.timers.advance(absl::Seconds(1));
+    fixture.gateway.storeFailed();
+    fixture.timers.advance(absl::Milliseconds(400));
+    fixture.confirm();
+    fixture.timers.advance(absl::Milliseconds(2400));
+    fixture.withdraw("s1");
+    fixture.withdraw("s2");
+    CHECK(fixture.ask("/once/x")->finalCount == 0);
+    // 2.6 s after the return nothing can be renewed any more.
+    fixture.timers.advance(absl::Milliseconds(450));
+    CHECK(fixture.ask("/once/x")->status == 503);
+}
+
 TEST_CASE("an unreadable announcement removes its backend server")
 {
     GatewayFixture fixture;
@@ -205,6 +224,31 @@
     CHECK(fixture.ask("/new/x")->finalCount == 0);
 }
 
+// The store counts one revision for all topics, so a copy's revision rises with each confirmation of the watching instance although the topic is the
+// same. If the others took that for missing changes, each change of a topic would cost each of them a transfer of the whole topic.
+TEST_CASE("a change that follows confirmations without changes costs the other instances the change alone")
+{
+    GatewayFixture watcher;
+    GatewayFixture receiver;
+    for (GatewayFixture *fixture : {&watcher, &receiver}) {
+        fixture->start();
+        fixture->linkRemote("gw-2", "north");
+    }
+    const gateway::Topic topic = GENERATE(gateway::Topic::Operator, gateway::Topic::BackendServers);
+    watcher.revision += 40;
+    watcher.gateway.topicChanged(topic, {}, watcher.revision, watcher.timers.now());
+    gateway::Deployment newer = GatewayFixture::deployment(9);
+    newer.routes.push_back(GatewayFixture::route("/new/"));
+    topic == gateway::Topic::Operator ? watcher.deploy(newer) : watcher.announce(GatewayFixture::server("s3"));
+
+    const std::vector<gateway::RecordsUpdate> updates = watcher.links.all<gateway::RecordsUpdate>();
+    REQUIRE(updates.size() == 1);
+    receiver.gateway.received(core::InstanceId("gw-2"), updates.back());
+    CHECK(receiver.links.all<gateway::RecordsRequest>().empty());
+    CHECK(receiver.gateway.hasRecord(topic, updates.back().changes.back().key));
+    CHECK(receiver.gateway.revision(topic) == watcher.gateway.revision(topic));
+}
+
 // An instance behind a saturated link gets changes late, and all its peers report in their pulses that they have newer ones. If it requested the whole
 // topic from each of them, the answers would keep the link saturated.
 TEST_CASE("an instance whose news are late asks one other at a time for a whole topic")
