Count what an engine's unread prompts do to its streams, collect idle tokens at relays, halve the index of prompt parts

Change: a penalty in the choice for prompts that are read later beside the request's own stream, and for the streams that its prompt slows; the length of an engine's runs is measured. In a large region idle tokens go to the relay, which grants them in one round trip; before, two instances shared equally. The index of prompt parts keeps 16 bytes a holder instead of a hash table for each part. Fleets of more than 40 keep two links to each other data centre instead of three, since pulses are most of the bytes between regions there. Ruled out: the estimate itself (refusals would grow with it); full comparison of 32 engines (all instances would choose the same one).

--- a/include/snipeferry/gateway/backendtable.h
+++ b/include/snipeferry/gateway/backendtable.h
@@ -164,8 +164,12 @@
     void started(const core::BackendServerId &id, int priority, std::int64_t unreadTokens, const std::vector<PromptPart> &parts);
     /** @brief Records the first data of a run's answer and the time that it took. */
     void answered(const core::BackendServerId &id, int priority, std::int64_t unreadTokens, absl::Duration latency);
-    /** @brief Records the end of a run; unreadTokens is 0 if answered() was called before. */
-    void finished(const core::BackendServerId &id, int priority, std::int64_t unreadTokens, RunEnd end);
+    /**
+     * @brief Records the end of a run.
+     * @param unreadTokens 0 if answered() was called before
+     * @param duration time from the start of the run to its end
+     */
+    void finished(const core::BackendServerId &id, int priority, std::int64_t unreadTokens, RunEnd end, absl::Duration duration);
     /** @brief Records the load that a backend server itself reports; negative numbers are ignored. */
     void reportLoad(const core::BackendServerId &id, int running, int waiting);
 
@@ -196,7 +200,7 @@
         std::vector<core::BackendServerId> servers;
         /** Prompt tokens that an engine prefills per millisecond. */
         double prefillTokensPerMs = 45.0;
-        /** Duration of a run at a service that is not a model engine, as a moving average. */
+        /** Duration of a run, as a moving average. */
         double runMs = 30.0;
         /** Fraction of failed runs at all of its backend servers, as a moving average. No single one is blamed for failures that are common to all. */
         double failureShare = 0.0;
@@ -234,6 +238,8 @@
     bool isEngineService(const core::ServiceId &service) const;
     /** Runs for each slot of the backend server, including a new one; at least 1. */
     double runsPerSlot(const ServerState &state) const;
+    /** Penalty for the events that come later because an engine reads prompts beside running streams: this request's events, and those of others. */
+    double streamPenaltyMs(const ServerState &state, const ServiceState &service, int level, std::int64_t unreadTokens) const;
     /** Expected time to the first event, or to the whole answer of a service that is not a model engine. */
     absl::Duration estimate(const ServerState &state, const ServiceState &service, int level, std::int64_t unreadTokens) const;
     ServerState *findState(const core::BackendServerId &id);
--- a/include/snipeferry/gateway/promptmemory.h
+++ b/include/snipeferry/gateway/promptmemory.h
@@ -6,6 +6,8 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <cstdint>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -55,25 +57,47 @@
     std::vector<core::BackendServerId> holders(const std::vector<PromptPart> &parts) const;
 
 private:
+    /**
+     * Time in milliseconds since the index was created.
+     *
+     * Large fleets share tens of thousands of parts, each with several holders; absl::Time would double the memory of an entry.
+     */
+    using Milliseconds = std::int32_t;
+    /** Short number of a backend server, in place of its identifier. */
+    using ServerNumber = std::uint32_t;
+
+    static constexpr Milliseconds NEVER = std::numeric_limits<Milliseconds>::min();
+    static constexpr Milliseconds NOT_YET = std::numeric_limits<Milliseconds>::max();
+
+    /** One backend server that has a part. */
     struct CacheEntry
     {
-        absl::Time lastUsedAt = absl::InfinitePast();
+        ServerNumber server = 0;
+        Milliseconds lastUsedAt = NEVER;
         /** When the prefill ended or is expected to end. */
-        absl::Time cachedAt = absl::InfiniteFuture();
+        Milliseconds cachedAt = NOT_YET;
         /** When the entry was last reported within the region. */
-        absl::Time reportedAt = absl::InfinitePast();
+        Milliseconds reportedAt = NEVER;
     };
-    using Holders = absl::flat_hash_map<core::BackendServerId, CacheEntry>;
+    using Holders = std::vector<CacheEntry>;
 
+    Milliseconds sinceStart(absl::Time time) const;
+    /** Whether a time is at least as long ago as a duration. */
+    bool isAgo(Milliseconds time, absl::Duration duration) const;
+    ServerNumber numberOf(const core::BackendServerId &server);
     CacheEntry &updateEntry(const core::BackendServerId &server, const std::string &part, absl::Time cachedAt);
     void removeExpired();
     const CacheEntry *find(const core::BackendServerId &server, const std::string &part) const;
-    std::int64_t leadingTokens(const core::BackendServerId &server, const std::vector<PromptPart> &parts, absl::Time cachedBefore) const;
+    std::int64_t leadingTokens(const core::BackendServerId &server, const std::vector<PromptPart> &parts, Milliseconds cachedBefore) const;
 
     core::TimerService &m_timers;
+    absl::Time m_startedAt;
+    absl::flat_hash_map<core::BackendServerId, ServerNumber> m_serverNumbers;
+    /** Backend servers by their number. */
+    std::vector<core::BackendServerId> m_servers;
     absl::flat_hash_map<std::string, Holders> m_parts;
     /** When a part was last reported to the other regions. They need only one backend server of this region that has it. */
-    absl::flat_hash_map<std::string, absl::Time> m_lastReportsToOtherRegions;
+    absl::flat_hash_map<std::string, Milliseconds> m_lastReportsToOtherRegions;
     std::vector<ReadPart> m_unreportedInRegion;
     std::vector<ReadPart> m_unreportedToOtherRegions;
     core::Subscription m_expiryTimer;
--- a/include/snipeferry/gateway/ratelimiter.h
+++ b/include/snipeferry/gateway/ratelimiter.h
@@ -135,6 +135,8 @@
     void refill(Bucket &bucket);
     void addClientDemand(const std::vector<AllowanceReport> &clientReports, double sign);
     void removeSilentClients();
+    /** Demand of this instance and of those that report to it as a relay. */
+    double demandWithClients(const Bucket &bucket);
     /** Demand that the fair balance assumes for an idle instance. */
     double idleDemand(const Bucket &bucket);
     void scaleBalances(double factor);
--- a/include/snipeferry/gateway/relayranking.h
+++ b/include/snipeferry/gateway/relayranking.h
@@ -6,7 +6,10 @@
 
 namespace snipeferry::gateway {
 
-/** A region with at most this many instances has no relays: each instance sends its pulses to all others, which costs more with the square. */
+/**
+ * A region with at most this many instances has no relays: each instance sends its pulses to all others, which costs more with the square. A fleet with
+ * more instances keeps fewer links between regions.
+ */
 constexpr std::size_t MAX_FULLY_LINKED_INSTANCES = 40;
 /** Relays that each instance of a large region reports to. One is left if one fails while another restarts. */
 constexpr std::size_t RELAYS_PER_REGION = 3;
--- a/source/gateway/backendchoice.cpp
+++ b/source/gateway/backendchoice.cpp
@@ -34,6 +34,14 @@
 /** The expected time is multiplied by 1 plus this factor times the backend server's failure share. */
 constexpr double FAILURE_WEIGHT = 6.0;
 
+/**
+ * An engine reads prompts in chunks between the tokens of its running streams, so each unread prompt slows the events of all streams beside it, also
+ * of more urgent ones. Weight of the time for which prompts that are read later than the request's own will slow its stream.
+ */
+constexpr double LATER_PREFILL_WEIGHT = 0.5;
+/** Weight of the time for which the request's own prompt slows the running streams, in proportion to how many of the engine's slots they take. */
+constexpr double SLOWED_STREAMS_WEIGHT = 0.5;
+
 /** Distance between the source and the target of a KV cache transfer, nearest first. */
 enum class Distance {
     SameDataCentre,
@@ -90,6 +98,17 @@
     return absl::Milliseconds(ms * state.slowness * (1.0 + FAILURE_WEIGHT * ownFailures));
 }
 
+double BackendTable::streamPenaltyMs(const ServerState &state, const ServiceState &service, int level, std::int64_t unreadTokens) const
+{
+    if (!isEngineService(state.server.service)) {
+        return 0;
+    }
+    const std::int64_t laterTokens = unreadTokensAhead(state, URGENCY_LEVELS - 1) - unreadTokensAhead(state, level);
+    const double takenSlots = std::min(1.0, static_cast<double>(state.running + state.peerRunning) / std::max(1, state.server.slots));
+    const double slowedMs = LATER_PREFILL_WEIGHT * static_cast<double>(laterTokens) + SLOWED_STREAMS_WEIGHT * takenSlots * static_cast<double>(unreadTokens);
+    return slowedMs / service.prefillTokensPerMs * state.slowness;
+}
+
 std::vector<core::BackendServerId> BackendTable::candidates(const ServiceState &service, const ServerQuery &query, const std::string &affinityKey)
 {
     const absl::Time now = m_timers.now();
@@ -186,7 +205,7 @@
     }
     const std::int64_t repeatedPrefillTokens = std::max<std::int64_t>(0, sharedTokens - ownCachedTokens - transferredTokens);
     scored.cost = absl::ToDoubleMilliseconds(scored.choice.estimate) + REPEATED_PREFILL_PENALTY_MS_PER_TOKEN * static_cast<double>(repeatedPrefillTokens)
-        + TRANSFER_PENALTY_MS_PER_TOKEN * static_cast<double>(transferredTokens);
+        + TRANSFER_PENALTY_MS_PER_TOKEN * static_cast<double>(transferredTokens) + streamPenaltyMs(state, service, level, scored.choice.unreadTokens);
     return scored;
 }
 
--- a/source/gateway/backendtable.cpp
+++ b/source/gateway/backendtable.cpp
@@ -387,7 +387,7 @@
     target->slowness = std::clamp(target->slowness + SERVER_SMOOTHING * (ratio - target->slowness), 0.5, 4.0);
 }
 
-void BackendTable::finished(const core::BackendServerId &id, int priority, std::int64_t unreadTokens, RunEnd end)
+void BackendTable::finished(const core::BackendServerId &id, int priority, std::int64_t unreadTokens, RunEnd end, absl::Duration duration)
 {
     ServerState *target = findState(id);
     if (target == nullptr) {
@@ -405,6 +405,11 @@
     serviceShare += SERVICE_SMOOTHING * ((hasFailed ? 1.0 : 0.0) - serviceShare);
     if (!hasFailed) {
         if (end == RunEnd::Success) {
+            // For other services answered() measures how long a run takes.
+            if (isEngineService(target->server.service)) {
+                double &runMs = m_services[target->server.service].runMs;
+                runMs += SERVICE_SMOOTHING * (absl::ToDoubleMilliseconds(duration) - runMs);
+            }
             target->consecutiveFailures = 0;
             target->ejectionTime = absl::ZeroDuration();
         }
--- a/source/gateway/fleetlinkchoice.cpp
+++ b/source/gateway/fleetlinkchoice.cpp
@@ -11,8 +11,8 @@
 
 /** Number of links that an instance selects to each data centre of another region. With three, one is left if one instance fails while another restarts. */
 constexpr std::size_t LINKS_PER_DATA_CENTRE = 3;
-/** The same in a large region, whose instances find the other region's load at more than one of their links. */
-constexpr std::size_t LINKS_PER_DATA_CENTRE_OF_LARGE_REGION = 2;
+/** The same in a fleet of more than MAX_FULLY_LINKED_INSTANCES, where the pulses on these links are most of the bytes between regions. */
+constexpr std::size_t LINKS_PER_DATA_CENTRE_OF_LARGE_FLEET = 2;
 /** A relay that has sent no pulse for this long is replaced. It includes the time to open a link to it. */
 constexpr absl::Duration RELAY_ANSWER_TIMEOUT = absl::Seconds(3);
 /** Time for which an instance that did not answer as a relay is not tried again. */
@@ -189,7 +189,9 @@
 
 void FleetView::selectLinksToOtherRegions() const
 {
-    const std::size_t linkCount = m_ownRegionSize > MAX_FULLY_LINKED_INSTANCES ? LINKS_PER_DATA_CENTRE_OF_LARGE_REGION : LINKS_PER_DATA_CENTRE;
+    const std::size_t fleetSize
+        = static_cast<std::size_t>(1 + std::count_if(m_peers.begin(), m_peers.end(), [](const auto &entry) { return entry.second.isAnnounced; }));
+    const std::size_t linkCount = fleetSize > MAX_FULLY_LINKED_INSTANCES ? LINKS_PER_DATA_CENTRE_OF_LARGE_FLEET : LINKS_PER_DATA_CENTRE;
     // Each instance ranks the members of a data centre and selects the first ones. A link exists if either end selects the other.
     std::map<core::DataCentreId, std::vector<RankedMember>> rankedMembers;
     std::vector<const Member *> ownDataCentre{&m_self};
--- a/source/gateway/forwardreceiver.cpp
+++ b/source/gateway/forwardreceiver.cpp
@@ -114,7 +114,8 @@
         return;
     }
     const ForwardedRun &forwardedRun = it->second;
-    m_backends.finished(forwardedRun.server, forwardedRun.priority, forwardedRun.isAnswering ? 0 : forwardedRun.unreadTokens, end);
+    m_backends.finished(
+        forwardedRun.server, forwardedRun.priority, forwardedRun.isAnswering ? 0 : forwardedRun.unreadTokens, end, m_timers.now() - forwardedRun.startedAt);
     if (end != RunEnd::Cancelled && end != RunEnd::Refused) {
         const absl::Duration latency = forwardedRun.isAnswering ? forwardedRun.timeToFirstData : m_timers.now() - forwardedRun.startedAt;
         m_rollouts.observe(forwardedRun.service, forwardedRun.route, forwardedRun.version, end != RunEnd::Success, latency);
--- a/source/gateway/promptmemory.cpp
+++ b/source/gateway/promptmemory.cpp
@@ -21,18 +21,42 @@
 
 PromptCacheIndex::PromptCacheIndex(core::TimerService &timers)
     : m_timers(timers),
+      m_startedAt(timers.now()),
       m_expiryTimer(timers.every(EXPIRY_CHECK_PERIOD, [this] { removeExpired(); }))
 {
 }
 
+PromptCacheIndex::Milliseconds PromptCacheIndex::sinceStart(absl::Time time) const
+{
+    const std::int64_t milliseconds = absl::ToInt64Milliseconds(time - m_startedAt);
+    return static_cast<Milliseconds>(std::clamp<std::int64_t>(milliseconds, NEVER + 1, NOT_YET - 1));
+}
+
+bool PromptCacheIndex::isAgo(Milliseconds time, absl::Duration duration) const
+{
+    return time == NEVER || sinceStart(m_timers.now()) - static_cast<std::int64_t>(time) >= absl::ToInt64Milliseconds(duration);
+}
+
+PromptCacheIndex::ServerNumber PromptCacheIndex::numberOf(const core::BackendServerId &server)
+{
+    const auto added = m_serverNumbers.try_emplace(server, static_cast<ServerNumber>(m_servers.size()));
+    if (added.second) {
+        m_servers.push_back(server);
+    }
+    return added.first->second;
+}
+
 void PromptCacheIndex::removeExpired()
 {
-    const absl::Time limit = m_timers.now() - ENTRY_LIFETIME;
     for (auto &entry : m_parts) {
-        absl::erase_if(entry.second, [limit](const auto &holder) { return holder.second.lastUsedAt < limit; });
+        Holders &holders = entry.second;
+        const auto isExpired = [this](const CacheEntry &holder) {
+            return isAgo(holder.lastUsedAt, ENTRY_LIFETIME);
+        };
+        holders.erase(std::remove_if(holders.begin(), holders.end(), isExpired), holders.end());
     }
     absl::erase_if(m_parts, [](const auto &entry) { return entry.second.empty(); });
-    absl::erase_if(m_lastReportsToOtherRegions, [limit](const auto &entry) { return entry.second < limit; });
+    absl::erase_if(m_lastReportsToOtherRegions, [this](const auto &entry) { return isAgo(entry.second, ENTRY_LIFETIME); });
 }
 
 void PromptCacheIndex::noteDispatched(const core::BackendServerId &server, const std::vector<PromptPart> &parts, absl::Duration prefillTime)
@@ -41,13 +65,13 @@
     for (std::size_t index = 0; index + 1 < parts.size(); ++index) {
         const std::string &part = parts[index].id;
         CacheEntry &cacheEntry = updateEntry(server, part, now + prefillTime);
-        if (now - cacheEntry.reportedAt >= REGION_REPORT_PERIOD) {
-            cacheEntry.reportedAt = now;
+        if (isAgo(cacheEntry.reportedAt, REGION_REPORT_PERIOD)) {
+            cacheEntry.reportedAt = sinceStart(now);
             m_unreportedInRegion.push_back({server, part});
         }
-        absl::Time &lastReport = m_lastReportsToOtherRegions.try_emplace(part, absl::InfinitePast()).first->second;
-        if (now - lastReport >= OTHER_REGIONS_REPORT_PERIOD) {
-            lastReport = now;
+        Milliseconds &lastReport = m_lastReportsToOtherRegions.try_emplace(part, NEVER).first->second;
+        if (isAgo(lastReport, OTHER_REGIONS_REPORT_PERIOD)) {
+            lastReport = sinceStart(now);
             m_unreportedToOtherRegions.push_back({server, part});
         }
     }
@@ -57,18 +81,25 @@
 {
     for (const ReadPart &report : parts) {
         CacheEntry &cacheEntry = updateEntry(report.server, report.part, m_timers.now() + PEER_PREFILL_TIME);
-        cacheEntry.reportedAt = m_timers.now();
+        cacheEntry.reportedAt = sinceStart(m_timers.now());
     }
 }
 
 PromptCacheIndex::CacheEntry &PromptCacheIndex::updateEntry(const core::BackendServerId &server, const std::string &part, absl::Time cachedAt)
 {
-    const absl::Time now = m_timers.now();
-    CacheEntry &cacheEntry = m_parts[part][server];
+    const ServerNumber number = numberOf(server);
+    Holders &holders = m_parts[part];
+    auto it = std::find_if(holders.begin(), holders.end(), [number](const CacheEntry &holder) { return holder.server == number; });
+    if (it == holders.end()) {
+        // Grows by one: most parts have few holders.
+        holders.reserve(holders.size() + 1);
+        it = holders.insert(holders.end(), CacheEntry{number, NEVER, NOT_YET, NEVER});
+    }
+    CacheEntry &cacheEntry = *it;
     // An evicted part has to be prefilled again.
-    const bool isExpired = now - cacheEntry.lastUsedAt >= ENTRY_LIFETIME;
-    cacheEntry.cachedAt = isExpired ? cachedAt : std::min(cacheEntry.cachedAt, cachedAt);
-    cacheEntry.lastUsedAt = now;
+    const bool isExpired = isAgo(cacheEntry.lastUsedAt, ENTRY_LIFETIME);
+    cacheEntry.cachedAt = isExpired ? sinceStart(cachedAt) : std::min(cacheEntry.cachedAt, sinceStart(cachedAt));
+    cacheEntry.lastUsedAt = sinceStart(m_timers.now());
     return cacheEntry;
 }
 
@@ -79,33 +110,41 @@
 
 void PromptCacheIndex::removeServer(const core::BackendServerId &server)
 {
+    const auto known = m_serverNumbers.find(server);
+    if (known == m_serverNumbers.end()) {
+        return;
+    }
+    const ServerNumber number = known->second;
     for (auto &entry : m_parts) {
-        entry.second.erase(server);
+        Holders &holders = entry.second;
+        holders.erase(std::remove_if(holders.begin(), holders.end(), [number](const CacheEntry &holder) { return holder.server == number; }), holders.end());
     }
 }
 
 std::int64_t PromptCacheIndex::expectedTokens(const core::BackendServerId &server, const std::vector<PromptPart> &parts) const
 {
-    return leadingTokens(server, parts, absl::InfiniteFuture());
+    return leadingTokens(server, parts, NOT_YET);
 }
 
 std::int64_t PromptCacheIndex::cachedTokens(const core::BackendServerId &server, const std::vector<PromptPart> &parts) const
 {
-    return leadingTokens(server, parts, m_timers.now());
+    return leadingTokens(server, parts, sinceStart(m_timers.now()));
 }
 
 const PromptCacheIndex::CacheEntry *PromptCacheIndex::find(const core::BackendServerId &server, const std::string &part) const
 {
     const auto holders = m_parts.find(part);
-    if (holders == m_parts.end()) {
+    const auto known = m_serverNumbers.find(server);
+    if (holders == m_parts.end() || known == m_serverNumbers.end()) {
         return nullptr;
     }
-    const auto it = holders->second.find(server);
-    const bool isCached = it != holders->second.end() && m_timers.now() - it->second.lastUsedAt < ENTRY_LIFETIME;
-    return isCached ? &it->second : nullptr;
+    const auto it
+        = std::find_if(holders->second.begin(), holders->second.end(), [number = known->second](const CacheEntry &holder) { return holder.server == number; });
+    const bool isCached = it != holders->second.end() && !isAgo(it->lastUsedAt, ENTRY_LIFETIME);
+    return isCached ? &*it : nullptr;
 }
 
-std::int64_t PromptCacheIndex::leadingTokens(const core::BackendServerId &server, const std::vector<PromptPart> &parts, absl::Time cachedBefore) const
+std::int64_t PromptCacheIndex::leadingTokens(const core::BackendServerId &server, const std::vector<PromptPart> &parts, Milliseconds cachedBefore) const
 {
     // A cached part is useful only together with all parts before it. A backend server that has a later part also has those.
     std::int64_t usableTokens = 0;
@@ -135,9 +174,10 @@
     if (holders == m_parts.end()) {
         return all;
     }
-    for (const auto &holder : holders->second) {
-        if (holder.second.cachedAt <= m_timers.now()) {
-            all.push_back(holder.first);
+    const Milliseconds now = sinceStart(m_timers.now());
+    for (const CacheEntry &holder : holders->second) {
+        if (holder.cachedAt <= now) {
+            all.push_back(m_servers[holder.server]);
         }
     }
     return all;
--- a/source/gateway/ratelimiter.cpp
+++ b/source/gateway/ratelimiter.cpp
@@ -20,6 +20,8 @@
 constexpr double IDLE_DEMAND_SHARE = 0.01;
 /** The same for all instances of a fleet with relays together. */
 constexpr double FLEET_IDLE_DEMAND_SHARE = 0.1;
+/** Idle tokens that a relay keeps for each of its clients, as a multiple of those that the client keeps itself. */
+constexpr double IDLE_CLIENT_FACTOR = 4.0;
 /** An instance that has not reported to this relay for this long has no demand. */
 constexpr absl::Duration CLIENT_REPORT_LIFETIME = absl::Seconds(3);
 /** Fraction of the tolerance that the buckets use. The rest covers changes of the number of instances. */
@@ -254,6 +256,12 @@
     return bucket.rate * (m_usesRelays ? FLEET_IDLE_DEMAND_SHARE / instanceCount() : IDLE_DEMAND_SHARE);
 }
 
+double RateLimiter::demandWithClients(const Bucket &bucket)
+{
+    // Idle clients count too, so that most tokens are at the relay when one of them gets a request.
+    return bucket.demand + bucket.clientDemand + IDLE_CLIENT_FACTOR * idleDemand(bucket) * static_cast<double>(m_clientReports.size());
+}
+
 void RateLimiter::noteClientReports(const core::InstanceId &client, const std::vector<AllowanceReport> &clientReports)
 {
     ClientReports &last = m_clientReports[client];
@@ -293,7 +301,7 @@
     for (auto &entry : m_buckets) {
         refill(entry.second);
         updateDemand(entry.second);
-        all.push_back({entry.first, entry.second.balance, entry.second.demand + entry.second.clientDemand});
+        all.push_back({entry.first, entry.second.balance, demandWithClients(entry.second)});
     }
     return all;
 }
@@ -310,7 +318,7 @@
         refill(bucket);
         // The fair balance divides the tokens of both instances in proportion to their demands.
         const double idle = idleDemand(bucket);
-        const double ownDemand = bucket.demand + bucket.clientDemand;
+        const double ownDemand = demandWithClients(bucket);
         const double totalBalance = bucket.balance + report.balance;
         const double fairBalance = totalBalance * (ownDemand + idle) / (ownDemand + report.demand + 2 * idle);
         const double remainingCapacity = bucket.burst - report.balance;
--- a/source/gateway/requestplacement.cpp
+++ b/source/gateway/requestplacement.cpp
@@ -190,7 +190,8 @@
         return;
     }
     if (!open.server.isEmpty()) {
-        m_dependencies.backends.finished(open.server, open.priority, open.isAnswering ? 0 : open.unreadTokens, end);
+        const absl::Duration duration = m_dependencies.timers.now() - open.runStartedAt;
+        m_dependencies.backends.finished(open.server, open.priority, open.isAnswering ? 0 : open.unreadTokens, end, duration);
         if (end != RunEnd::Cancelled && end != RunEnd::Refused) {
             const absl::Duration latency = open.isAnswering ? open.timeToFirstData : m_dependencies.timers.now() - open.runStartedAt;
             m_dependencies.rollouts.observe(open.service, open.route.name, open.version, end != RunEnd::Success, latency);
--- a/tests/gateway/limitstest.cpp
+++ b/tests/gateway/limitstest.cpp
@@ -157,7 +157,7 @@
     for (int call = 0; call < 500; ++call) {
         table.started(server.id, 0, 0, {});
         table.answered(server.id, 0, 0, absl::Milliseconds(30));
-        table.finished(server.id, 0, 0, call % 7 == 0 ? gateway::RunEnd::ServerError : gateway::RunEnd::Success);
+        table.finished(server.id, 0, 0, call % 7 == 0 ? gateway::RunEnd::ServerError : gateway::RunEnd::Success, absl::Milliseconds(20));
         CHECK(table.choose(query)->estimate < absl::Milliseconds(150));
     }
 }
@@ -171,7 +171,7 @@
     table.announce(engine("s2"));
     for (int failure = 0; failure < 2; ++failure) {
         table.started(core::BackendServerId("s1"), 0, 0, {});
-        table.finished(core::BackendServerId("s1"), 0, 0, gateway::RunEnd::Unreachable);
+        table.finished(core::BackendServerId("s1"), 0, 0, gateway::RunEnd::Unreachable, absl::Milliseconds(20));
     }
     for (int subject = 0; subject < 20; ++subject) {
         CHECK(table.choose(promptQuery(absl::StrCat(subject)))->server == core::BackendServerId("s2"));
@@ -236,8 +236,74 @@
         table.started(choice.server, 0, choice.unreadTokens, query.promptParts);
         table.answered(choice.server, 0, choice.unreadTokens, absl::Milliseconds(250));
         const bool hasFailed = choice.server == failing && request % 9 < 4;
-        table.finished(choice.server, 0, 0, hasFailed ? gateway::RunEnd::ServerError : gateway::RunEnd::Success);
+        table.finished(choice.server, 0, 0, hasFailed ? gateway::RunEnd::ServerError : gateway::RunEnd::Success, absl::Milliseconds(20));
         sentToFailing += choice.server == failing ? 1 : 0;
     }
     CHECK(sentToFailing < 60);
 }
+
+// Load: long prompts that may wait beside many short questions on engines with few slots. An engine reads prompts in chunks between the tokens of its
+// streams, so a question that joins a long prompt gets its events late although it is more urgent.
+TEST_CASE("urgent questions avoid an engine that reads a long prompt, while others are free")
+{
+    core::VirtualTimerService timers;
+    gateway::BackendTable table(core::InstanceId("gw-1"), timers);
+    table.configure({engineService()});
+    for (int index = 0; index < 6; ++index) {
+        table.announce(engine(absl::StrCat("s", index)));
+    }
+    const core::BackendServerId reading("s3");
+    table.started(reading, 1, 50'000, {});
+    for (int question = 0; question < 60; ++question) {
+        gateway::ServerQuery query = promptQuery(absl::StrCat("subject-", question));
+        query.priority = 0;
+        query.promptTokens = 350;
+        query.promptParts.clear();
+        const gateway::ServerChoice choice = *table.choose(query);
+        CHECK(choice.server != reading);
+        // Its own first event is not late for that, so nothing is refused or sent away.
+        CHECK(choice.wait < absl::Milliseconds(100));
+    }
+}
+
+TEST_CASE("a long prompt goes where it slows the fewest streams")
+{
+    core::VirtualTimerService timers;
+    gateway::BackendTable table(core::InstanceId("gw-1"), timers);
+    table.configure({engineService()});
+    for (int index = 0; index < 6; ++index) {
+        table.announce(engine(absl::StrCat("s", index)));
+        for (int run = 0; run < (index == 2 ? 0 : 14); ++run) {
+            table.started(core::BackendServerId(absl::StrCat("s", index)), 0, 0, {});
+        }
+    }
+    gateway::ServerQuery query = promptQuery("review");
+    query.priority = 1;
+    query.promptTokens = 40'000;
+    query.promptParts.clear();
+    CHECK(table.choose(query)->server == core::BackendServerId("s2"));
+}
+
+TEST_CASE("a run that waits for a slot of an engine waits as long as its runs take")
+{
+    core::VirtualTimerService timers;
+    gateway::BackendTable table(core::InstanceId("gw-1"), timers);
+    table.configure({engineService()});
+    gateway::BackendServer full = engine("s1");
+    full.slots = 4;
+    table.announce(full);
+    for (int run = 0; run < 400; ++run) {
+        table.started(full.id, 0, 0, {});
+        table.answered(full.id, 0, 0, absl::Milliseconds(20));
+        table.finished(full.id, 0, 0, gateway::RunEnd::Success, absl::Milliseconds(800));
+    }
+    for (int run = 0; run < 8; ++run) {
+        table.started(full.id, 0, 0, {});
+    }
+    gateway::ServerQuery query = promptQuery("question");
+    query.priority = 0;
+    query.promptTokens = 0;
+    query.promptParts.clear();
+    // Five runs have to end before the next one starts, and four end in 800 ms.
+    CHECK(table.choose(query)->wait > absl::Milliseconds(400));
+}
--- a/tests/gateway/promptmemorytest.cpp
+++ b/tests/gateway/promptmemorytest.cpp
@@ -93,7 +93,7 @@
             const std::pair<ServerChoice, absl::Time> run = m_scheduledRuns.begin()->second;
             m_scheduledRuns.erase(m_scheduledRuns.begin());
             m_table.answered(run.first.server, 5, run.first.unreadTokens, m_timers.now() - run.second);
-            m_table.finished(run.first.server, 5, 0, RunEnd::Success);
+            m_table.finished(run.first.server, 5, 0, RunEnd::Success, absl::Milliseconds(100));
         }
         m_timers.advance(end - m_timers.now());
     }
--- a/tests/gateway/ratelimitertest.cpp
+++ b/tests/gateway/ratelimitertest.cpp
@@ -333,3 +333,40 @@
     CHECK(admittedTokens.maxWindowSum() <= limit);
     CHECK(admittedTokens.maxWindowSum() > 0.85 * CUSTOMER_RATE * 9);
 }
+
+TEST_CASE("the idle tokens of a large region are at its relay when a request comes")
+{
+    core::VirtualTimerService timers;
+    constexpr int COUNT = 98;
+    std::vector<std::unique_ptr<gateway::RateLimiter>> limiters;
+    for (int index = 0; index < COUNT; ++index) {
+        limiters.push_back(std::make_unique<gateway::RateLimiter>(gateway::AllowanceSettings(), timers));
+        limiters.back()->setUsesRelays(true);
+        limiters.back()->setInstanceCount(COUNT);
+        limiters.back()->configure({limitedCustomer()});
+    }
+    gateway::RateLimiter &relay = *limiters.front();
+    const auto balanceOf = [](gateway::RateLimiter &limiter) {
+        return limiter.reports().front().balance;
+    };
+    double before = 0;
+    for (const std::unique_ptr<gateway::RateLimiter> &limiter : limiters) {
+        before += balanceOf(*limiter);
+    }
+    for (int round = 0; round < 5; ++round) {
+        for (int index = 1; index < COUNT; ++index) {
+            const core::InstanceId client(std::to_string(index));
+            relay.noteClientReports(client, limiters[index]->reports());
+            limiters[index]->receive(relay.grantsFor(client, limiters[index]->reports()));
+            relay.receive(limiters[index]->grantsFor(core::InstanceId("relay"), relay.reports()));
+        }
+    }
+    double after = 0;
+    for (const std::unique_ptr<gateway::RateLimiter> &limiter : limiters) {
+        after += balanceOf(*limiter);
+    }
+    // Tokens move, and none appear.
+    CHECK(after <= before * 1.000001);
+    CHECK(balanceOf(relay) > 0.6 * after);
+    CHECK(relay.grantOnRequest(CUSTOMER_ID, 12'000) == Approx(12'000));
+}
--- a/tests/gateway/relaytest.cpp
+++ b/tests/gateway/relaytest.cpp
@@ -118,7 +118,7 @@
         while (timers.now() < end) {
             keepLinks();
             confirmTopics();
-            timers.advance(absl::Milliseconds(50));
+            timers.advance(step);
             while (!queue.empty()) {
                 const Envelope envelope = queue.front();
                 queue.pop_front();
@@ -169,6 +169,8 @@
     std::uint64_t delivered = 0;
     std::map<core::InstanceId, std::uint64_t> deliveredTo;
     core::Revision revision = 3;
+    /** Time that passes until a message arrives. */
+    absl::Duration step = absl::Milliseconds(50);
 
 private:
     static std::pair<core::InstanceId, core::InstanceId> pair(const core::InstanceId &left, const core::InstanceId &right)
@@ -354,8 +356,9 @@
         asked.gateway.requests().arrived(
             gateway::HttpRequest{"POST", "/keyed/x", {{"id", id}, {"key", "bar-key"}, {"tokens", "12000"}}, ""}, std::make_shared<FakeSink>(answer));
     };
+    region.step = absl::Milliseconds(5);
     ask("r1");
-    region.advance(absl::Milliseconds(200));
+    region.advance(absl::Milliseconds(100));
     CHECK(answer->finalCount == 0);
     CHECK(asked.runs.sent.size() == 1);
 }
