--- a/apps/snipeferry-gateway/main.cpp
+++ b/apps/snipeferry-gateway/main.cpp
@@ -50,6 +50,11 @@
     bool isOnlyChecked = false;
     app.add_option("--settings", settingsFile, "YAML settings file")->envname("SNIPEFERRY_CONFIG");
     app.add_flag("--check", isOnlyChecked, "Check the settings file and exit");
-    CLI11_PARSE(app, argc, argv);
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError &error) {
+        // The library's own codes tell kinds of wrong options apart; for the caller all of them are wrong settings.
+        return app.exit(error) == 0 ? 0 : EXIT_BAD_SETTINGS;
+    }
     return serve(settingsFile, isOnlyChecked);
 }
--- a/standins/users/usersrunner.cpp
+++ b/standins/users/usersrunner.cpp
@@ -12,6 +12,11 @@
 
 namespace {
 
+/** Filler of an answer that never ends: one write, the writes that wait for the client, and the pause between two. */
+constexpr std::size_t FILLER_BYTES = 65536;
+constexpr std::size_t MAX_UNSENT_FILLER_BYTES = 262144;
+constexpr absl::Duration FILLER_GAP = absl::Milliseconds(1);
+
 constexpr int OK = 200;
 constexpr int BAD_REQUEST = 400;
 constexpr int MISDIRECTED = 421;
@@ -209,6 +214,10 @@
             run->exchange->answer(headFor(*run, FAILURE), "failed");
             finish(run, false);
             return;
+        case RunnerFault::EndlessAnswer:
+            run->exchange->begin(headFor(*run, OK));
+            sendFiller(run);
+            return;
         default:
             break;
         }
@@ -222,6 +231,14 @@
     });
 }
 
+void UsersRunner::sendFiller(const std::shared_ptr<Run> &run)
+{
+    if (run->exchange->unsentBytes() < MAX_UNSENT_FILLER_BYTES) {
+        run->exchange->data(std::string(FILLER_BYTES, 'x'));
+    }
+    run->timer = m_loop.timers().after(FILLER_GAP, [this, run] { sendFiller(run); });
+}
+
 void UsersRunner::sendEvent(const std::shared_ptr<Run> &run)
 {
     if (run->nextEvent > run->lastEvent) {
--- a/standins/users/usersrunner.h
+++ b/standins/users/usersrunner.h
@@ -26,6 +26,8 @@
     BrokenStream,
     /** Runs many times slower. */
     Slow,
+    /** Runs, and sends bytes that never make an event, or a body that never ends. */
+    EndlessAnswer,
 };
 
 /** One run as its runner saw it. */
@@ -106,6 +108,8 @@
     void startNext();
     void start(const std::shared_ptr<Run> &run);
     void sendEvent(const std::shared_ptr<Run> &run);
+    /** Sends filler as fast as the client reads it, until the client closes. */
+    void sendFiller(const std::shared_ptr<Run> &run);
     void finish(const std::shared_ptr<Run> &run, bool isComplete);
     gateway::HttpHead headFor(const Run &run, int status) const;
     absl::Duration slowed(absl::Duration time) const;
--- a/tests/commandline/wronginputtest.cpp
+++ b/tests/commandline/wronginputtest.cpp
@@ -164,3 +164,19 @@
     }
     CHECK(runProgram(program, "--settings " + folder.path("missing.yaml")).exitCode == 2);
 }
+
+TEST_CASE("the gateway's exit codes are those that its page names")
+{
+    const Folder folder;
+    const auto settingsWith = [&folder](const std::string &callers) {
+        return folder.write("gateway.yaml",
+            absl::StrCat("instance: a\ndata_centre: d\nregion: r\ndata_centres: {d: r}\nlisten: {callers: \"", callers,
+                "\", directory: \"127.0.0.1:0\", readiness: \"127.0.0.1:0\", peers: \"127.0.0.1:0\"}\nstore: {address: \"", NOBODY, "\"}\n"));
+    };
+    CHECK(runProgram("snipeferry-gateway", "--help").exitCode == 0);
+    CHECK(runProgram("snipeferry-gateway", absl::StrCat("--check --settings ", settingsWith("127.0.0.1:0"))).exitCode == 0);
+    CHECK(runProgram("snipeferry-gateway", "--no-such-option").exitCode == 2);
+    CHECK(runProgram("snipeferry-gateway", absl::StrCat("--settings ", folder.path("missing.yaml"))).exitCode == 2);
+    // An address of a documentation network, which no machine has.
+    CHECK(runProgram("snipeferry-gateway", absl::StrCat("--settings ", settingsWith("192.0.2.1:80"))).exitCode == 3);
+}
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -89,6 +89,11 @@
     }
 }
 
+pid_t Process::id() const
+{
+    return m_pid;
+}
+
 bool Process::isRunning()
 {
     if (m_pid <= 0 || m_hasEnded) {
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -34,6 +34,8 @@
 
     bool isRunning();
 
+    pid_t id() const;
+
 private:
     pid_t m_pid = -1;
     std::string m_outputFile;
--- a/tests/users-platform/runnertest.cpp
+++ b/tests/users-platform/runnertest.cpp
@@ -1,8 +1,15 @@
 #include "usersfixture.h"
 
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
 #include <absl/time/clock.h>
 #include <catch2/catch.hpp>
 
+#include <atomic>
+#include <fstream>
+#include <thread>
+
 using namespace snipeferry;
 using namespace snipeferry::testing;
 using standins::AnswerFault;
@@ -189,3 +196,57 @@
     CHECK(fixture.eventually(
         [&] { return fixture.onStandins([&] { return fixture.runner("i-b1").running() + fixture.runner("i-b2").running() == 0; }); }, absl::Seconds(2)));
 }
+
+namespace {
+
+/** Highest resident memory of a process so far, in KB. */
+std::int64_t peakMemoryKb(pid_t process)
+{
+    std::ifstream status(absl::StrCat("/proc/", process, "/status"));
+    std::string line;
+    std::int64_t kilobytes = 0;
+    while (std::getline(status, line)) {
+        const std::vector<std::string> words = absl::StrSplit(line, absl::ByAnyChar(" \t"), absl::SkipEmpty());
+        if (words.size() > 1 && words[0] == "VmHWM:") {
+            REQUIRE(absl::SimpleAtoi(words[1], &kilobytes));
+        }
+    }
+    return kilobytes;
+}
+
+} // namespace
+
+// A runner in trouble may write without end. The machines have 160 MB, and one such runner must not take a whole instance.
+TEST_CASE("a runner that writes without end costs the gateway little memory, and others are served meanwhile")
+{
+    UsersFixture fixture;
+    fixture.startGateway();
+    REQUIRE(fixture.servesWithin(START_LIMIT));
+    const std::int64_t before = peakMemoryKb(fixture.gateway().id());
+    fixture.onStandins([&] {
+        fixture.runner("i-e1").setFault(RunnerFault::EndlessAnswer);
+        fixture.runner("i-b1").setFault(RunnerFault::EndlessAnswer);
+    });
+    std::atomic<int> looksWhole = 0;
+    std::atomic<int> saysNotRun = 0;
+    std::vector<std::thread> callers;
+    for (int caller = 0; caller < 8; ++caller) {
+        callers.emplace_back([&fixture, &looksWhole, &saysNotRun, caller] {
+            const std::string path = caller % 2 == 0 ? "/answer/x" : "/reserve/x";
+            for (int request = 0; request < 6; ++request) {
+                const UsersAnswer answer = fixture.ask(path);
+                const bool claimsWhole = answer.answer.status == 200 && answer.answer.result.outcome == http::ClientOutcome::Whole;
+                looksWhole += claimsWhole && !UsersFixture::isWhole(path, answer) ? 1 : 0;
+                saysNotRun += promisesNotRun(answer.answer.status) && !fixture.runsOf(answer.attempt).empty() ? 1 : 0;
+            }
+        });
+    }
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    CHECK(looksWhole == 0);
+    CHECK(saysNotRun == 0);
+    // A quarter of the memory that the settings state, and what the process needs itself.
+    CHECK(peakMemoryKb(fixture.gateway().id()) - before < 64 * 1024);
+    CHECK(served(fixture, "/stock/x", REQUESTS) == REQUESTS);
+}
