Keep forwarded calls that may not be repeated across the loss of a link

Cause: a link that is silent for 2.8 s closes; both ends then gave up what was forwarded over it, although the other instance may only be slow to report and goes on. Operators of similar systems saw running work given up or started again that way. Change: what may not be repeated waits for the link until its time is over; the instance that runs it goes on for 6 s without the link, keeps up to 64 KB of the answer, and sends what the origin has not received when that asks for it (ForwardResume). What may be repeated runs elsewhere as before. Replaced check: requestflowtest expected 502 at the loss of the link; it expects no answer then, exactly one at the time limit, and none that looks complete. The old expectation is the failure itself.

--- a/include/snipeferry/gateway/fleetmessages.h
+++ b/include/snipeferry/gateway/fleetmessages.h
@@ -237,6 +237,18 @@
     SNIPEFERRY_VALUE(ForwardFlow, number, isPaused)
 };
 
+/** Asks for the rest of a forwarded request's answer after the link between the two instances was lost and is back. */
+struct ForwardResume
+{
+    std::uint64_t number = 0;
+    /** Whether the head of the answer has arrived. */
+    bool hasHead = false;
+    /** Number of pieces that have arrived. */
+    std::uint64_t receivedPieces = 0;
+
+    SNIPEFERRY_VALUE(ForwardResume, number, hasHead, receivedPieces)
+};
+
 /** Part of an encoded message that is too long to be sent in one piece. Pieces of one message arrive in order, with other messages between them. */
 struct MessagePiece
 {
@@ -248,6 +260,6 @@
 
 /** All messages. New ones are added at the end, because a message's index in the list is its type number on the wire. */
 using FleetMessage = std::variant<Greeting, Pulse, AllowanceTransfer, RecordsRequest, RecordsTransfer, ForwardRequest, ForwardHead, ForwardData, ForwardEnd,
-    ForwardFailed, ForwardCancel, RecordsUpdate, AllowanceRequest, RelayReport, RegionSummary, MessagePiece, ForwardFlow>;
+    ForwardFailed, ForwardCancel, RecordsUpdate, AllowanceRequest, RelayReport, RegionSummary, MessagePiece, ForwardFlow, ForwardResume>;
 
 } // namespace snipeferry::gateway
--- a/include/snipeferry/gateway/forwardreceiver.h
+++ b/include/snipeferry/gateway/forwardreceiver.h
@@ -8,6 +8,8 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <memory>
+#include <string>
+#include <vector>
 
 namespace snipeferry::gateway {
 
@@ -25,6 +27,7 @@
     void handle(const core::InstanceId &from, const ForwardRequest &message);
     void handle(const core::InstanceId &from, const ForwardCancel &message);
     void handle(const core::InstanceId &from, const ForwardFlow &message);
+    void handle(const core::InstanceId &from, const ForwardResume &message);
     void linkDown(const core::InstanceId &peer);
 
     void runHead(Number run, const HttpHead &head) override;
@@ -36,6 +39,25 @@
     std::size_t openCount() const;
 
 private:
+    /** An answer as far as it was passed on to the origin of a request that may not be repeated. */
+    struct SentAnswer
+    {
+        bool isKept = false;
+        bool hasHead = false;
+        HttpHead head;
+        std::vector<std::string> pieces;
+        std::size_t bytes = 0;
+    };
+
+    /** A run that has ended. Its last messages may be lost with a link whose loss is noticed later. */
+    struct EndedRun
+    {
+        core::InstanceId origin;
+        Number originNumber = 0;
+        absl::Time endedAt;
+        SentAnswer sent;
+    };
+
     struct ForwardedRun
     {
         /** Instance that forwarded the request. */
@@ -60,12 +82,18 @@
         bool isAnswering = false;
         /** Number of pieces of the answer sent to the origin. */
         std::uint64_t sentPieces = 0;
+        /** When the link to the origin was lost; InfiniteFuture while it is up. */
+        absl::Time linkLostAt = absl::InfiniteFuture();
         bool isStream = false;
         /** Last bytes of the answer, by which the end of a stream's last event is recognized. */
         std::string tail;
+        /** What the origin may ask for again if the link to it is lost. */
+        SentAnswer sent;
     };
 
     void refuse(const core::InstanceId &to, Number number, const core::RequestId &request, const std::string &reason);
+    /** Sends the part of an answer that the origin has not received. */
+    void resend(const core::InstanceId &origin, const ForwardResume &request, const SentAnswer &sent);
     /** Ends a run whose answer cannot be passed on, and tells the origin. */
     void breakOff(Number run, RunEnd end, const std::string &reason);
     /** Removes a run and updates the statistics of its backend server and rollout. */
@@ -84,6 +112,7 @@
     FleetLinks &m_links;
     Journal &m_journal;
     absl::flat_hash_map<Number, ForwardedRun> m_forwardedRuns;
+    std::vector<EndedRun> m_endedRuns;
     core::Subscription m_sweepTimer;
 };
 
--- a/include/snipeferry/gateway/gateway.h
+++ b/include/snipeferry/gateway/gateway.h
@@ -189,6 +189,7 @@
     void handle(const core::InstanceId &from, const ForwardFailed &message);
     void handle(const core::InstanceId &from, const ForwardCancel &message);
     void handle(const core::InstanceId &from, const ForwardFlow &message);
+    void handle(const core::InstanceId &from, const ForwardResume &message);
     void handle(const core::InstanceId &from, const RelayReport &message);
     void handle(const core::InstanceId &from, const RegionSummary &message);
     void handle(const core::InstanceId &from, const MessagePiece &message);
--- a/include/snipeferry/gateway/requestflow.h
+++ b/include/snipeferry/gateway/requestflow.h
@@ -90,6 +90,8 @@
     /** @brief Bytes of answers that wait in this process. */
     std::size_t answerBytes() const;
     void linkDown(const core::InstanceId &peer);
+    /** @brief Asks an instance for the rest of the answers that it was sending when the link to it was lost. */
+    void linkUp(const core::InstanceId &peer);
 
     /**
      * @brief Starts the shutdown. New requests are accepted for a short time. After that they are accepted only if they can finish before stopAt and
@@ -106,6 +108,9 @@
     /** Retry-after time for causes that usually disappear within a moment. */
     static constexpr absl::Duration SHORT_RETRY_DELAY = absl::Milliseconds(300);
 
+    /** Limit of the runs that are started for one request, including those that were certainly not executed. */
+    static constexpr int MAX_SENDS = 4;
+
     /** State of one request until its answer is complete. */
     struct OpenRequest
     {
--- a/source/gateway/forwardreceiver.cpp
+++ b/source/gateway/forwardreceiver.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace snipeferry::gateway {
@@ -19,6 +20,10 @@
 /** Lowest HTTP status that means a failure of the server. */
 constexpr int MIN_SERVER_ERROR_STATUS = 500;
 constexpr int EVENT_STREAM_STATUS = 200;
+/** How long a run that may not be repeated goes on without a link to its origin, and how long its answer is kept after its end. */
+constexpr absl::Duration LINK_RETURN_TIME = absl::Seconds(6);
+/** Longest answer that is kept for the case that its link is lost. */
+constexpr std::size_t MAX_KEPT_ANSWER_BYTES = 65536;
 /** Length of the longest mark at the end of an event. */
 constexpr std::size_t EVENT_MARK_BYTES = 4;
 
@@ -86,6 +91,7 @@
     forwardedRun.priority = message.priority;
     forwardedRun.unreadTokens = choice->unreadTokens;
     forwardedRun.isStream = message.isStream;
+    forwardedRun.sent.isKept = !message.isRepeatable;
     forwardedRun.startedAt = now;
     forwardedRun.deadline = now + message.timeLeft;
     m_forwardedRuns.emplace(run, forwardedRun);
@@ -145,6 +151,40 @@
     }
 }
 
+void ForwardReceiver::handle(const core::InstanceId &from, const ForwardResume &message)
+{
+    for (auto &entry : m_forwardedRuns) {
+        ForwardedRun &forwardedRun = entry.second;
+        if (forwardedRun.origin == from && forwardedRun.originNumber == message.number) {
+            forwardedRun.linkLostAt = absl::InfiniteFuture();
+            if (forwardedRun.sent.isKept) {
+                resend(from, message, forwardedRun.sent);
+            } else {
+                breakOff(entry.first, RunEnd::Cancelled, "answer_not_kept");
+            }
+            return;
+        }
+    }
+    for (const EndedRun &ended : m_endedRuns) {
+        if (ended.origin == from && ended.originNumber == message.number) {
+            resend(from, message, ended.sent);
+            m_links.send(from, ForwardEnd{message.number, ended.sent.pieces.size()});
+            return;
+        }
+    }
+    m_links.send(from, ForwardFailed{message.number, true, "unknown_after_link_loss"});
+}
+
+void ForwardReceiver::resend(const core::InstanceId &origin, const ForwardResume &request, const SentAnswer &sent)
+{
+    if (sent.hasHead && !request.hasHead) {
+        m_links.send(origin, ForwardHead{request.number, sent.head});
+    }
+    for (std::uint64_t piece = request.receivedPieces; piece < sent.pieces.size(); ++piece) {
+        m_links.send(origin, ForwardData{request.number, piece, sent.pieces[piece]});
+    }
+}
+
 void ForwardReceiver::breakOff(Number run, RunEnd runEnd, const std::string &reason)
 {
     const ForwardedRun forwardedRun = m_forwardedRuns.at(run);
@@ -160,9 +200,15 @@
 
 void ForwardReceiver::linkDown(const core::InstanceId &peer)
 {
+    // The origin repeats what it may elsewhere. Other runs go on for a while, because the origin may only be silent.
     std::vector<Number> orphanedRuns;
-    for (const auto &entry : m_forwardedRuns) {
-        if (entry.second.origin == peer) {
+    for (auto &entry : m_forwardedRuns) {
+        if (entry.second.origin != peer) {
+            continue;
+        }
+        if (entry.second.sent.isKept) {
+            entry.second.linkLostAt = m_timers.now();
+        } else {
             orphanedRuns.push_back(entry.first);
         }
     }
@@ -197,6 +243,8 @@
         return;
     }
     it->second.status = head.status;
+    it->second.sent.hasHead = true;
+    it->second.sent.head = head;
     m_links.send(it->second.origin, ForwardHead{it->second.originNumber, head});
 }
 
@@ -210,7 +258,16 @@
     noteFirstData(forwardedRun);
     forwardedRun.tail = (forwardedRun.tail + data.substr(data.size() - std::min(data.size(), EVENT_MARK_BYTES)));
     forwardedRun.tail.erase(0, forwardedRun.tail.size() - std::min(forwardedRun.tail.size(), EVENT_MARK_BYTES));
-    if (!m_links.send(forwardedRun.origin, ForwardData{forwardedRun.originNumber, forwardedRun.sentPieces++, data})) {
+    SentAnswer &sent = forwardedRun.sent;
+    sent.bytes += data.size();
+    if (sent.isKept && sent.bytes <= MAX_KEPT_ANSWER_BYTES) {
+        sent.pieces.push_back(data);
+    } else {
+        sent.isKept = false;
+        sent.pieces = {};
+    }
+    const bool isSent = m_links.send(forwardedRun.origin, ForwardData{forwardedRun.originNumber, forwardedRun.sentPieces++, data});
+    if (!isSent && !(sent.isKept && forwardedRun.linkLostAt != absl::InfiniteFuture())) {
         breakOff(run, RunEnd::Cancelled, "link_full");
     }
 }
@@ -230,6 +287,9 @@
     }
     noteFirstData(it->second);
     m_links.send(it->second.origin, ForwardEnd{it->second.originNumber, it->second.sentPieces});
+    if (it->second.sent.isKept) {
+        m_endedRuns.push_back({it->second.origin, it->second.originNumber, m_timers.now(), std::move(it->second.sent)});
+    }
     end(run, it->second.status >= MIN_SERVER_ERROR_STATUS ? RunEnd::ServerError : RunEnd::Success);
 }
 
@@ -252,9 +312,14 @@
 void ForwardReceiver::sweep()
 {
     const absl::Time now = m_timers.now();
+    const auto isOld = [now](const EndedRun &ended) {
+        return now - ended.endedAt > LINK_RETURN_TIME;
+    };
+    m_endedRuns.erase(std::remove_if(m_endedRuns.begin(), m_endedRuns.end(), isOld), m_endedRuns.end());
     std::vector<Number> overdue;
     for (const auto &entry : m_forwardedRuns) {
-        if (entry.second.deadline <= now) {
+        const bool isLinkGone = entry.second.linkLostAt != absl::InfiniteFuture() && now - entry.second.linkLostAt > LINK_RETURN_TIME;
+        if (entry.second.deadline <= now || isLinkGone) {
             overdue.push_back(entry.first);
         }
     }
--- a/source/gateway/gatewayfleet.cpp
+++ b/source/gateway/gatewayfleet.cpp
@@ -33,6 +33,7 @@
     updateInstances();
     m_ports.journal.log(core::LogEvent{"peer_linked", {}}.with("instance", peer.id.value()));
     m_ports.links.send(peer.id, addressPulse(buildPulse(m_fleet.isInOwnRegion(peer.id)), peer.id));
+    m_requestFlow.linkUp(peer.id);
 }
 
 void Gateway::linkDown(const core::InstanceId &peer)
@@ -321,4 +322,9 @@
     m_forwardReceiver.handle(from, message);
 }
 
+void Gateway::handle(const core::InstanceId &from, const ForwardResume &message)
+{
+    m_forwardReceiver.handle(from, message);
+}
+
 } // namespace snipeferry::gateway
--- a/source/gateway/requestanswer.cpp
+++ b/source/gateway/requestanswer.cpp
@@ -335,7 +335,24 @@
         }
     }
     for (const Number number : lost) {
-        retryOrFail(number, true, RunEnd::Unreachable, "link_lost");
+        OpenRequest &open = *m_openRequests.at(number);
+        // An instance that is only silent for a while goes on with the run. What may not be repeated waits for the link until its time is over.
+        const bool canRepeat = mayRepeat(open) && open.possibleRuns + 1 < open.route.maxAttempts && open.sendCount < MAX_SENDS;
+        if (canRepeat) {
+            retryOrFail(number, true, RunEnd::Unreachable, "link_lost");
+        } else {
+            m_dependencies.journal.log(makeLogEvent("forward_link_lost", open).with("instance", peer.value()));
+        }
+    }
+}
+
+void RequestFlow::linkUp(const core::InstanceId &peer)
+{
+    for (const auto &entry : m_openRequests) {
+        const OpenRequest &open = *entry.second;
+        if (open.run != 0 && open.server.isEmpty() && open.instance == peer) {
+            m_dependencies.links.send(peer, ForwardResume{open.run, open.hasHead, open.receivedPieces});
+        }
     }
 }
 
--- a/source/gateway/requestplacement.cpp
+++ b/source/gateway/requestplacement.cpp
@@ -7,13 +7,6 @@
 
 namespace snipeferry::gateway {
 
-namespace {
-
-/** Limit of the runs that are started for one request, including those that were certainly not executed. */
-constexpr int MAX_SENDS = 4;
-
-} // namespace
-
 std::vector<core::RegionId> RequestFlow::permittedRegions(const OpenRequest &open) const
 {
     if (open.route.homeRegions.empty()) {
--- a/tests/gateway/answertest.cpp
+++ b/tests/gateway/answertest.cpp
@@ -350,3 +350,108 @@
     CHECK(fixture.ask("/keyed/x", {{"key", "bar-key"}})->status == 503);
     CHECK(fixture.runs.sent.empty());
 }
+
+// A link that is silent for some seconds closes at both ends, although the other instance may only be slow to report and goes on with its work.
+TEST_CASE("a forwarded call that may not be repeated waits for its link to come back, and gets its answer")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.linkRemote("gw-9", "south");
+    const std::shared_ptr<Answer> answer = fixture.ask("/south/x");
+    const std::vector<gateway::ForwardRequest> forwards = fixture.links.all<gateway::ForwardRequest>();
+    REQUIRE(forwards.size() == 1);
+    const core::InstanceId peer("gw-9");
+    fixture.gateway.linkDown(peer);
+    CHECK(answer->finalCount == 0);
+    fixture.timers.advance(absl::Seconds(1));
+    fixture.gateway.linkUp(GatewayFixture::member("gw-9", "south"));
+    const std::vector<gateway::ForwardResume> resumed = fixture.links.all<gateway::ForwardResume>();
+    REQUIRE(resumed.size() == 1);
+    CHECK(resumed[0] == gateway::ForwardResume{forwards[0].number, false, 0});
+    SECTION("the other instance has the answer")
+    {
+        fixture.gateway.received(peer, gateway::ForwardHead{forwards[0].number, {200, {{"receipt", "x"}}}});
+        fixture.gateway.received(peer, gateway::ForwardData{forwards[0].number, 0, "done"});
+        fixture.gateway.received(peer, gateway::ForwardEnd{forwards[0].number, 1});
+        CHECK(answer->isComplete);
+        CHECK(answer->body == "done");
+    }
+    SECTION("the other instance has restarted")
+    {
+        fixture.gateway.received(peer, gateway::ForwardFailed{forwards[0].number, true, "unknown_after_link_loss"});
+        CHECK(answer->status == 502);
+    }
+    SECTION("the link is lost again and does not come back")
+    {
+        fixture.gateway.linkDown(peer);
+        fixture.timers.advance(absl::Seconds(10));
+        CHECK(answer->status == 504);
+    }
+    CHECK(answer->finalCount == 1);
+}
+
+TEST_CASE("the instance that runs a forwarded call goes on while its link is lost, and sends what was lost with it")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.linkRemote("gw-9", "south");
+    const core::InstanceId origin("gw-9");
+    gateway::ForwardRequest request;
+    request.number = 5;
+    request.request.http = {"POST", "/once/x", {}, ""};
+    request.service = core::ServiceId("booking");
+    request.isRepeatable = GENERATE(false, true);
+    request.timeLeft = absl::Seconds(9);
+    fixture.gateway.received(origin, request);
+    const gateway::Number run = beginStream(fixture);
+    fixture.gateway.runData(run, "first ");
+    const bool endsBeforeLoss = GENERATE(false, true);
+    const auto finish = [&] {
+        fixture.gateway.runData(run, "second");
+        fixture.gateway.runEnd(run, gateway::AnswerEnd::Framed);
+    };
+    if (endsBeforeLoss) {
+        finish();
+    }
+    fixture.links.isUp = false;
+    fixture.gateway.linkDown(origin);
+    if (request.isRepeatable && !endsBeforeLoss) {
+        // The origin has sent it elsewhere.
+        CHECK(fixture.runs.cancelled == std::vector<gateway::Number>{run});
+        return;
+    }
+    fixture.timers.advance(absl::Seconds(1));
+    if (!endsBeforeLoss) {
+        CHECK(fixture.runs.cancelled.empty());
+        finish();
+    }
+    fixture.links.isUp = true;
+    fixture.links.sent.clear();
+    fixture.gateway.linkUp(GatewayFixture::member("gw-9", "south"));
+    fixture.gateway.received(origin, gateway::ForwardResume{5, true, 1});
+    if (request.isRepeatable) {
+        CHECK(fixture.links.all<gateway::ForwardFailed>().size() == 1);
+        return;
+    }
+    const std::vector<gateway::ForwardData> pieces = fixture.links.all<gateway::ForwardData>();
+    REQUIRE(pieces.size() == 1);
+    CHECK(pieces[0] == gateway::ForwardData{5, 1, "second"});
+    CHECK(fixture.links.all<gateway::ForwardEnd>() == std::vector<gateway::ForwardEnd>{{5, 2}});
+}
+
+TEST_CASE("a forwarded run whose link does not come back ends")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.linkRemote("gw-9", "south");
+    gateway::ForwardRequest request;
+    request.number = 5;
+    request.request.http = {"POST", "/once/x", {}, ""};
+    request.service = core::ServiceId("booking");
+    request.timeLeft = absl::Seconds(30);
+    fixture.gateway.received(core::InstanceId("gw-9"), request);
+    const gateway::Number run = fixture.lastRun().run;
+    fixture.gateway.linkDown(core::InstanceId("gw-9"));
+    fixture.timers.advance(absl::Seconds(7));
+    CHECK(fixture.runs.cancelled == std::vector<gateway::Number>{run});
+}
--- a/tests/gateway/requestflowtest.cpp
+++ b/tests/gateway/requestflowtest.cpp
@@ -237,8 +237,13 @@
     }
     SECTION("link lost")
     {
+        // The other instance may only be silent, and the request may not be repeated.
         fixture.gateway.linkDown(peer);
-        CHECK(answer->status == 502);
+        CHECK(answer->finalCount == 0);
+        fixture.timers.advance(absl::Seconds(10));
+        CHECK(answer->status == 504);
+        CHECK_FALSE(answer->isComplete);
+        CHECK(answer->finalCount == 1);
     }
 }
 
