Tell regions without relays what concerns a large region

Cause, found by reading the change: a relay sent parts, tokens and evidence only to relays of other regions, so a region of 40 or fewer beside a large one would have got none of them. Change: FleetView::receivesRegionReports().

--- a/include/snipeferry/gateway/fleetview.h
+++ b/include/snipeferry/gateway/fleetview.h
@@ -75,6 +75,11 @@
     bool isRelay() const;
     /** @brief The relay from which this instance gets summaries: one of its data centre, if there is one. Empty for a relay. */
     core::InstanceId nearestRelay() const;
+    /**
+     * @brief Whether an instance of another region is told what concerns the whole of this region: a relay, as far as the announcements tell, or any
+     * instance of a region without relays.
+     */
+    bool receivesRegionReports(const core::InstanceId &id) const;
     /** @brief Whether an instance of another region is one of its region's relays, as far as the announcements tell. */
     bool isRelayOfOtherRegion(const core::InstanceId &id) const;
 
@@ -175,6 +180,7 @@
     /** Derived from the announcements and the relays on demand: each costs a hash for each pair of members. */
     mutable absl::flat_hash_set<core::InstanceId> m_linkTargets;
     mutable absl::flat_hash_set<core::InstanceId> m_otherRegionsRelays;
+    mutable absl::flat_hash_set<core::RegionId> m_otherLargeRegions;
     mutable std::size_t m_ownRegionSize = 1;
     mutable bool m_areLinkTargetsOutdated = true;
 };
--- a/source/gateway/fleetlinkchoice.cpp
+++ b/source/gateway/fleetlinkchoice.cpp
@@ -64,6 +64,12 @@
     return m_otherRegionsRelays.contains(id);
 }
 
+bool FleetView::receivesRegionReports(const core::InstanceId &id) const
+{
+    const auto it = m_peers.find(id);
+    return isRelayOfOtherRegion(id) || (it != m_peers.end() && !m_otherLargeRegions.contains(it->second.member.region));
+}
+
 bool FleetView::isUsableAsRelay(Peer &peer, absl::Time now) const
 {
     if (!peer.isAnnounced || now < peer.relayAvoidedUntil) {
@@ -161,6 +167,7 @@
     m_areLinkTargetsOutdated = false;
     m_linkTargets.clear();
     m_otherRegionsRelays.clear();
+    m_otherLargeRegions.clear();
     std::map<core::RegionId, std::vector<const Member *>> regions;
     regions[m_self.region].push_back(&m_self);
     for (const auto &entry : m_peers) {
@@ -178,6 +185,7 @@
         if (region.first == m_self.region || region.second.size() <= MAX_FULLY_LINKED_INSTANCES) {
             continue;
         }
+        m_otherLargeRegions.insert(region.first);
         const std::vector<core::InstanceId> relays = chooseRelays(region.second);
         m_otherRegionsRelays.insert(relays.begin(), relays.end());
         if (isRelay()) {
--- a/source/gateway/gatewayfleet.cpp
+++ b/source/gateway/gatewayfleet.cpp
@@ -139,7 +139,7 @@
             continue;
         }
         Pulse pulse = addressPulse(common, peer);
-        if (m_fleet.isRelay() && !m_fleet.isRelayOfOtherRegion(peer)) {
+        if (m_fleet.isRelay() && !m_fleet.receivesRegionReports(peer)) {
             pulse.readParts.clear();
             pulse.allowances.clear();
             pulse.rollouts.clear();
--- a/tests/gateway/relaytest.cpp
+++ b/tests/gateway/relaytest.cpp
@@ -362,3 +362,28 @@
     CHECK(answer->finalCount == 0);
     CHECK(asked.runs.sent.size() == 1);
 }
+
+TEST_CASE("a relay tells other regions what concerns its region: their relays, or all its links to a region without relays")
+{
+    const bool isOtherLarge = GENERATE(true, false);
+    core::VirtualTimerService timers;
+    const gateway::Member self = member("north-0", "north-1", "north", 2.0);
+    gateway::FleetView view(self, timers);
+    for (const gateway::Member &mate : largeRegion()) {
+        view.announceMember(mate);
+    }
+    std::vector<gateway::Member> others = largeRegion("south");
+    others.resize(isOtherLarge ? others.size() : 10);
+    std::vector<const gateway::Member *> pointers;
+    for (const gateway::Member &other : others) {
+        view.announceMember(other);
+        pointers.push_back(&other);
+    }
+    view.updateRelays();
+    REQUIRE(view.isRelay());
+    const std::vector<core::InstanceId> relays = gateway::chooseRelays(pointers);
+    for (const gateway::Member &other : others) {
+        const bool isRelay = std::find(relays.begin(), relays.end(), other.id) != relays.end();
+        CHECK(view.receivesRegionReports(other.id) == (isRelay || !isOtherLarge));
+    }
+}
