--- a/tests/net/gatewaytemplatetest.cpp
+++ b/tests/net/gatewaytemplatetest.cpp
@@ -114,7 +114,7 @@
     const std::vector<std::string> parts = absl::StrSplit(path, '.');
     const bool isBound = parts[0] == "bounds";
     Json fields = deploymentFields();
-    for (const std::string &form : {"33.1578947368421", "0", "absent", "2000000000", "2.5e2", "1e-7", "0.0"}) {
+    for (const std::string &form : std::vector<std::string>{"33.1578947368421", "0", "absent", "2000000000", "2.5e2", "1e-7", "0.0"}) {
         if (!isBound && form != "absent") {
             continue;
         }
