Log the shared prompt parts and the progress of failed runs

Change: run_failed and forward_failed name the shared parts and the progress of the answer, counted by runs_failed_by_progress_total; a refused connection and one that went silent have reasons of their own. Ruled out: naming the last part, which belongs to the request alone.

--- a/include/snipeferry/gateway/forwardreceiver.h
+++ b/include/snipeferry/gateway/forwardreceiver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "snipeferry/gateway/answerprogress.h"
 #include "snipeferry/gateway/backendtable.h"
 #include "snipeferry/gateway/fleetview.h"
 #include "snipeferry/gateway/ports.h"
@@ -85,6 +86,8 @@
         /** When the link to the origin was lost; InfiniteFuture while it is up. */
         absl::Time linkLostAt = absl::InfiniteFuture();
         bool isStream = false;
+        std::vector<PromptPart> promptParts;
+        AnswerProgress progress = AnswerProgress::NotBegun;
         /** Last bytes of the answer, by which the end of a stream's last event is recognized. */
         std::string tail;
         /** What the origin may ask for again if the link to it is lost. */
--- a/include/snipeferry/gateway/ports.h
+++ b/include/snipeferry/gateway/ports.h
@@ -57,6 +57,14 @@
     virtual void setPaused(Number run, bool isPaused) = 0;
 };
 
+/** Reasons of runFailed() that tell what happened to the backend server's process. */
+constexpr const char *REASON_CONNECT_REFUSED = "connect_refused";
+/** The connection ended before the head of the answer, or within its body. */
+constexpr const char *REASON_NO_ANSWER = "no_answer";
+constexpr const char *REASON_ANSWER_BROKEN_OFF = "answer_broken_off";
+/** The connection has gone silent, which says nothing about the backend server. */
+constexpr const char *REASON_CONNECTION_SILENT = "connection_silent";
+
 /** How an answer has ended. */
 enum class AnswerEnd {
     /** Its length was known, or its last chunk has arrived. */
--- a/include/snipeferry/gateway/requestflow.h
+++ b/include/snipeferry/gateway/requestflow.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "snipeferry/gateway/answermemory.h"
+#include "snipeferry/gateway/answerprogress.h"
 #include "snipeferry/gateway/backendtable.h"
 #include "snipeferry/gateway/eventstream.h"
 #include "snipeferry/gateway/fleetview.h"
@@ -161,6 +162,8 @@
 
         HttpHead head;
         bool hasHead = false;
+        /** How far the answer of the current run has come. */
+        AnswerProgress progress = AnswerProgress::NotBegun;
         /** Whether the caller has received the head of a streamed answer. */
         bool hasBegunAnswer = false;
         /** Buffered answer, if it is not a stream. */
--- a/source/gateway/forwardreceiver.cpp
+++ b/source/gateway/forwardreceiver.cpp
@@ -27,6 +27,12 @@
 /** Length of the longest mark at the end of an event. */
 constexpr std::size_t EVENT_MARK_BYTES = 4;
 
+/** Whether an event ends within the bytes. */
+bool endsEvent(const std::string &bytes)
+{
+    return absl::StrContains(bytes, "\n\n") || absl::StrContains(bytes, "\r\n\r\n");
+}
+
 } // namespace
 
 ForwardReceiver::ForwardReceiver(core::TimerService &timers, BackendTable &backends, FleetView &fleet, RolloutGuard &rollouts, const HeaderCodec &headers,
@@ -91,6 +97,7 @@
     forwardedRun.priority = message.priority;
     forwardedRun.unreadTokens = choice->unreadTokens;
     forwardedRun.isStream = message.isStream;
+    forwardedRun.promptParts = message.request.promptParts;
     forwardedRun.sent.isKept = !message.isRepeatable;
     forwardedRun.startedAt = now;
     forwardedRun.deadline = now + message.timeLeft;
@@ -194,7 +201,9 @@
                       .with("request", forwardedRun.request.value())
                       .with("server", forwardedRun.server.value())
                       .with("reason", reason)
-                      .with("may_have_run", "true"));
+                      .with("may_have_run", "true")
+                      .with("progress", answerProgressName(forwardedRun.progress))
+                      .with("shared_parts", describeSharedParts(forwardedRun.promptParts)));
     m_links.send(forwardedRun.origin, ForwardFailed{forwardedRun.originNumber, true, reason});
 }
 
@@ -242,6 +251,7 @@
         refuse(forwardedRun.origin, forwardedRun.originNumber, forwardedRun.request, "refused_by_server");
         return;
     }
+    it->second.progress = AnswerProgress::Begun;
     it->second.status = head.status;
     it->second.sent.hasHead = true;
     it->second.sent.head = head;
@@ -256,6 +266,9 @@
     }
     ForwardedRun &forwardedRun = it->second;
     noteFirstData(forwardedRun);
+    if (endsEvent(forwardedRun.tail + data)) {
+        forwardedRun.progress = AnswerProgress::Writing;
+    }
     forwardedRun.tail = (forwardedRun.tail + data.substr(data.size() - std::min(data.size(), EVENT_MARK_BYTES)));
     forwardedRun.tail.erase(0, forwardedRun.tail.size() - std::min(forwardedRun.tail.size(), EVENT_MARK_BYTES));
     SentAnswer &sent = forwardedRun.sent;
@@ -305,7 +318,9 @@
                       .with("request", forwardedRun.request.value())
                       .with("server", forwardedRun.server.value())
                       .with("reason", reason)
-                      .with("may_have_run", mayHaveRun ? "true" : "false"));
+                      .with("may_have_run", mayHaveRun ? "true" : "false")
+                      .with("progress", answerProgressName(forwardedRun.progress))
+                      .with("shared_parts", describeSharedParts(forwardedRun.promptParts)));
     m_links.send(forwardedRun.origin, ForwardFailed{forwardedRun.originNumber, mayHaveRun, reason});
 }
 
--- a/source/gateway/requestanswer.cpp
+++ b/source/gateway/requestanswer.cpp
@@ -74,6 +74,7 @@
         retryOrFail(open->number, true, RunEnd::ServerError, "resumed_run_failed");
         return;
     }
+    open->progress = AnswerProgress::Begun;
     if (!open->hasBegunAnswer) {
         open->head = head;
         open->hasHead = true;
@@ -116,6 +117,7 @@
     // Only whole events are progress: a stalled backend server may still send a byte now and then.
     if (open.events.eventCount() > eventsBefore) {
         open.lastDataAt = m_dependencies.timers.now();
+        open.progress = AnswerProgress::Writing;
     }
     if (!events.empty()) {
         if (!open.hasBegunAnswer) {
--- a/source/gateway/requestplacement.cpp
+++ b/source/gateway/requestplacement.cpp
@@ -111,6 +111,7 @@
     open.runStartedAt = now;
     open.lastDataAt = now;
     open.isAnswering = false;
+    open.progress = AnswerProgress::NotBegun;
     ++open.sendCount;
     m_requestByRun[open.run] = open.number;
 
@@ -146,6 +147,7 @@
     open.runStartedAt = now;
     open.lastDataAt = now;
     open.isAnswering = false;
+    open.progress = AnswerProgress::NotBegun;
     open.receivedPieces = 0;
     ++open.sendCount;
     m_requestByRun[open.run] = open.number;
@@ -226,8 +228,11 @@
                                    .with("server", open.server.value())
                                    .with("instance", open.instance.value())
                                    .with("reason", reason)
-                                   .with("may_have_run", mayHaveRun ? "true" : "false"));
+                                   .with("may_have_run", mayHaveRun ? "true" : "false")
+                                   .with("progress", answerProgressName(open.progress))
+                                   .with("shared_parts", describeSharedParts(open.request.promptParts)));
     m_dependencies.journal.count("runs_failed_total", reason, 1);
+    m_dependencies.journal.count("runs_failed_by_progress_total", answerProgressName(open.progress), 1);
     if (!open.server.isEmpty()) {
         open.excludedServers.push_back(open.server);
     } else {
--- a/source/net/backendpool.cpp
+++ b/source/net/backendpool.cpp
@@ -66,6 +66,13 @@
     core::Subscription idleTimer;
 };
 
+/** The reason for a failure of a connection that was ended, unless the connection has only gone silent. */
+const char *lossReason(ErrorCode error, const char *reasonIfEnded)
+{
+    const bool isSilent = error == asio::error::timed_out || error == asio::error::host_unreachable || error == asio::error::network_unreachable;
+    return isSilent ? gateway::REASON_CONNECTION_SILENT : reasonIfEnded;
+}
+
 /** One connection to a backend server. */
 class BackendConnection : public std::enable_shared_from_this<BackendConnection>
 {
@@ -98,7 +105,9 @@
             }
             self->m_timer.cancel();
             if (error) {
-                self->fail(false, "connect_failed");
+                // No process listens at the address.
+                const bool isRefused = error == asio::error::connection_refused || error == asio::error::connection_reset;
+                self->fail(false, isRefused ? gateway::REASON_CONNECT_REFUSED : "connect_failed");
                 return;
             }
             const std::shared_ptr<BackendPool::Impl> owner = self->m_pool.lock();
@@ -191,7 +200,7 @@
                 return;
             }
             if (error) {
-                self->fail(true, "no_answer");
+                self->fail(true, lossReason(error, gateway::REASON_NO_ANSWER));
                 return;
             }
             self->headRead();
@@ -273,7 +282,7 @@
             if (error) {
                 // What came before the break is still the server's.
                 if (self->passBody()) {
-                    self->fail(true, "answer_broken_off");
+                    self->fail(true, lossReason(error, gateway::REASON_ANSWER_BROKEN_OFF));
                 }
                 return;
             }
