--- /dev/null
+++ b/tests/gateway/enginefleet.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include "fixture.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace snipeferry::tests {
+
+/** Numbers of instances and engines in each region of an EngineFleet. */
+struct FleetShape
+{
+    std::vector<int> instances = {3, 3, 2};
+    std::vector<int> engines = {8, 6, 4};
+};
+
+/** A request as it arrived at an engine. */
+struct EngineArrival
+{
+    absl::Time at;
+    core::BackendServerId server;
+    core::InstanceId instance;
+    std::string request;
+    std::vector<std::string> sharedParts;
+};
+
+/** A caller's request to the fleet. */
+struct FleetRequest
+{
+    absl::Time at;
+    std::vector<std::string> sharedParts;
+    std::shared_ptr<Answer> answer;
+
+    /** Whether the answer has begun or is complete, with success. */
+    bool isServed() const
+    {
+        return answer->status == 200;
+    }
+};
+
+/**
+ * Instances of several regions with the real decision code on one clock, between engines that answer, crash and come back.
+ *
+ * Messages and answers take the time of the network. Engines accept requests of their own region's instances.
+ */
+class EngineFleet
+{
+public:
+    explicit EngineFleet(std::uint64_t seed, FleetShape shape = {});
+    ~EngineFleet();
+
+    void advance(absl::Duration time);
+
+    /** Sends a request with these shared parts and a part of its own to an instance. */
+    std::shared_ptr<Answer> ask(std::size_t instance, const std::vector<std::string> &sharedParts, const std::string &target = "/stream/x");
+    /** Sends a request to a random instance that is up. */
+    std::shared_ptr<Answer> ask(const std::vector<std::string> &sharedParts, const std::string &target = "/stream/x");
+
+    /** Makes each engine crash when it begins to write an answer on a part. */
+    void setCrashing(const std::string &part, bool isCrashing = true);
+    /** Ends an engine's process; it is back after some seconds under another identifier. */
+    void crash(std::size_t engine);
+    /** Ends a share of the connections of an engine's runs without an end of its process. */
+    void truncate(std::size_t engine);
+
+    void kill(std::size_t instance);
+    void start(std::size_t instance);
+    /** Cuts the links between this instance and all others, or restores them. */
+    void setCutOff(std::size_t instance, bool isCutOff);
+
+    std::size_t instanceCount() const;
+    std::size_t engineCount() const;
+    bool isEngineUp(std::size_t engine) const;
+    gateway::Gateway &gateway(std::size_t instance);
+    FakeJournal &journal(std::size_t instance);
+    absl::Time now() const;
+    int randomInt(int below);
+
+    /** Times at which engines crashed of a part. */
+    const std::vector<absl::Time> &crashes(const std::string &part) const;
+    /** Number of arrivals that hold a part, later than a time. */
+    int arrivals(const std::string &part, absl::Time after) const;
+    const std::vector<EngineArrival> &allArrivals() const;
+    const std::vector<FleetRequest> &requests() const;
+    /** Fraction of the requests sent in an interval that were served and do not hold a part that crashes engines. */
+    double servedShare(absl::Time from, absl::Time to) const;
+
+    core::VirtualTimerService timers;
+    /** Whether answers end with their connection. */
+    bool areAnswersCloseDelimited = false;
+    /** Bytes of the first event that an engine writes before it crashes. */
+    std::string bytesBeforeCrash;
+
+private:
+    struct Instance;
+    struct Engine;
+    struct Run;
+    class Links;
+    class Runs;
+
+    void at(absl::Duration delay, std::function<void()> action);
+    void keepLinks();
+    void confirmTopics();
+    void storeRecord(gateway::Topic topic, const std::string &key, const std::optional<std::string> &value);
+    void announce(Engine &engine);
+    void arrive(Instance &instance, gateway::Number run, const gateway::BackendServer &server, const gateway::HttpRequest &request);
+    void beginAnswer(std::size_t engine, std::uint64_t boot, gateway::Number run);
+    void writeEvent(std::size_t engine, std::uint64_t boot, gateway::Number run, int event);
+    Run *findRun(std::size_t engine, std::uint64_t boot, gateway::Number run);
+    absl::Duration latency(const Instance &from, const Instance &to) const;
+    bool isCrashing(const std::vector<std::string> &sharedParts) const;
+
+    FakeHeaders m_headers;
+    FakeRecords m_records;
+    std::mt19937_64 m_random;
+    std::vector<std::unique_ptr<Instance>> m_instances;
+    std::vector<std::unique_ptr<Engine>> m_engines;
+    std::multimap<absl::Time, std::function<void()>> m_events;
+    std::map<gateway::Topic, std::map<std::string, gateway::Record>> m_store;
+    core::Revision m_revision = 1;
+    std::set<std::pair<std::size_t, std::size_t>> m_links;
+    std::set<std::string> m_crashingParts;
+    std::map<std::string, std::vector<absl::Time>> m_crashes;
+    std::vector<EngineArrival> m_arrivals;
+    std::vector<FleetRequest> m_requests;
+    absl::Time m_nextHousekeeping;
+    int m_requestCount = 0;
+};
+
+} // namespace snipeferry::tests
