Log the limit that a backend server names

Change: the codec decodes the limit (malformed, negative or stated twice: limit_unreadable), limit_named and limits_named_total tell of it; no decision changes. Ruled out: nothing.

--- a/include/snipeferry/gateway/backendtable.h
+++ b/include/snipeferry/gateway/backendtable.h
@@ -15,6 +15,8 @@
 
 namespace snipeferry::gateway {
 
+class Journal;
+
 /** Urgency levels that queues distinguish: priority 0, priority 1 and all others. */
 constexpr int URGENCY_LEVELS = 3;
 
@@ -170,6 +172,8 @@
      * @param duration time from the start of the run to its end
      */
     void finished(const core::BackendServerId &id, int priority, std::int64_t unreadTokens, RunEnd end, absl::Duration duration);
+    /** @brief Records what an answer says about the backend server: its load and the limit that it names. */
+    void noteReport(const core::BackendServerId &id, const RunReport &report, Journal &journal);
     /** @brief Records the load that a backend server itself reports; negative numbers are ignored. */
     void reportLoad(const core::BackendServerId &id, int running, int waiting);
 
--- a/include/snipeferry/gateway/message.h
+++ b/include/snipeferry/gateway/message.h
@@ -4,6 +4,7 @@
 #include "snipeferry/core/header.h"
 #include "snipeferry/core/value.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -98,8 +99,12 @@
     int running = -1;
     /** Requests in the backend server's queue; -1 if the answer does not state it. */
     int waiting = -1;
+    /** Requests per second that the backend server takes from all instances together; empty if it names no limit. */
+    std::optional<double> requestLimit;
+    /** The answer names a limit that cannot be read. */
+    bool isLimitUnreadable = false;
 
-    SNIPEFERRY_VALUE(RunReport, request, isNotRun, isWrongServer, hasReceipt, running, waiting)
+    SNIPEFERRY_VALUE(RunReport, request, isNotRun, isWrongServer, hasReceipt, running, waiting, requestLimit, isLimitUnreadable)
 };
 
 /** Strategy that decodes and encodes the HTTP headers that the callers and backend servers of one deployment use. */
--- a/source/gateway/backendtable.cpp
+++ b/source/gateway/backendtable.cpp
@@ -1,7 +1,9 @@
 #include "snipeferry/gateway/backendtable.h"
 
+#include "snipeferry/gateway/ports.h"
 #include "snipeferry/gateway/rendezvous.h"
 
+#include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 
 #include <algorithm>
@@ -424,6 +426,18 @@
     }
 }
 
+void BackendTable::noteReport(const core::BackendServerId &id, const RunReport &report, Journal &journal)
+{
+    reportLoad(id, report.running, report.waiting);
+    if (report.isLimitUnreadable) {
+        journal.log(core::LogEvent{"limit_unreadable", {}}.with("server", id.value()));
+    }
+    if (report.requestLimit.has_value()) {
+        journal.log(core::LogEvent{"limit_named", {}}.with("server", id.value()).with("per_second", absl::StrCat(*report.requestLimit)));
+        journal.count("limits_named_total", "", 1);
+    }
+}
+
 void BackendTable::reportLoad(const core::BackendServerId &id, int running, int waiting)
 {
     refreshPeerWork();
--- a/source/gateway/forwardreceiver.cpp
+++ b/source/gateway/forwardreceiver.cpp
@@ -248,7 +248,7 @@
         return;
     }
     const RunReport report = m_headers.decodeAnswer(head);
-    m_backends.reportLoad(it->second.server, report.running, report.waiting);
+    m_backends.noteReport(it->second.server, report, m_journal);
     if (report.isNotRun || report.isWrongServer) {
         const ForwardedRun forwardedRun = it->second;
         m_runs.cancel(run);
--- a/source/gateway/requestanswer.cpp
+++ b/source/gateway/requestanswer.cpp
@@ -22,7 +22,7 @@
     }
     const RunReport report = m_dependencies.headers.decodeAnswer(head);
     if (!open->server.isEmpty()) {
-        m_dependencies.backends.reportLoad(open->server, report.running, report.waiting);
+        m_dependencies.backends.noteReport(open->server, report, m_dependencies.journal);
     }
     open->lastDataAt = m_dependencies.timers.now();
 
--- a/tests/gateway/enginefleet.cpp
+++ b/tests/gateway/enginefleet.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/str_join.h>
 
 #include <algorithm>
+#include <deque>
 
 namespace snipeferry::tests {
 
@@ -57,6 +58,7 @@
     bool isUp = true;
     /** Number of the engine's present process. */
     std::uint64_t boot = 0;
+    std::optional<double> limit;
     std::vector<Run> runs;
 };
 
@@ -304,7 +306,7 @@
     }
     found->hasHead = true;
     if (!isCrashing(found->sharedParts)) {
-        found->instance->gateway->runHead(run, {200, {{"receipt", "x"}}});
+        found->instance->gateway->runHead(run, headOf(*m_engines[engine]));
         writeEvent(engine, boot, run, 1);
         return;
     }
@@ -376,6 +378,42 @@
     });
 }
 
+gateway::HttpHead EngineFleet::headOf(const Engine &engine) const
+{
+    gateway::HttpHead head{200, {{"receipt", "x"}}};
+    if (engine.limit.has_value()) {
+        head.headers.push_back({"limit", absl::StrCat(*engine.limit)});
+    }
+    return head;
+}
+
+void EngineFleet::setLimit(std::size_t engine, std::optional<double> perSecond)
+{
+    m_engines.at(engine)->limit = perSecond;
+}
+
+core::BackendServerId EngineFleet::engineId(std::size_t engine) const
+{
+    return m_engines.at(engine)->server.id;
+}
+
+int EngineFleet::mostArrivals(std::size_t engine, absl::Time from, absl::Duration span) const
+{
+    std::deque<absl::Time> inSpan;
+    std::size_t most = 0;
+    for (const EngineArrival &arrival : m_arrivals) {
+        if (arrival.at < from || arrival.server != m_engines.at(engine)->server.id) {
+            continue;
+        }
+        inSpan.push_back(arrival.at);
+        while (arrival.at - inSpan.front() >= span) {
+            inSpan.pop_front();
+        }
+        most = std::max(most, inSpan.size());
+    }
+    return static_cast<int>(most);
+}
+
 void EngineFleet::announce(Engine &engine)
 {
     storeRecord(gateway::Topic::BackendServers, engine.server.id.value(), nlohmann::json(engine.server).dump());
--- a/tests/gateway/enginefleet.h
+++ b/tests/gateway/enginefleet.h
@@ -73,6 +73,12 @@
     /** Number of log lines of an event at all instances. */
     int logLines(const std::string &event) const;
 
+    /** Makes an engine name a limit in its answers, or none. */
+    void setLimit(std::size_t engine, std::optional<double> perSecond);
+    /** Largest number of requests that an engine got in any span of this length, beginning with a time. */
+    int mostArrivals(std::size_t engine, absl::Time from, absl::Duration span) const;
+    core::BackendServerId engineId(std::size_t engine) const;
+
     void kill(std::size_t instance);
     void start(std::size_t instance);
     /** Cuts the links between this instance and all others, or restores them. */
@@ -112,6 +118,7 @@
     void keepLinks();
     void confirmTopics();
     void storeRecord(gateway::Topic topic, const std::string &key, const std::optional<std::string> &value);
+    gateway::HttpHead headOf(const Engine &engine) const;
     void announce(Engine &engine);
     void arrive(Instance &instance, gateway::Number run, const gateway::BackendServer &server, const gateway::HttpRequest &request);
     void beginAnswer(std::size_t engine, std::uint64_t boot, gateway::Number run);
--- a/tests/gateway/fixture.h
+++ b/tests/gateway/fixture.h
@@ -58,6 +58,10 @@
         report.isNotRun = !value(head.headers, "not-run").empty();
         report.isWrongServer = head.status == 421;
         report.hasReceipt = !value(head.headers, "receipt").empty();
+        double limit = 0;
+        if (absl::SimpleAtod(value(head.headers, "limit"), &limit)) {
+            report.requestLimit = limit;
+        }
         return report;
     }
 
--- a/tests/platform-adapter/adaptertest.cpp
+++ b/tests/platform-adapter/adaptertest.cpp
@@ -103,6 +103,16 @@
     CHECK(HEADERS.decodeAnswer({200, {{"server-seal", "x"}}}).hasReceipt);
     CHECK(HEADERS.decodeAnswer({200, {{"Runner-Load", "3,1,8"}}}).running == 3);
     CHECK(HEADERS.decodeAnswer({200, {{"Runner-Load", "3,x,8"}}}).running == -1);
+    CHECK_FALSE(HEADERS.decodeAnswer({200, {}}).requestLimit.has_value());
+    for (const std::string text : {"0", "0.3", "1.7", "10000"}) {
+        CHECK(absl::StrCat(HEADERS.decodeAnswer({503, {{"server-limit", text}}}).requestLimit.value()) == text);
+    }
+    for (const std::string text : {"", "-1", "many", "nan", "inf", "1 2"}) {
+        const gateway::RunReport report = HEADERS.decodeAnswer({200, {{"Server-Limit", text}}});
+        CHECK_FALSE(report.requestLimit.has_value());
+        CHECK(report.isLimitUnreadable);
+    }
+    CHECK(HEADERS.decodeAnswer({200, {{"Server-Limit", "1"}, {"Server-Limit", "2"}}}).isLimitUnreadable);
 }
 
 TEST_CASE("a refusal has a retry-after time")
