Keep the limits that backend servers name, for all instances together

Cause: the header was passed on to callers and read by no one; nothing but queues and failures steered requests away from the server. Why it works: the limit is told to the region, and as many announced members share it as get 2 a second each, one at least; the others send nothing there. Members that were not confirmed for 7 s send half of their part, which keeps both sides of a cut within one and a half times the limit. Not done: a part that its instance has no demand for is not lent (design/server-limits.md).

--- a/include/snipeferry/gateway/backendtable.h
+++ b/include/snipeferry/gateway/backendtable.h
@@ -4,6 +4,7 @@
 #include "snipeferry/gateway/message.h"
 #include "snipeferry/gateway/model.h"
 #include "snipeferry/gateway/promptmemory.h"
+#include "snipeferry/gateway/serverlimits.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -173,7 +174,11 @@
      */
     void finished(const core::BackendServerId &id, int priority, std::int64_t unreadTokens, RunEnd end, absl::Duration duration);
     /** @brief Records what an answer says about the backend server: its load and the limit that it names. */
-    void noteReport(const core::BackendServerId &id, const RunReport &report, Journal &journal);
+    void noteReport(const core::BackendServerId &id, const RunReport &report, bool isSuccess, absl::Time runStartedAt, Journal &journal);
+
+    /** @brief The limits that backend servers of this region name. */
+    ServerLimits &limits();
+
     /** @brief Records the load that a backend server itself reports; negative numbers are ignored. */
     void reportLoad(const core::BackendServerId &id, int running, int waiting);
 
@@ -250,8 +255,12 @@
     /** Adds up the reports of the other instances, if one has arrived since the last time. Done before each use and not for each report. */
     void refreshPeerWork();
 
+    /** Error for a service all of whose usable backend servers have to be spared now. */
+    core::Error noServerError(const ServiceState &service);
+
     core::InstanceId m_self;
     core::TimerService &m_timers;
+    ServerLimits m_limits;
     std::mt19937_64 m_random;
     absl::flat_hash_map<core::BackendServerId, ServerState> m_servers;
     absl::flat_hash_map<core::BackendServerId, BackendServer> m_remoteServers;
--- a/include/snipeferry/gateway/fleetmessages.h
+++ b/include/snipeferry/gateway/fleetmessages.h
@@ -7,6 +7,7 @@
 #include "snipeferry/gateway/ratelimiter.h"
 #include "snipeferry/gateway/records.h"
 #include "snipeferry/gateway/rolloutguard.h"
+#include "snipeferry/gateway/serverlimits.h"
 
 #include <string>
 #include <variant>
@@ -261,6 +262,7 @@
 
 /** All messages. New ones are added at the end, because a message's index in the list is its type number on the wire. */
 using FleetMessage = std::variant<Greeting, Pulse, AllowanceTransfer, RecordsRequest, RecordsTransfer, ForwardRequest, ForwardHead, ForwardData, ForwardEnd,
-    ForwardFailed, ForwardCancel, RecordsUpdate, AllowanceRequest, RelayReport, RegionSummary, MessagePiece, ForwardFlow, ForwardResume, PromptEvidence>;
+    ForwardFailed, ForwardCancel, RecordsUpdate, AllowanceRequest, RelayReport, RegionSummary, MessagePiece, ForwardFlow, ForwardResume, PromptEvidence,
+    ServerLimitsNotice>;
 
 } // namespace snipeferry::gateway
--- a/include/snipeferry/gateway/fleetview.h
+++ b/include/snipeferry/gateway/fleetview.h
@@ -106,6 +106,9 @@
     /** @brief This instance and those of its region that were heard of recently. */
     std::vector<core::InstanceId> regionInstances() const;
 
+    /** @brief This instance and the members of its region that the store has announced, whether or not they were heard of. */
+    std::vector<core::InstanceId> announcedRegionMembers() const;
+
     /** @brief Whether another instance of a region was heard of recently and accepts callers. */
     bool hasReadyInstance(const core::RegionId &region) const;
 
--- a/include/snipeferry/gateway/gateway.h
+++ b/include/snipeferry/gateway/gateway.h
@@ -165,6 +165,10 @@
     void storeMissingQuarantines();
     /** Tells the linked instances this instance's news of crashes and prompt parts. */
     void sendPromptNews();
+    /** Tells the region this instance's news of limits. */
+    void sendLimitNews();
+    /** Linked instances of this region, but for one. */
+    std::vector<core::InstanceId> linkedRegionInstances(const core::InstanceId &excluded = {}) const;
     /** Time from which a backend server whose announcement is still missing after a store outage counts as gone. */
     absl::Time lapsedServersRemovedAt() const;
     void removeLapsedServers();
@@ -209,6 +213,7 @@
     void handle(const core::InstanceId &from, const RegionSummary &message);
     void handle(const core::InstanceId &from, const MessagePiece &message);
     void handle(const core::InstanceId &from, const PromptEvidence &message);
+    void handle(const core::InstanceId &from, const ServerLimitsNotice &message);
 
     /** Checks the relays of this region and tells the components if they have changed. */
     void updateRelays();
@@ -278,7 +283,7 @@
     absl::Time m_allowancesSentToOthersAt = absl::InfinitePast();
     core::Subscription m_otherRegionsPulseTimer;
     core::Subscription m_lapsedServerTimer;
-    core::Subscription m_promptNewsTimer;
+    core::Subscription m_newsTimer;
     core::Subscription m_quarantineStoreTimer;
 };
 
--- a/source/gateway/backendchoice.cpp
+++ b/source/gateway/backendchoice.cpp
@@ -29,6 +29,10 @@
 constexpr int RANDOM_CANDIDATES = 3;
 /** Retry-after time while the known backend servers are not confirmed. */
 constexpr absl::Duration UNCONFIRMED_RETRY_DELAY = absl::Milliseconds(200);
+/** Retry-after time if no backend server accepts requests. */
+constexpr absl::Duration NO_SERVER_RETRY_DELAY = absl::Milliseconds(500);
+/** Interval over which callers are spread that find all limits used up. */
+constexpr absl::Duration LIMITED_RETRY_SPREAD = absl::Seconds(1);
 /** Costs that differ by less than this count as equal. */
 constexpr double SIMILAR_COST_MS = 40.0;
 /** The expected time is multiplied by 1 plus this factor times the backend server's failure share. */
@@ -119,7 +123,7 @@
         const bool matchesVersion
             = (query.version.isEmpty() || version == query.version) && (query.excludedVersion.isEmpty() || version != query.excludedVersion);
         const bool isExcluded = std::find(query.excluded.begin(), query.excluded.end(), id) != query.excluded.end();
-        if (acceptsRequests(candidate) && matchesVersion && !isExcluded && mayDispatchToCold(candidate, now)) {
+        if (acceptsRequests(candidate) && matchesVersion && !isExcluded && mayDispatchToCold(candidate, now) && m_limits.mayDispatch(id)) {
             eligible.push_back(id);
         }
     }
@@ -252,9 +256,26 @@
         best = bestEjected;
     }
     if (best.server.isEmpty()) {
-        return tl::make_unexpected(core::makeError(core::ErrorKind::NoBackendServer, "No backend server accepts work now.", absl::Milliseconds(500)));
+        return tl::make_unexpected(noServerError(service->second));
     }
     return best;
 }
 
+core::Error BackendTable::noServerError(const ServiceState &service)
+{
+    absl::Duration shortest = absl::InfiniteDuration();
+    for (const core::BackendServerId &id : service.servers) {
+        const absl::Duration time = m_limits.timeUntilDispatch(id);
+        if (acceptsRequests(m_servers.at(id)) && time > absl::ZeroDuration()) {
+            shortest = std::min(shortest, time);
+        }
+    }
+    if (shortest == absl::InfiniteDuration()) {
+        return core::makeError(core::ErrorKind::NoBackendServer, "No backend server accepts work now.", NO_SERVER_RETRY_DELAY);
+    }
+    // Callers that are refused together must not come back together.
+    const absl::Duration spread = LIMITED_RETRY_SPREAD * std::uniform_real_distribution<double>(0, 1)(m_random);
+    return core::makeError(core::ErrorKind::Overloaded, "The backend servers have named limits that are used up.", shortest + spread);
+}
+
 } // namespace snipeferry::gateway
--- a/source/gateway/backendtable.cpp
+++ b/source/gateway/backendtable.cpp
@@ -35,6 +35,7 @@
 BackendTable::BackendTable(core::InstanceId self, core::TimerService &timers)
     : m_self(std::move(self)),
       m_timers(timers),
+      m_limits(m_self, timers),
       m_random(std::hash<std::string>{}(m_self.value())),
       m_promptCache(timers)
 {
@@ -49,6 +50,7 @@
     const bool isMoved = !isNew && entry.server.service != server.service;
     if (isRestarted || isMoved) {
         m_promptCache.removeServer(server.id);
+        m_limits.remove(server.id);
         entry.consecutiveFailures = 0;
         entry.failureShare = 0;
         entry.ejectedUntil = absl::InfinitePast();
@@ -88,6 +90,7 @@
     std::vector<core::BackendServerId> &servers = m_services[it->second.server.service].servers;
     servers.erase(std::remove(servers.begin(), servers.end(), id), servers.end());
     m_servers.erase(it);
+    m_limits.remove(id);
     m_promptCache.removeServer(id);
 }
 
@@ -335,7 +338,7 @@
     const absl::Time now = m_timers.now();
     for (const core::BackendServerId &id : it->second.servers) {
         const ServerState &state = m_servers.at(id);
-        if (!acceptsRequests(state) || state.ejectedUntil > now || state.coldUntil > now) {
+        if (!acceptsRequests(state) || state.ejectedUntil > now || state.coldUntil > now || !m_limits.mayDispatch(id)) {
             continue;
         }
         least.resize(URGENCY_LEVELS, absl::InfiniteDuration());
@@ -358,6 +361,7 @@
     const int level = urgencyOf(priority);
     target->lastEstimate = estimate(*target, service, level, unreadTokens);
     ++target->running;
+    m_limits.dispatched(id);
     target->ownUnread[level] += unreadTokens;
     const auto configuration = m_serviceConfigurations.find(target->server.service);
     if (target->coldUntil > now && configuration != m_serviceConfigurations.end() && configuration->second.coldRate > 0) {
@@ -426,16 +430,26 @@
     }
 }
 
-void BackendTable::noteReport(const core::BackendServerId &id, const RunReport &report, Journal &journal)
+ServerLimits &BackendTable::limits()
+{
+    return m_limits;
+}
+
+void BackendTable::noteReport(const core::BackendServerId &id, const RunReport &report, bool isSuccess, absl::Time runStartedAt, Journal &journal)
 {
     reportLoad(id, report.running, report.waiting);
     if (report.isLimitUnreadable) {
         journal.log(core::LogEvent{"limit_unreadable", {}}.with("server", id.value()));
     }
     if (report.requestLimit.has_value()) {
-        journal.log(core::LogEvent{"limit_named", {}}.with("server", id.value()).with("per_second", absl::StrCat(*report.requestLimit)));
         journal.count("limits_named_total", "", 1);
     }
+    const BackendServer *server = find(id);
+    if (server != nullptr && m_limits.note(*server, report, isSuccess, runStartedAt)) {
+        journal.log(core::LogEvent{report.requestLimit.has_value() ? "limit_named" : "limit_ended", {}}
+                        .with("server", id.value())
+                        .with("per_second", absl::StrCat(report.requestLimit.value_or(0))));
+    }
 }
 
 void BackendTable::reportLoad(const core::BackendServerId &id, int running, int waiting)
--- a/source/gateway/fleetview.cpp
+++ b/source/gateway/fleetview.cpp
@@ -199,6 +199,17 @@
     return all;
 }
 
+std::vector<core::InstanceId> FleetView::announcedRegionMembers() const
+{
+    std::vector<core::InstanceId> all{m_self.id};
+    for (const auto &entry : m_peers) {
+        if (entry.second.member.region == m_self.region && entry.second.isAnnounced) {
+            all.push_back(entry.first);
+        }
+    }
+    return all;
+}
+
 bool FleetView::hasReadyInstance(const core::RegionId &region) const
 {
     for (const auto &entry : m_peers) {
--- a/source/gateway/forwardreceiver.cpp
+++ b/source/gateway/forwardreceiver.cpp
@@ -248,7 +248,7 @@
         return;
     }
     const RunReport report = m_headers.decodeAnswer(head);
-    m_backends.noteReport(it->second.server, report, m_journal);
+    m_backends.noteReport(it->second.server, report, report.hasReceipt && head.status >= 200 && head.status < 300, it->second.startedAt, m_journal);
     if (report.isNotRun || report.isWrongServer) {
         const ForwardedRun forwardedRun = it->second;
         m_runs.cancel(run);
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -39,8 +39,8 @@
  * another instance before it has to refuse their keys.
  */
 constexpr double READY_WITHDRAWAL_FRACTION = 0.85;
-/** Shortest interval between two messages with news of crashes and prompt parts. */
-constexpr absl::Duration PROMPT_NEWS_PERIOD = absl::Milliseconds(100);
+/** Shortest interval between two messages with news of crashes and prompt parts, or of limits. */
+constexpr absl::Duration NEWS_PERIOD = absl::Milliseconds(100);
 /** Interval at which records of quarantined parts that the store lacks are written again. News of a write take some seconds. */
 constexpr absl::Duration QUARANTINE_STORE_PERIOD = absl::Seconds(8);
 
@@ -64,7 +64,11 @@
       m_regionPulseTimer(ports.timers.every(m_settings.regionPulsePeriod, [this] { sendRegionPulses(); })),
       m_otherRegionsPulseTimer(ports.timers.every(m_settings.otherRegionsPulsePeriod, [this] { sendPulses(false); })),
       m_lapsedServerTimer(ports.timers.every(LAPSED_SERVER_CHECK_PERIOD, [this] { removeLapsedServers(); })),
-      m_promptNewsTimer(ports.timers.every(PROMPT_NEWS_PERIOD, [this] { sendPromptNews(); })),
+      m_newsTimer(ports.timers.every(NEWS_PERIOD,
+          [this] {
+              sendPromptNews();
+              sendLimitNews();
+          })),
       m_quarantineStoreTimer(ports.timers.every(QUARANTINE_STORE_PERIOD, [this] { storeMissingQuarantines(); }))
 {
     m_quarantine.changed().subscribe([this](const QuarantineRecord &quarantine) { storeQuarantine(quarantine); });
@@ -125,12 +129,7 @@
     if (changes.empty()) {
         return;
     }
-    std::vector<core::InstanceId> peers = m_fleet.linkedInstances();
-    const auto isOfOtherRegion = [this](const core::InstanceId &peer) {
-        return !m_fleet.isInOwnRegion(peer);
-    };
-    peers.erase(std::remove_if(peers.begin(), peers.end(), isOfOtherRegion), peers.end());
-    m_ports.links.sendToAll(peers, RecordsUpdate{topic, after, revision, changes});
+    m_ports.links.sendToAll(linkedRegionInstances(), RecordsUpdate{topic, after, revision, changes});
 }
 
 bool Gateway::hasRecord(Topic topic, const std::string &key) const
@@ -178,6 +177,9 @@
     if (topic == Topic::BackendServers && !isUnconfirmed(topic)) {
         m_backends.setUnconfirmedUntil(absl::InfinitePast());
     }
+    if (topic == Topic::Members) {
+        m_backends.limits().confirmMembers(mirror(topic).confirmedAt());
+    }
     if (topic == Topic::Operator) {
         m_requestFlow.confirmDeployment(mirror(topic).confirmedAt());
     }
@@ -393,6 +395,11 @@
     m_allowances.setInstanceCount(count);
     m_repeats.setInstanceCount(count);
     m_backends.setRegionInstances(m_fleet.regionInstances());
+    std::vector<core::InstanceId> members = m_fleet.announcedRegionMembers();
+    if (m_isDraining) {
+        members.erase(std::remove(members.begin(), members.end(), m_settings.self.id), members.end());
+    }
+    m_backends.limits().setMembers(std::move(members));
     m_allowances.setUsesRelays(m_fleet.usesRelays());
     std::vector<core::InstanceId> live = m_fleet.linkedInstances();
     live.push_back(m_settings.self.id);
@@ -434,6 +441,7 @@
 void Gateway::drain(absl::Duration timeLeft)
 {
     m_isDraining = true;
+    updateInstances();
     m_requestFlow.beginDrain(m_ports.timers.now() + timeLeft);
     sendToRegion();
     sendPulses(false);
--- a/source/gateway/gatewayfleet.cpp
+++ b/source/gateway/gatewayfleet.cpp
@@ -37,6 +37,10 @@
     if (!evidence.isEmpty()) {
         m_ports.links.send(peer.id, evidence);
     }
+    const std::vector<ServerLimit> limits = m_backends.limits().all();
+    if (!limits.empty() && m_fleet.isInOwnRegion(peer.id)) {
+        m_ports.links.send(peer.id, ServerLimitsNotice{limits});
+    }
     m_requestFlow.linkUp(peer.id);
 }
 
@@ -299,6 +303,33 @@
     }
 }
 
+std::vector<core::InstanceId> Gateway::linkedRegionInstances(const core::InstanceId &excluded) const
+{
+    std::vector<core::InstanceId> peers = m_fleet.linkedInstances();
+    const auto isLeftOut = [this, &excluded](const core::InstanceId &peer) {
+        return peer == excluded || !m_fleet.isInOwnRegion(peer);
+    };
+    peers.erase(std::remove_if(peers.begin(), peers.end(), isLeftOut), peers.end());
+    return peers;
+}
+
+void Gateway::sendLimitNews()
+{
+    const std::vector<ServerLimit> news = m_backends.limits().takeNews();
+    if (!news.empty()) {
+        m_ports.links.sendToAll(linkedRegionInstances(), ServerLimitsNotice{news});
+    }
+}
+
+void Gateway::handle(const core::InstanceId &from, const ServerLimitsNotice &message)
+{
+    const std::vector<ServerLimit> fresh = m_backends.limits().receive(message.limits);
+    // In a large region the sender has told the relays alone.
+    if (!fresh.empty() && m_fleet.isRelay()) {
+        m_ports.links.sendToAll(linkedRegionInstances(from), ServerLimitsNotice{fresh});
+    }
+}
+
 void Gateway::handle(const core::InstanceId &from, const PromptEvidence &message)
 {
     const PromptEvidence fresh = m_quarantine.receive(message);
--- a/source/gateway/gatewayreadings.cpp
+++ b/source/gateway/gatewayreadings.cpp
@@ -46,6 +46,11 @@
             all.push_back({"queue_wait_seconds", service.value(), absl::ToDoubleSeconds(waits.back())});
         }
     }
+    for (const LimitState &limit : m_backends.limits().states()) {
+        all.push_back({"server_limit_per_second", limit.server.value(), limit.perSecond});
+        all.push_back({"server_limit_own_part_per_second", limit.server.value(), limit.ownPart});
+        all.push_back({"server_limit_age_seconds", limit.server.value(), absl::ToDoubleSeconds(limit.age)});
+    }
     for (const AllowanceReport &report : m_allowances.reports()) {
         all.push_back({"allowance_tokens", report.customer.value(), report.balance});
         all.push_back({"allowance_asked_per_second", report.customer.value(), report.demand});
--- a/source/gateway/requestanswer.cpp
+++ b/source/gateway/requestanswer.cpp
@@ -22,7 +22,8 @@
     }
     const RunReport report = m_dependencies.headers.decodeAnswer(head);
     if (!open->server.isEmpty()) {
-        m_dependencies.backends.noteReport(open->server, report, m_dependencies.journal);
+        m_dependencies.backends.noteReport(
+            open->server, report, report.hasReceipt && head.status >= 200 && head.status < 300, open->runStartedAt, m_dependencies.journal);
     }
     open->lastDataAt = m_dependencies.timers.now();
 
--- a/source/gateway/requestplacement.cpp
+++ b/source/gateway/requestplacement.cpp
@@ -109,6 +109,9 @@
         return tl::make_unexpected(core::makeError(core::ErrorKind::NoBackendServer, "The route and the customer permit no common region."));
     }
     if (bestEstimate == absl::InfiniteDuration()) {
+        if (!localChoice && localChoice.error().kind == core::ErrorKind::Overloaded) {
+            return tl::make_unexpected(localChoice.error());
+        }
         return tl::make_unexpected(core::makeError(core::ErrorKind::NoBackendServer, "No backend server can take the request now.", SHORT_RETRY_DELAY));
     }
     // Only the wait counts: a request is not refused because its own prompt takes long to read.
