Take back a roll-out whose version is slow for its load

Cause: raw latencies of idle engines were compared with those of loaded ones (RolloutGuard::findRegression). Why it works: first data that takes twice the time expected for the prompt, the queue and the load is a slow answer; slow answers of all routes are added up and compared with those of the old version that were expected to take as long. 3.5 standard deviations more take the roll-out back, 2.5 at the time of the takeover. The expected time leaves out what the server itself has shown, which would hide a slow version from the comparison. The evidence travels in the reports that exist, so their bytes do not change. Ruled out: a lower ratio of raw latencies (the idle new version was 1.3 times as slow as the loaded old one on the busiest route, which a good version may be as well).

--- a/include/snipeferry/gateway/rolloutguard.h
+++ b/include/snipeferry/gateway/rolloutguard.h
@@ -147,6 +147,11 @@
     static std::vector<VersionEvidence> mergedEvidence(const RolloutProgress &progress, const std::function<bool(const core::InstanceId &)> &includesPeer);
     /** Why the new version is worse than the old one; empty if it is not. */
     std::string findRegression(const RolloutProgress &progress) const;
+    /**
+     * Whether more of the new version's answers were slow than expected of the old one under the same load.
+     * @param deviations how many standard deviations more
+     */
+    static bool isSlow(std::vector<VersionEvidence> evidence, double deviations);
     bool hasEnoughAnswers(const RolloutProgress &progress) const;
     /** Whether this instance stores the rollout's decisions for all instances. */
     bool isReporter(const RolloutProgress &progress) const;
--- a/source/gateway/rolloutguard.cpp
+++ b/source/gateway/rolloutguard.cpp
@@ -22,6 +22,8 @@
 constexpr int MIN_ROUTE_ANSWERS = 6;
 /** A version is bad if its failures exceed the number expected from the old version by more than this many standard deviations. */
 constexpr double MAX_FAILURE_DEVIATIONS = 3.5;
+/** The same for slow answers at the time of the takeover. */
+constexpr double MAX_TAKEOVER_DEVIATIONS = 2.5;
 /** Variance that is added because the old version's failure share is only a measurement itself. */
 constexpr double EXTRA_VARIANCE = 0.5;
 constexpr int MIN_FAILURES = 3;
@@ -159,6 +161,9 @@
 std::string RolloutGuard::findRegression(const RolloutProgress &progress) const
 {
     std::vector<VersionEvidence> all = mergedEvidence(progress, includeAll);
+    if (isSlow(all, MAX_FAILURE_DEVIATIONS)) {
+        return "slower than expected";
+    }
     const std::vector<VersionEvidence> targets = all;
     for (const VersionEvidence &target : targets) {
         if (!target.isTarget || target.answers < MIN_ROUTE_ANSWERS || absl::StartsWith(target.route, PACE_PREFIX)) {
@@ -181,6 +186,28 @@
     return {};
 }
 
+bool RolloutGuard::isSlow(std::vector<VersionEvidence> evidence, double deviations)
+{
+    const std::vector<VersionEvidence> targets = evidence;
+    double slow = 0;
+    double expectedSlow = 0;
+    double variance = EXTRA_VARIANCE;
+    for (const VersionEvidence &target : targets) {
+        if (!target.isTarget || !absl::StartsWith(target.route, PACE_PREFIX)) {
+            continue;
+        }
+        const VersionEvidence &baseline = evidenceFor(evidence, target.route, false);
+        if (baseline.answers < MIN_ROUTE_ANSWERS) {
+            continue;
+        }
+        const double share = static_cast<double>(baseline.failures) / baseline.answers;
+        slow += target.failures;
+        expectedSlow += share * target.answers;
+        variance += share * (1 - share) * target.answers;
+    }
+    return slow >= MIN_FAILURES && slow > expectedSlow + deviations * std::sqrt(variance);
+}
+
 bool RolloutGuard::hasEnoughAnswers(const RolloutProgress &progress) const
 {
     int answers = 0;
@@ -217,7 +244,11 @@
         }
         const absl::Duration age = m_timers.now() - progress.startedAt;
         if (progress.state == RolloutState::Trial && age >= TAKEOVER_TIME_SHARE * progress.order.timeLimit) {
-            if (hasEnoughAnswers(progress)) {
+            // All requests follow the takeover, so it needs more than the absence of proof.
+            const bool isSuspect = isSlow(mergedEvidence(progress, includeAll), MAX_TAKEOVER_DEVIATIONS);
+            if (isSuspect) {
+                changeState(progress, RolloutState::Reverted, "too slow to take over", isReporter(progress));
+            } else if (hasEnoughAnswers(progress)) {
                 changeState(progress, RolloutState::Takeover, "good", false);
             } else {
                 changeState(progress, RolloutState::Reverted, "too few answers to judge", isReporter(progress));
