Evaluate crash evidence once for each change of it

Cause: the quarantine went over all crashes for each part ten times a second as long as any crash was remembered (ten minutes): up to 64 crashes with 256 parts each, by a search for each part and crash. Ruled out: fewer crashes (the bound is what a large fleet needs). After: all 126 cases of test-gateway pass.

--- a/include/snipeferry/gateway/promptquarantine.h
+++ b/include/snipeferry/gateway/promptquarantine.h
@@ -86,9 +86,15 @@
         int culpritMoments = 0;
         int moments = 0;
         absl::Time lastCrashAt = absl::InfinitePast();
-        bool everEndedWell = false;
+        absl::Time lastMomentAt = absl::InfinitePast();
+        absl::Time lastCulpritMomentAt = absl::InfinitePast();
+        /** When a run with the part last ended well. Earlier crashes do not count. */
+        absl::Time clearedAt = absl::InfinitePast();
 
         bool isEnough() const;
+        bool everEndedWell() const;
+        /** Adds a crash, which must not be earlier than those added before. */
+        void add(const Crash &crash, AnswerProgress progress);
     };
 
     /** A run that ended with its connection. */
@@ -104,7 +110,9 @@
     void evaluate();
     /** Blame of each part by the crashes that no quarantined part explains. */
     std::vector<Blame> unexplainedBlame() const;
-    Blame blameOf(const PartKey &key, const std::vector<const Crash *> &crashes) const;
+    Blame startBlame(const PartKey &key) const;
+    /** Notes that evidence has changed, so that it is evaluated as soon as all reports of it can have arrived. */
+    void evidenceChanged();
     bool isExplained(const Crash &crash) const;
     void quarantine(const PartKey &key, int crashes, absl::Time lastCrashAt, const std::string &source);
     void release(const PartKey &key, const std::string &reason);
@@ -123,6 +131,8 @@
     std::deque<ClosedRun> m_closedRuns;
     std::vector<PartKey> m_clearanceNews;
     std::vector<PartKey> m_quarantineNews;
+    /** Until when the evidence is evaluated; it changes nothing by itself. */
+    absl::Time m_evaluateUntil = absl::InfinitePast();
     core::Signal<QuarantineRecord> m_changed;
     core::Subscription m_evaluationTimer;
     core::Subscription m_sweepTimer;
--- a/source/gateway/promptquarantine.cpp
+++ b/source/gateway/promptquarantine.cpp
@@ -27,6 +27,11 @@
 /** Parts in each of the two maps of parts that ended well. */
 constexpr std::size_t MAX_CLEARED = 4096;
 
+bool isEarlier(const Crash *left, const Crash *right)
+{
+    return left->at < right->at;
+}
+
 } // namespace
 
 bool PromptQuarantine::Blame::isEnough() const
@@ -34,6 +39,11 @@
     return culpritMoments >= CULPRIT_MOMENTS || moments >= ANY_MOMENTS;
 }
 
+bool PromptQuarantine::Blame::everEndedWell() const
+{
+    return clearedAt > absl::InfinitePast();
+}
+
 PromptQuarantine::PromptQuarantine(core::TimerService &timers, Journal &journal)
     : m_timers(timers),
       m_journal(journal),
@@ -48,6 +58,7 @@
     if (server.isDraining) {
         return;
     }
+    evidenceChanged();
     if (reason == REASON_CONNECT_REFUSED) {
         m_crashes.addRefusedConnection(server);
     } else if (reason == REASON_NO_ANSWER || reason == REASON_ANSWER_BROKEN_OFF) {
@@ -95,6 +106,7 @@
 
 void PromptQuarantine::addEndOfProcess(const core::BackendServerId &server)
 {
+    evidenceChanged();
     m_crashes.addEndOfProcess(server);
 }
 
@@ -143,30 +155,28 @@
         [&crash](const auto &entry) { return entry.first.service == crash.service && crash.isExplainedBy(entry.first.part); });
 }
 
-PromptQuarantine::Blame PromptQuarantine::blameOf(const PartKey &key, const std::vector<const Crash *> &crashes) const
+void PromptQuarantine::Blame::add(const Crash &crash, AnswerProgress progress)
+{
+    if (crash.at <= clearedAt) {
+        return;
+    }
+    ++crashes;
+    lastCrashAt = crash.at;
+    if (crash.at - lastMomentAt >= MOMENT_GAP) {
+        ++moments;
+        lastMomentAt = crash.at;
+    }
+    if (progress == AnswerProgress::Begun && crash.at - lastCulpritMomentAt >= MOMENT_GAP) {
+        ++culpritMoments;
+        lastCulpritMomentAt = crash.at;
+    }
+}
+
+PromptQuarantine::Blame PromptQuarantine::startBlame(const PartKey &key) const
 {
     Blame blame;
     blame.key = key;
-    const absl::Time cleared = clearedAt(key);
-    blame.everEndedWell = cleared > absl::InfinitePast();
-    absl::Time lastMoment = absl::InfinitePast();
-    absl::Time lastCulpritMoment = absl::InfinitePast();
-    for (const Crash *crash : crashes) {
-        const auto part = crash->parts.find(key.part);
-        if (crash->service != key.service || part == crash->parts.end() || crash->at <= cleared) {
-            continue;
-        }
-        ++blame.crashes;
-        blame.lastCrashAt = std::max(blame.lastCrashAt, crash->at);
-        if (crash->at - lastMoment >= MOMENT_GAP) {
-            ++blame.moments;
-            lastMoment = crash->at;
-        }
-        if (part->second == AnswerProgress::Begun && crash->at - lastCulpritMoment >= MOMENT_GAP) {
-            ++blame.culpritMoments;
-            lastCulpritMoment = crash->at;
-        }
-    }
+    blame.clearedAt = clearedAt(key);
     return blame;
 }
 
@@ -179,24 +189,34 @@
             crashes.push_back(&crash);
         }
     }
-    std::sort(crashes.begin(), crashes.end(), [](const Crash *left, const Crash *right) { return left->at < right->at; });
-    absl::flat_hash_set<PartKey> keys;
+    std::sort(crashes.begin(), crashes.end(), isEarlier);
+    absl::flat_hash_map<PartKey, Blame> blamed;
     for (const Crash *crash : crashes) {
         for (const auto &part : crash->parts) {
-            keys.insert(PartKey{crash->service, part.first});
+            const PartKey key{crash->service, part.first};
+            auto it = blamed.find(key);
+            if (it == blamed.end()) {
+                it = blamed.emplace(key, startBlame(key)).first;
+            }
+            it->second.add(*crash, part.second);
         }
     }
     std::vector<Blame> all;
-    for (const PartKey &key : keys) {
-        all.push_back(blameOf(key, crashes));
+    for (auto &entry : blamed) {
+        all.push_back(std::move(entry.second));
     }
     return all;
 }
 
+void PromptQuarantine::evidenceChanged()
+{
+    m_evaluateUntil = m_timers.now() + SETTLE_TIME + 2 * EVALUATION_PERIOD;
+}
+
 void PromptQuarantine::evaluate()
 {
     checkClosedRuns();
-    if (m_crashes.all().size() < static_cast<std::size_t>(CULPRIT_MOMENTS)) {
+    if (m_crashes.all().size() < static_cast<std::size_t>(CULPRIT_MOMENTS) || m_timers.now() > m_evaluateUntil) {
         return;
     }
     while (true) {
@@ -207,11 +227,11 @@
         }
         // Among the parts of the most crashes, one that has never ended well is the likelier cause than its neighbours in the same prompts.
         const auto isLess = [](const Blame &left, const Blame &right) {
-            return std::make_pair(left.crashes, !left.everEndedWell) < std::make_pair(right.crashes, !right.everEndedWell);
+            return std::make_pair(left.crashes, !left.everEndedWell()) < std::make_pair(right.crashes, !right.everEndedWell());
         };
         const Blame worst = *std::max_element(blamed.begin(), blamed.end(), isLess);
         for (const Blame &blame : blamed) {
-            if (blame.crashes == worst.crashes && blame.everEndedWell == worst.everEndedWell) {
+            if (blame.crashes == worst.crashes && blame.everEndedWell() == worst.everEndedWell()) {
                 quarantine(blame.key, blame.crashes, blame.lastCrashAt, "evidence");
                 m_quarantineNews.push_back(blame.key);
             }
@@ -226,12 +246,24 @@
     }
     std::vector<const Crash *> crashes;
     for (const Crash &crash : m_crashes.all()) {
-        crashes.push_back(&crash);
+        if (crash.service == service) {
+            crashes.push_back(&crash);
+        }
+    }
+    std::sort(crashes.begin(), crashes.end(), isEarlier);
+    for (const std::string &part : sharedPartIds(parts)) {
+        Blame blame = startBlame(PartKey{service, part});
+        for (const Crash *crash : crashes) {
+            const auto inWork = crash->parts.find(part);
+            if (inWork != crash->parts.end()) {
+                blame.add(*crash, inWork->second);
+            }
+        }
+        if (blame.culpritMoments >= SUSPECT_MOMENTS) {
+            return true;
+        }
     }
-    const std::vector<std::string> ids = sharedPartIds(parts);
-    return std::any_of(ids.begin(), ids.end(), [this, &service, &crashes](const std::string &part) {
-        return blameOf(PartKey{service, part}, crashes).culpritMoments >= SUSPECT_MOMENTS;
-    });
+    return false;
 }
 
 void PromptQuarantine::quarantine(const PartKey &key, int crashes, absl::Time lastCrashAt, const std::string &source)
@@ -287,6 +319,7 @@
     }
     for (const CrashReport &report : message.crashes) {
         if (m_crashes.merge(report)) {
+            evidenceChanged();
             fresh.crashes.push_back(report);
         }
     }
