--- a/tests/gateway/crashhistorytest.cpp
+++ b/tests/gateway/crashhistorytest.cpp
@@ -135,7 +135,7 @@
     for (const gateway::CrashReport &report : fixture.quarantine.takeNews().crashes) {
         reported += report.parts.size();
     }
-    CHECK(reported <= 64 * 256);
+    CHECK(reported <= std::size_t{64} * 256);
     CHECK(fixture.quarantine.summary().crashes.size() <= 16);
     CHECK(fixture.isQuarantined("bad"));
 }
--- a/tests/gateway/enginefleet.cpp
+++ b/tests/gateway/enginefleet.cpp
@@ -231,6 +231,7 @@
 {
     constexpr int PART_TOKENS = 300;
     std::vector<std::string> parts;
+    parts.reserve(sharedParts.size() + 1);
     for (const std::string &part : sharedParts) {
         parts.push_back(absl::StrCat(part, ":", PART_TOKENS));
     }
