--- a/include/snipeferry/gateway/promptquarantine.h
+++ b/include/snipeferry/gateway/promptquarantine.h
@@ -3,6 +3,7 @@
 #include "snipeferry/core/signal.h"
 #include "snipeferry/core/timerservice.h"
 #include "snipeferry/gateway/crashhistory.h"
+#include "snipeferry/gateway/partblame.h"
 #include "snipeferry/gateway/ports.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -77,26 +78,6 @@
         absl::Time lastAskedAt;
     };
 
-    /** What the crashes since a part last ended well say about it. */
-    struct Blame
-    {
-        PartKey key;
-        int crashes = 0;
-        /** Moments at which it was in work like a culprit, and at which it was in work at all. */
-        int culpritMoments = 0;
-        int moments = 0;
-        absl::Time lastCrashAt = absl::InfinitePast();
-        absl::Time lastMomentAt = absl::InfinitePast();
-        absl::Time lastCulpritMomentAt = absl::InfinitePast();
-        /** When a run with the part last ended well. Earlier crashes do not count. */
-        absl::Time clearedAt = absl::InfinitePast();
-
-        bool isEnough() const;
-        bool everEndedWell() const;
-        /** Adds a crash, which must not be earlier than those added before. */
-        void add(const Crash &crash, AnswerProgress progress);
-    };
-
     /** A run that ended with its connection. */
     struct ClosedRun
     {
@@ -109,8 +90,8 @@
     void checkClosedRuns();
     void evaluate();
     /** Blame of each part by the crashes that no quarantined part explains. */
-    std::vector<Blame> unexplainedBlame() const;
-    Blame startBlame(const PartKey &key) const;
+    std::vector<PartBlame> unexplainedBlame() const;
+    PartBlame startBlame(const PartKey &key) const;
     /** Notes that evidence has changed, so that it is evaluated as soon as all reports of it can have arrived. */
     void evidenceChanged();
     bool isExplained(const Crash &crash) const;
--- a/include/snipeferry/net/storeclient.h
+++ b/include/snipeferry/net/storeclient.h
@@ -26,6 +26,8 @@
     absl::Duration renewPeriod = absl::Seconds(3);
 };
 
+class StoreWriter;
+
 /**
  * The one client of the platform's store: follows three topics and keeps the announcement of this instance alive.
  *
@@ -46,12 +48,11 @@
 
     class Follower;
     class Announcer;
-    class Teller;
 
 private:
     std::array<std::shared_ptr<Follower>, gateway::TOPIC_COUNT> m_followers;
     std::shared_ptr<Announcer> m_announcer;
-    std::shared_ptr<Teller> m_teller;
+    std::shared_ptr<StoreWriter> m_writer;
 };
 
 } // namespace snipeferry::net
--- a/source/gateway/gatewayfleet.cpp
+++ b/source/gateway/gatewayfleet.cpp
@@ -313,43 +313,6 @@
     return peers;
 }
 
-void Gateway::sendLimitNews()
-{
-    const std::vector<ServerLimit> news = m_backends.limits().takeNews();
-    if (!news.empty()) {
-        m_ports.links.sendToAll(linkedRegionInstances(), ServerLimitsNotice{news});
-    }
-}
-
-void Gateway::handle(const core::InstanceId &from, const ServerLimitsNotice &message)
-{
-    const std::vector<ServerLimit> fresh = m_backends.limits().receive(message.limits);
-    // In a large region the sender has told the relays alone.
-    if (!fresh.empty() && m_fleet.isRelay()) {
-        m_ports.links.sendToAll(linkedRegionInstances(from), ServerLimitsNotice{fresh});
-    }
-}
-
-void Gateway::handle(const core::InstanceId &from, const PromptEvidence &message)
-{
-    const PromptEvidence fresh = m_quarantine.receive(message);
-    if (fresh.isEmpty()) {
-        return;
-    }
-    // The sender has told all instances that it is linked to: in a small region all, of another region a few, in a large region the relays.
-    const bool isFromOwnRegion = m_fleet.isInOwnRegion(from);
-    if (isFromOwnRegion && !m_fleet.isRelay()) {
-        return;
-    }
-    std::vector<core::InstanceId> receivers;
-    for (const core::InstanceId &peer : m_fleet.linkedInstances()) {
-        if (peer != from && (isFromOwnRegion || m_fleet.isInOwnRegion(peer))) {
-            receivers.push_back(peer);
-        }
-    }
-    m_ports.links.sendToAll(receivers, fresh);
-}
-
 void Gateway::handle(const core::InstanceId &from, const ForwardRequest &message)
 {
     m_forwardReceiver.handle(from, message);
--- /dev/null
+++ b/source/gateway/gatewayrecords.cpp
@@ -0,0 +1,175 @@
+#include "snipeferry/gateway/gateway.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+// What the records of the store say, and what follows from it.
+namespace snipeferry::gateway {
+
+namespace {
+
+/**
+ * How long after the store's return a backend server whose announcement lapsed stays in use. Its new announcement arrives within about two seconds of
+ * the return.
+ */
+constexpr absl::Duration REANNOUNCE_TIMEOUT = absl::Milliseconds(2600);
+/** The same as a limit by the time in which a leaving backend server may get requests: it may also have left just after the store's return. */
+constexpr double REANNOUNCE_DRAIN_FRACTION = 0.85;
+
+} // namespace
+
+void Gateway::applyRecordChanges(Topic topic, const std::vector<RecordChange> &changes)
+{
+    for (const RecordChange &change : changes) {
+        switch (topic) {
+        case Topic::Operator:
+            applyOperatorRecord(change);
+            break;
+        case Topic::BackendServers:
+            applyBackendServerRecord(change);
+            break;
+        case Topic::Members:
+            applyMemberRecord(change);
+            break;
+        }
+    }
+    if (topic == Topic::Members && !changes.empty()) {
+        updateInstances();
+        m_membersChanged.emit(MembersChanged{m_fleet.membersToLink()});
+    }
+}
+
+void Gateway::applyOperatorRecord(const RecordChange &change)
+{
+    const core::Expected<OperatorRecord> record = m_ports.records.decodeOperator(change);
+    if (!record) {
+        m_ports.journal.log(core::LogEvent{"operator_record_unreadable", {}}.with("key", change.key).with("error", record.error().message));
+        return;
+    }
+    switch (record->kind) {
+    case OperatorRecord::Kind::Deployment: {
+        // Ignore the removal of the deployment, and an older version.
+        const bool isNewer = record->deployment.has_value() && (m_routes == nullptr || record->deployment->version > m_routes->deployment().version);
+        if (!isNewer) {
+            return;
+        }
+        m_routes = std::make_shared<const RouteTable>(*record->deployment);
+        m_backends.configure(m_routes->deployment().services);
+        m_allowances.configure(m_routes->deployment().customers);
+        m_requestFlow.configure(m_routes);
+        m_limitsChanged.emit(LimitsChanged{m_routes->deployment().limits});
+        m_ports.journal.log(core::LogEvent{"deployment_in_force", {}}
+                                .with("version", absl::StrCat(record->deployment->version))
+                                .with("revision", absl::StrCat(change.revision)));
+        return;
+    }
+    case OperatorRecord::Kind::Evacuation:
+        m_backends.setEvacuated(record->dataCentre, change.value.has_value());
+        m_ports.journal.log(core::LogEvent{
+            "evacuation", {}}.with("data_centre", record->dataCentre.value())
+                                .with("is_evacuated", change.value.has_value() ? "true" : "false")
+                                .with("revision", absl::StrCat(change.revision)));
+        return;
+    case OperatorRecord::Kind::Rollout:
+        if (record->rollout.has_value()) {
+            m_rollouts.order(*record->rollout, change.revision);
+        } else {
+            m_rollouts.withdraw(record->service);
+        }
+        m_ports.journal.log(core::LogEvent{"rollout_ordered", {}}
+                                .with("service", record->service.value())
+                                .with("is_withdrawn", record->rollout.has_value() ? "false" : "true")
+                                .with("revision", absl::StrCat(change.revision)));
+        return;
+    case OperatorRecord::Kind::Other:
+        m_ports.journal.log(core::LogEvent{"operator_record_ignored", {}}.with("key", change.key));
+        return;
+    }
+}
+
+void Gateway::applyBackendServerRecord(const RecordChange &change)
+{
+    const core::BackendServerId id = m_ports.records.backendServerOf(change.key);
+    if (!change.value.has_value()) {
+        const bool mayHaveLapsed = m_isStoreLost || m_ports.timers.now() < lapsedServersRemovedAt();
+        if (mayHaveLapsed) {
+            m_lapsedServers.insert(id);
+        } else {
+            m_quarantine.addEndOfProcess(id);
+            m_backends.remove(id);
+        }
+        m_ports.journal.log(core::LogEvent{"server_gone", {}}.with("server", id.value()).with("is_held", mayHaveLapsed ? "true" : "false"));
+        return;
+    }
+    const core::Expected<BackendServer> server = m_ports.records.decodeBackendServer(change.key, *change.value);
+    m_lapsedServers.erase(id);
+    if (!server) {
+        // An unreadable announcement removes the backend server.
+        m_backends.remove(id);
+        m_ports.journal.log(core::LogEvent{"server_unreadable", {}}.with("server", id.value()).with("error", server.error().message));
+        return;
+    }
+    // Requests are sent only to backend servers of the own region. Those of other regions only serve as sources of cached prompt state.
+    const auto serverRegion = m_settings.regions.find(server->dataCentre);
+    if (serverRegion == m_settings.regions.end() || serverRegion->second != m_settings.self.region) {
+        m_backends.announceRemote(*server);
+        return;
+    }
+    const BackendServer *known = m_backends.find(id);
+    if (known != nullptr && known->startedAtMs != server->startedAtMs) {
+        m_quarantine.addEndOfProcess(id);
+    }
+    m_backends.announce(*server);
+    m_ports.journal.log(core::LogEvent{"server_announced", {}}
+                            .with("server", id.value())
+                            .with("service", server->service.value())
+                            .with("version", server->version.value())
+                            .with("is_draining", server->isDraining ? "true" : "false")
+                            .with("cold_ms", absl::StrCat(absl::ToInt64Milliseconds(server->coldLeft)))
+                            .with("revision", absl::StrCat(change.revision)));
+}
+
+absl::Time Gateway::lapsedServersRemovedAt() const
+{
+    return m_storeRegainedAt + std::min(REANNOUNCE_TIMEOUT, m_settings.serverDrainTime * REANNOUNCE_DRAIN_FRACTION);
+}
+
+void Gateway::removeLapsedServers()
+{
+    // No backend server can renew its announcement before the store's return.
+    if (!m_isStoreLost && m_ports.timers.now() >= lapsedServersRemovedAt()) {
+        for (const core::BackendServerId &id : std::exchange(m_lapsedServers, {})) {
+            m_backends.remove(id);
+            m_ports.journal.log(core::LogEvent{"server_gone", {}}.with("server", id.value()).with("is_held", "false"));
+        }
+    }
+    updateInstances();
+}
+
+void Gateway::applyMemberRecord(const RecordChange &change)
+{
+    if (m_ports.records.isQuarantineKey(change.key)) {
+        applyQuarantineRecord(change);
+        return;
+    }
+    if (!change.value.has_value()) {
+        const auto known = m_memberKeys.find(change.key);
+        if (known != m_memberKeys.end()) {
+            m_fleet.removeMember(known->second);
+            m_ports.journal.log(core::LogEvent{"member_gone", {}}.with("instance", known->second.value()));
+        }
+        return;
+    }
+    const core::Expected<Member> member = m_ports.records.decodeMember(*change.value);
+    if (!member) {
+        m_ports.journal.log(core::LogEvent{"member_unreadable", {}}.with("key", change.key).with("error", member.error().message));
+        return;
+    }
+    m_memberKeys[change.key] = member->id;
+    m_fleet.announceMember(*member);
+    m_ports.journal.log(core::LogEvent{"member_announced", {}}.with("instance", member->id.value()).with("peer_address", member->peerAddress));
+}
+
+} // namespace snipeferry::gateway
--- a/source/gateway/promptquarantine.cpp
+++ b/source/gateway/promptquarantine.cpp
@@ -9,18 +9,11 @@
 
 namespace {
 
-/** Crashes that are closer in time than this count as one moment. */
-constexpr absl::Duration MOMENT_GAP = absl::Milliseconds(250);
 /** Time after a crash's confirmation in which the other instances' reports of it, and of runs that ended well since, arrive. */
 constexpr absl::Duration SETTLE_TIME = absl::Milliseconds(600);
 /** Time after which a run that ended with its connection counts as sound, if there is no sign of a crash. */
 constexpr absl::Duration CLOSED_RUN_DELAY = absl::Milliseconds(300);
 constexpr std::size_t MAX_CLOSED_RUNS = 1024;
-/** Moments from which a part is quarantined: those at which it was in work like a culprit, or in work at all. */
-constexpr int CULPRIT_MOMENTS = 3;
-constexpr int ANY_MOMENTS = 5;
-/** Moments from which a run with the part is not repeated after a crash. */
-constexpr int SUSPECT_MOMENTS = 2;
 constexpr absl::Duration EVALUATION_PERIOD = absl::Milliseconds(100);
 constexpr absl::Duration SWEEP_PERIOD = absl::Seconds(1);
 constexpr std::size_t MAX_QUARANTINED = 128;
@@ -34,16 +27,6 @@
 
 } // namespace
 
-bool PromptQuarantine::Blame::isEnough() const
-{
-    return culpritMoments >= CULPRIT_MOMENTS || moments >= ANY_MOMENTS;
-}
-
-bool PromptQuarantine::Blame::everEndedWell() const
-{
-    return clearedAt > absl::InfinitePast();
-}
-
 PromptQuarantine::PromptQuarantine(core::TimerService &timers, Journal &journal)
     : m_timers(timers),
       m_journal(journal),
@@ -155,32 +138,12 @@
         [&crash](const auto &entry) { return entry.first.service == crash.service && crash.isExplainedBy(entry.first.part); });
 }
 
-void PromptQuarantine::Blame::add(const Crash &crash, AnswerProgress progress)
-{
-    if (crash.at <= clearedAt) {
-        return;
-    }
-    ++crashes;
-    lastCrashAt = crash.at;
-    if (crash.at - lastMomentAt >= MOMENT_GAP) {
-        ++moments;
-        lastMomentAt = crash.at;
-    }
-    if (progress == AnswerProgress::Begun && crash.at - lastCulpritMomentAt >= MOMENT_GAP) {
-        ++culpritMoments;
-        lastCulpritMomentAt = crash.at;
-    }
-}
-
-PromptQuarantine::Blame PromptQuarantine::startBlame(const PartKey &key) const
+PartBlame PromptQuarantine::startBlame(const PartKey &key) const
 {
-    Blame blame;
-    blame.key = key;
-    blame.clearedAt = clearedAt(key);
-    return blame;
+    return PartBlame(key, clearedAt(key));
 }
 
-std::vector<PromptQuarantine::Blame> PromptQuarantine::unexplainedBlame() const
+std::vector<PartBlame> PromptQuarantine::unexplainedBlame() const
 {
     const absl::Time now = m_timers.now();
     std::vector<const Crash *> crashes;
@@ -190,7 +153,7 @@
         }
     }
     std::sort(crashes.begin(), crashes.end(), isEarlier);
-    absl::flat_hash_map<PartKey, Blame> blamed;
+    absl::flat_hash_map<PartKey, PartBlame> blamed;
     for (const Crash *crash : crashes) {
         for (const auto &part : crash->parts) {
             const PartKey key{crash->service, part.first};
@@ -201,7 +164,7 @@
             it->second.add(*crash, part.second);
         }
     }
-    std::vector<Blame> all;
+    std::vector<PartBlame> all;
     for (auto &entry : blamed) {
         all.push_back(std::move(entry.second));
     }
@@ -216,24 +179,24 @@
 void PromptQuarantine::evaluate()
 {
     checkClosedRuns();
-    if (m_crashes.all().size() < static_cast<std::size_t>(CULPRIT_MOMENTS) || m_timers.now() > m_evaluateUntil) {
+    if (m_timers.now() > m_evaluateUntil) {
         return;
     }
     while (true) {
-        std::vector<Blame> blamed = unexplainedBlame();
-        blamed.erase(std::remove_if(blamed.begin(), blamed.end(), [](const Blame &blame) { return !blame.isEnough(); }), blamed.end());
+        std::vector<PartBlame> blamed = unexplainedBlame();
+        blamed.erase(std::remove_if(blamed.begin(), blamed.end(), [](const PartBlame &blame) { return !blame.isEnough(); }), blamed.end());
         if (blamed.empty()) {
             return;
         }
         // Among the parts of the most crashes, one that has never ended well is the likelier cause than its neighbours in the same prompts.
-        const auto isLess = [](const Blame &left, const Blame &right) {
-            return std::make_pair(left.crashes, !left.everEndedWell()) < std::make_pair(right.crashes, !right.everEndedWell());
+        const auto isLess = [](const PartBlame &left, const PartBlame &right) {
+            return std::make_pair(left.crashes(), !left.everEndedWell()) < std::make_pair(right.crashes(), !right.everEndedWell());
         };
-        const Blame worst = *std::max_element(blamed.begin(), blamed.end(), isLess);
-        for (const Blame &blame : blamed) {
-            if (blame.crashes == worst.crashes && blame.everEndedWell() == worst.everEndedWell()) {
-                quarantine(blame.key, blame.crashes, blame.lastCrashAt, "evidence");
-                m_quarantineNews.push_back(blame.key);
+        const PartBlame worst = *std::max_element(blamed.begin(), blamed.end(), isLess);
+        for (const PartBlame &blame : blamed) {
+            if (blame.crashes() == worst.crashes() && blame.everEndedWell() == worst.everEndedWell()) {
+                quarantine(blame.key(), blame.crashes(), blame.lastCrashAt(), "evidence");
+                m_quarantineNews.push_back(blame.key());
             }
         }
     }
@@ -241,9 +204,6 @@
 
 bool PromptQuarantine::isSuspect(const core::ServiceId &service, const std::vector<PromptPart> &parts) const
 {
-    if (m_crashes.all().size() < static_cast<std::size_t>(SUSPECT_MOMENTS)) {
-        return false;
-    }
     std::vector<const Crash *> crashes;
     for (const Crash &crash : m_crashes.all()) {
         if (crash.service == service) {
@@ -252,14 +212,14 @@
     }
     std::sort(crashes.begin(), crashes.end(), isEarlier);
     for (const std::string &part : sharedPartIds(parts)) {
-        Blame blame = startBlame(PartKey{service, part});
+        PartBlame blame = startBlame(PartKey{service, part});
         for (const Crash *crash : crashes) {
             const auto inWork = crash->parts.find(part);
             if (inWork != crash->parts.end()) {
                 blame.add(*crash, inWork->second);
             }
         }
-        if (blame.culpritMoments >= SUSPECT_MOMENTS) {
+        if (blame.isSuspect()) {
             return true;
         }
     }
--- a/source/net/storeclient.cpp
+++ b/source/net/storeclient.cpp
@@ -1,21 +1,19 @@
 #include "snipeferry/net/storeclient.h"
 
+#include "backoff.h"
 #include "httpcaller.h"
+#include "storewriter.h"
 
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
-#include <deque>
 #include <optional>
 #include <random>
-#include <variant>
 
 namespace snipeferry::net {
 
 namespace {
 
-constexpr absl::Duration FIRST_PAUSE = absl::Milliseconds(100);
-constexpr absl::Duration LONGEST_PAUSE = absl::Milliseconds(800);
 constexpr absl::Duration READ_TIMEOUT = absl::Milliseconds(2500);
 /** An instance that lets another one follow a topic looks this often whether it is still so. */
 constexpr absl::Duration TURN_CHECK_PERIOD = absl::Milliseconds(200);
@@ -35,33 +33,6 @@
 constexpr int HTTP_OK = 200;
 constexpr int HTTP_NOT_FOUND = 404;
 constexpr int HTTP_GONE = 410;
-/** Precondition failed: a guard stands in the way. */
-constexpr int HTTP_CONFLICT = 412;
-
-/** Pauses between failed calls; they grow, and differ between instances. */
-class Backoff
-{
-public:
-    explicit Backoff(std::uint64_t seed)
-        : m_random(seed)
-    {
-    }
-
-    absl::Duration next()
-    {
-        m_pause = std::clamp(m_pause * 2, FIRST_PAUSE, LONGEST_PAUSE);
-        return m_pause * std::uniform_real_distribution<double>(0.5, 1.0)(m_random);
-    }
-
-    void reset()
-    {
-        m_pause = absl::ZeroDuration();
-    }
-
-private:
-    absl::Duration m_pause;
-    std::mt19937_64 m_random;
-};
 
 } // namespace
 
@@ -362,124 +333,6 @@
     core::Subscription m_pause;
 };
 
-/** Stores decisions about rollouts and quarantined prompt parts one after the other, each until the store has answered. */
-class StoreClient::Teller : public std::enable_shared_from_this<StoreClient::Teller>
-{
-public:
-    Teller(EventLoop &loop, const StoreClientSettings &settings, const StoreFormat &format, const gateway::RecordCodec &records, gateway::Gateway &gateway,
-        gateway::Journal &journal)
-        : m_loop(loop),
-          m_format(format),
-          m_records(records),
-          m_gateway(gateway),
-          m_journal(journal),
-          m_caller(std::make_shared<HttpCaller>(loop, settings.address)),
-          m_backoff(std::random_device()())
-    {
-    }
-
-    void tell(const gateway::RolloutDecision &decision)
-    {
-        enqueue(decision);
-    }
-
-    void write(const gateway::Record &record)
-    {
-        enqueue(record);
-    }
-
-private:
-    using Task = std::variant<gateway::RolloutDecision, gateway::Record>;
-
-    void enqueue(Task task)
-    {
-        m_waiting.push_back(std::move(task));
-        if (m_waiting.size() == 1) {
-            send();
-        }
-    }
-
-    void call(const gateway::HttpRequest &request, const std::string &kind)
-    {
-        m_journal.count("store_calls_total", kind, 1);
-        m_caller->call(request, READ_TIMEOUT, [self = shared_from_this()](const core::Expected<CallAnswer> &answer) { self->answered(answer); });
-    }
-
-    static bool isFinal(const gateway::RolloutDecision &decision)
-    {
-        return decision.state == gateway::RolloutState::Completed || decision.state == gateway::RolloutState::Reverted;
-    }
-
-    void send()
-    {
-        if (const gateway::Record *record = std::get_if<gateway::Record>(&m_waiting.front())) {
-            call(m_format.writeRecords({*record}, std::nullopt), "quarantine");
-            return;
-        }
-        const gateway::RolloutDecision &decision = std::get<gateway::RolloutDecision>(m_waiting.front());
-        std::optional<gateway::Record> guard;
-        if (isFinal(decision)) {
-            guard = m_records.rolloutDecision(decision.order, decision.revision, decision.state);
-        }
-        call(m_format.writeRecords({m_records.rolloutStatus(decision.order, decision.state)}, guard), "rollout");
-    }
-
-    void answered(const core::Expected<CallAnswer> &answer)
-    {
-        const bool isConflict = answer && answer->status == HTTP_CONFLICT;
-        if (!answer || (answer->status != HTTP_OK && !isConflict)) {
-            m_pause = m_loop.timers().after(m_backoff.next(), [self = shared_from_this()] { self->send(); });
-            return;
-        }
-        m_backoff.reset();
-        const Task task = std::move(m_waiting.front());
-        if (const gateway::Record *record = std::get_if<gateway::Record>(&task)) {
-            m_journal.log(core::LogEvent{"quarantine_stored", {}}.with("key", record->key));
-        } else {
-            told(std::get<gateway::RolloutDecision>(task), *answer, isConflict);
-        }
-        m_waiting.pop_front();
-        if (!m_waiting.empty()) {
-            send();
-        }
-    }
-
-    void told(const gateway::RolloutDecision &decision, const CallAnswer &answer, bool isConflict)
-    {
-        // Where another decision came first, or this one's answer was lost, what the store holds stands.
-        const gateway::RolloutState state = isConflict ? heldState(answer.body, decision.state) : decision.state;
-        if (isFinal(decision)) {
-            m_gateway.rolloutStored(decision.order.service, decision.revision, state);
-        }
-        m_journal.log(core::LogEvent{"rollout_told", {}}
-                          .with("service", decision.order.service.value())
-                          .with("target", decision.order.target.value())
-                          .with("state", absl::StrCat(static_cast<int>(state)))
-                          .with("reason", decision.reason)
-                          .with("is_conflict", isConflict ? "true" : "false"));
-    }
-
-    gateway::RolloutState heldState(const std::string &body, gateway::RolloutState own) const
-    {
-        const core::Expected<gateway::Record> record = m_format.decodeConflict(body);
-        const core::Expected<gateway::RolloutState> held = record ? m_records.decodeDecision(record->value) : tl::make_unexpected(record.error());
-        if (!held) {
-            m_journal.log(core::LogEvent{"rollout_decision_unreadable", {}}.with("error", held.error().message));
-        }
-        return held.value_or(own);
-    }
-
-    EventLoop &m_loop;
-    const StoreFormat &m_format;
-    const gateway::RecordCodec &m_records;
-    gateway::Gateway &m_gateway;
-    gateway::Journal &m_journal;
-    std::shared_ptr<HttpCaller> m_caller;
-    Backoff m_backoff;
-    std::deque<Task> m_waiting;
-    core::Subscription m_pause;
-};
-
 StoreClient::StoreClient(EventLoop &loop, const StoreClientSettings &settings, const StoreFormat &format, const gateway::RecordCodec &records,
     gateway::Gateway &gateway, gateway::Journal &journal)
 {
@@ -488,9 +341,9 @@
         m_followers[index] = std::make_shared<Follower>(loop, settings, static_cast<gateway::Topic>(index), waits[index], format, gateway, journal);
     }
     m_announcer = std::make_shared<Announcer>(loop, settings, format, gateway, journal);
-    m_teller = std::make_shared<Teller>(loop, settings, format, records, gateway, journal);
-    gateway.rolloutDecided().subscribe([teller = m_teller](const gateway::RolloutDecision &decision) { teller->tell(decision); });
-    gateway.recordToStore().subscribe([teller = m_teller](const gateway::RecordToStore &task) { teller->write(task.record); });
+    m_writer = std::make_shared<StoreWriter>(loop, settings, format, records, gateway, journal);
+    gateway.rolloutDecided().subscribe([writer = m_writer](const gateway::RolloutDecision &decision) { writer->write(decision); });
+    gateway.recordToStore().subscribe([writer = m_writer](const gateway::RecordToStore &task) { writer->write(task.record); });
 }
 
 StoreClient::~StoreClient() = default;
--- a/tests/gateway/enginefleet.cpp
+++ b/tests/gateway/enginefleet.cpp
@@ -1,187 +1,69 @@
-#include "enginefleet.h"
-
-#include "snipeferry/gateway/answerprogress.h"
+#include "enginefleetparts.h"
 
 #include <absl/strings/str_join.h>
 
 #include <algorithm>
-#include <deque>
 
+// The instances of the fleet, their links and the store.
 namespace snipeferry::tests {
 
 namespace {
 
 constexpr absl::Duration STEP = absl::Milliseconds(5);
 constexpr absl::Duration HOUSEKEEPING_PERIOD = absl::Milliseconds(200);
-constexpr absl::Duration REGION_LATENCY = absl::Milliseconds(1);
 constexpr absl::Duration OTHER_REGION_LATENCY = absl::Milliseconds(55);
-/** An engine's announcement lapses after three missing reports, and the engine is back a little later. */
-constexpr absl::Duration LAPSE_TIME = absl::Milliseconds(3600);
-constexpr absl::Duration RESTART_TIME = absl::Milliseconds(4000);
-constexpr absl::Duration PREFILL_TIME = absl::Milliseconds(60);
-constexpr absl::Duration EVENT_TIME = absl::Milliseconds(20);
-constexpr int EVENTS = 12;
-/** Time between the head of an answer and the crash of an engine that begins to write it. */
-constexpr absl::Duration CRASH_DELAY = absl::Milliseconds(40);
-
-std::vector<std::string> sharedPartsOf(const gateway::HttpRequest &request)
-{
-    std::vector<std::string> ids;
-    for (const absl::string_view part : absl::StrSplit(FakeHeaders::value(request.headers, "parts"), ',', absl::SkipEmpty())) {
-        ids.emplace_back(part.substr(0, part.find(':')));
-    }
-    if (!ids.empty()) {
-        ids.pop_back();
-    }
-    return ids;
-}
+constexpr absl::Duration LEASE_TIME = absl::Seconds(9);
+constexpr absl::Duration RENEW_PERIOD = absl::Seconds(3);
+/** Time in which a fleet has its links, and each started instance has heard of all others. */
+constexpr absl::Duration START_TIME = absl::Seconds(8);
+constexpr gateway::Topic TOPICS[] = {gateway::Topic::Operator, gateway::Topic::BackendServers, gateway::Topic::Members};
+
+} // namespace
 
 std::string regionName(std::size_t region)
 {
     return absl::StrCat("region", region);
 }
 
-} // namespace
-
-struct EngineFleet::Run
-{
-    Instance *instance = nullptr;
-    gateway::Number number = 0;
-    std::vector<std::string> sharedParts;
-    bool hasHead = false;
-};
-
-struct EngineFleet::Engine
-{
-    gateway::BackendServer server;
-    std::size_t region = 0;
-    bool isUp = true;
-    /** Number of the engine's present process. */
-    std::uint64_t boot = 0;
-    std::optional<double> limit;
-    std::vector<Run> runs;
-};
-
-class EngineFleet::Links : public gateway::FleetLinks
-{
-public:
-    Links(EngineFleet &fleet, std::size_t self)
-        : m_fleet(fleet),
-          m_self(self)
-    {
-    }
-
-    bool send(const core::InstanceId &to, const gateway::FleetMessage &message) override;
-
-    void sendToAll(const std::vector<core::InstanceId> &to, const gateway::FleetMessage &message) override
-    {
-        for (const core::InstanceId &instance : to) {
-            send(instance, message);
-        }
-    }
-
-private:
-    EngineFleet &m_fleet;
-    std::size_t m_self;
-};
-
-class EngineFleet::Runs : public gateway::RunTransport
-{
-public:
-    Runs(EngineFleet &fleet, std::size_t self)
-        : m_fleet(fleet),
-          m_self(self)
-    {
-    }
-
-    void start(
-        gateway::Number run, const gateway::BackendServer &server, const gateway::HttpRequest &request, const core::RequestId &id, bool mayReuse) override;
-    void cancel(gateway::Number run) override;
-    void setPaused(gateway::Number run, bool isPaused) override;
-
-private:
-    EngineFleet &m_fleet;
-    std::size_t m_self;
-};
-
-struct EngineFleet::Instance
-{
-    Instance(EngineFleet &fleet, std::size_t index, gateway::Member self, std::size_t regionIndex)
-        : member(std::move(self)),
-          region(regionIndex),
-          links(fleet, index),
-          runs(fleet, index)
-    {
-    }
-
-    gateway::Member member;
-    std::size_t region;
-    Links links;
-    Runs runs;
-    FakeJournal journal;
-    bool isCutOff = false;
-    /** Empty while the instance is down. */
-    std::unique_ptr<gateway::Gateway> gateway;
-};
-
-bool EngineFleet::Links::send(const core::InstanceId &to, const gateway::FleetMessage &message)
+EngineFleet::Links::Links(EngineFleet &fleet, std::size_t self)
+    : m_fleet(fleet),
+      m_self(self)
 {
-    for (std::size_t index = 0; index < m_fleet.m_instances.size(); ++index) {
-        if (m_fleet.m_instances[index]->member.id != to) {
-            continue;
-        }
-        const std::pair<std::size_t, std::size_t> link = std::minmax(m_self, index);
-        if (m_fleet.m_links.count(link) == 0) {
-            return false;
-        }
-        Instance &sender = *m_fleet.m_instances[m_self];
-        Instance &receiver = *m_fleet.m_instances[index];
-        const gateway::Gateway *process = receiver.gateway.get();
-        m_fleet.at(m_fleet.latency(sender, receiver), [&receiver, process, from = sender.member.id, message] {
-            if (receiver.gateway != nullptr && receiver.gateway.get() == process) {
-                receiver.gateway->received(from, message);
-            }
-        });
-        return true;
-    }
-    return false;
 }
 
-void EngineFleet::Runs::start(
-    gateway::Number run, const gateway::BackendServer &server, const gateway::HttpRequest &request, const core::RequestId & /*id*/, bool /*mayReuse*/)
+bool EngineFleet::Links::send(const core::InstanceId &to, const gateway::FleetMessage &message)
 {
-    Instance &instance = *m_fleet.m_instances[m_self];
-    m_fleet.at(REGION_LATENCY, [this, &instance, run, server, request] {
-        if (instance.gateway != nullptr) {
-            m_fleet.arrive(instance, run, server, request);
+    const auto number = m_fleet.m_instanceNumbers.find(to);
+    if (number == m_fleet.m_instanceNumbers.end()) {
+        return false;
+    }
+    const std::pair<std::size_t, std::size_t> link = std::minmax(m_self, number->second);
+    if (m_fleet.m_links.count(link) == 0) {
+        return false;
+    }
+    Instance &sender = *m_fleet.m_instances[m_self];
+    Instance &receiver = *m_fleet.m_instances[number->second];
+    const gateway::Gateway *process = receiver.gateway.get();
+    m_fleet.at(m_fleet.latency(sender, receiver), [this, link, &receiver, process, from = sender.member.id, message] {
+        // What is under way when a link is cut is lost.
+        if (receiver.gateway.get() == process && m_fleet.m_links.count(link) > 0) {
+            m_fleet.deliver(receiver, [from, message](gateway::Gateway &gateway) { gateway.received(from, message); });
         }
     });
+    return true;
 }
 
-void EngineFleet::Runs::cancel(gateway::Number run)
+void EngineFleet::Links::sendToAll(const std::vector<core::InstanceId> &to, const gateway::FleetMessage &message)
 {
-    for (const std::unique_ptr<Engine> &engine : m_fleet.m_engines) {
-        const auto isRun = [this, run](const Run &candidate) {
-            return candidate.number == run && candidate.instance == m_fleet.m_instances[m_self].get();
-        };
-        engine->runs.erase(std::remove_if(engine->runs.begin(), engine->runs.end(), isRun), engine->runs.end());
+    for (const core::InstanceId &instance : to) {
+        send(instance, message);
     }
 }
 
-void EngineFleet::Runs::setPaused(gateway::Number /*run*/, bool /*isPaused*/)
-{
-    // Callers of this fleet take their answers at once.
-}
-
 EngineFleet::EngineFleet(std::uint64_t seed, FleetShape shape)
     : m_random(seed)
 {
-    for (std::size_t region = 0; region < shape.instances.size(); ++region) {
-        for (int number = 0; number < shape.instances[region]; ++number) {
-            const gateway::Member member = GatewayFixture::member(absl::StrCat("gw-", region, "-", number), regionName(region));
-            m_instances.push_back(std::make_unique<Instance>(*this, m_instances.size(), member, region));
-            storeRecord(gateway::Topic::Members, member.id.value(), nlohmann::json(member).dump());
-        }
+    for (std::size_t region = 0; region < shape.engines.size(); ++region) {
         for (int number = 0; number < shape.engines[region]; ++number) {
             std::unique_ptr<Engine> engine = std::make_unique<Engine>();
             engine->region = region;
@@ -195,31 +77,80 @@
     gateway::Deployment deployment = GatewayFixture::deployment();
     deployment.services.front().isModelEngine = true;
     deployment.services.front().coldRate = 0;
+    gateway::Route keyedStream = GatewayFixture::route("/keyed-stream/");
+    keyedStream.isOpen = false;
+    keyedStream.isStream = true;
+    deployment.routes.push_back(keyedStream);
     storeRecord(gateway::Topic::Operator, "deployment", nlohmann::json(deployment).dump());
+    for (std::size_t region = 0; region < shape.instances.size(); ++region) {
+        for (int number = 0; number < shape.instances[region]; ++number) {
+            add(region);
+        }
+    }
+    // All are announced before the first one starts, as after a restart of the whole fleet within its leases.
+    for (const std::unique_ptr<Instance> &instance : m_instances) {
+        instance->isAnnounced = true;
+        instance->renewedAt = m_clock.now();
+        storeRecord(gateway::Topic::Members, instance->member.id.value(), nlohmann::json(instance->member).dump());
+    }
     for (std::size_t index = 0; index < m_instances.size(); ++index) {
         start(index);
     }
-    advance(absl::Seconds(3));
+    advance(START_TIME);
 }
 
 EngineFleet::~EngineFleet() = default;
 
+std::size_t EngineFleet::add(std::size_t region)
+{
+    const std::size_t index = m_instances.size();
+    const gateway::Member member = GatewayFixture::member(absl::StrCat("gw-", region, "-", index), regionName(region));
+    m_instances.push_back(std::make_unique<Instance>(*this, index, member, region));
+    m_instanceNumbers[member.id] = index;
+    Instance &instance = *m_instances.back();
+    instance.clock.freeze(m_clock.now() - instance.clock.now());
+    return index;
+}
+
+std::size_t EngineFleet::addInstance(std::size_t region)
+{
+    const std::size_t index = add(region);
+    start(index);
+    return index;
+}
+
 void EngineFleet::at(absl::Duration delay, std::function<void()> action)
 {
-    m_events.emplace(timers.now() + delay, std::move(action));
+    m_events.emplace(m_clock.now() + delay, std::move(action));
+}
+
+void EngineFleet::deliver(Instance &instance, std::function<void(gateway::Gateway &)> action)
+{
+    if (instance.gateway == nullptr) {
+        return;
+    }
+    if (instance.isFrozen) {
+        instance.heldBack.push_back(std::move(action));
+    } else {
+        action(*instance.gateway);
+    }
 }
 
 void EngineFleet::advance(absl::Duration time)
 {
-    const absl::Time end = timers.now() + time;
-    while (timers.now() < end) {
-        if (timers.now() >= m_nextHousekeeping) {
-            m_nextHousekeeping = timers.now() + HOUSEKEEPING_PERIOD;
+    const absl::Time end = m_clock.now() + time;
+    while (m_clock.now() < end) {
+        if (m_clock.now() >= m_nextHousekeeping) {
+            m_nextHousekeeping = m_clock.now() + HOUSEKEEPING_PERIOD;
+            keepLeases();
             keepLinks();
             confirmTopics();
         }
-        timers.advance(STEP);
-        while (!m_events.empty() && m_events.begin()->first <= timers.now()) {
+        m_clock.advance(STEP);
+        for (const std::unique_ptr<Instance> &instance : m_instances) {
+            instance->isFrozen ? instance->clock.freeze(STEP) : instance->clock.advance(STEP);
+        }
+        while (!m_events.empty() && m_events.begin()->first <= m_clock.now()) {
             const std::function<void()> action = m_events.begin()->second;
             m_events.erase(m_events.begin());
             action();
@@ -227,7 +158,8 @@
     }
 }
 
-std::shared_ptr<Answer> EngineFleet::ask(std::size_t instance, const std::vector<std::string> &sharedParts, const std::string &target)
+std::shared_ptr<Answer> EngineFleet::ask(
+    std::size_t instance, const std::vector<std::string> &sharedParts, const std::string &target, const gateway::Headers &extra)
 {
     constexpr int PART_TOKENS = 300;
     std::vector<std::string> parts;
@@ -237,187 +169,40 @@
     }
     ++m_requestCount;
     parts.push_back(absl::StrCat("own", m_requestCount, ":", PART_TOKENS));
-    gateway::HttpRequest request{"POST", target, {}, "body"};
-    request.headers = {{"id", absl::StrCat("r", m_requestCount)}, {"parts", absl::StrJoin(parts, ",")}, {"tokens", absl::StrCat(PART_TOKENS * parts.size())}};
+    gateway::HttpRequest request{"POST", target, extra, "body"};
+    request.headers.push_back({"id", absl::StrCat("r", m_requestCount)});
+    request.headers.push_back({"parts", absl::StrJoin(parts, ",")});
+    request.headers.push_back({"tokens", absl::StrCat(PART_TOKENS * parts.size())});
     std::shared_ptr<Answer> answer = std::make_shared<Answer>();
-    m_requests.push_back({timers.now(), sharedParts, answer});
-    m_instances.at(instance)->gateway->requests().arrived(std::move(request), std::make_shared<FakeSink>(answer));
+    m_requests.push_back({m_clock.now(), sharedParts, answer});
+    m_lastAsked = instance;
+    deliver(*m_instances.at(instance),
+        [this, request, answer](gateway::Gateway &gateway) { m_lastNumber = gateway.requests().arrived(request, std::make_shared<FakeSink>(answer)); });
     return answer;
 }
 
-std::shared_ptr<Answer> EngineFleet::ask(const std::vector<std::string> &sharedParts, const std::string &target)
+std::shared_ptr<Answer> EngineFleet::ask(const std::vector<std::string> &sharedParts, const std::string &target, const gateway::Headers &extra)
 {
     std::size_t instance = 0;
     do {
         instance = static_cast<std::size_t>(randomInt(static_cast<int>(m_instances.size())));
     } while (m_instances[instance]->gateway == nullptr);
-    return ask(instance, sharedParts, target);
-}
-
-void EngineFleet::setCrashing(const std::string &part, bool isCrashing)
-{
-    if (isCrashing) {
-        m_crashingParts.insert(part);
-    } else {
-        m_crashingParts.erase(part);
-    }
-}
-
-void EngineFleet::arrive(Instance &instance, gateway::Number run, const gateway::BackendServer &server, const gateway::HttpRequest &request)
-{
-    const auto isAddressed = [&server](const std::unique_ptr<Engine> &engine) {
-        return engine->server.id == server.id;
-    };
-    const auto it = std::find_if(m_engines.begin(), m_engines.end(), isAddressed);
-    if (it == m_engines.end() || !(*it)->isUp) {
-        instance.gateway->runFailed(run, false, gateway::REASON_CONNECT_REFUSED);
-        return;
-    }
-    Engine &engine = **it;
-    const std::vector<std::string> sharedParts = sharedPartsOf(request);
-    m_arrivals.push_back({timers.now(), server.id, instance.member.id, FakeHeaders::value(request.headers, "id"), sharedParts});
-    engine.runs.push_back({&instance, run, sharedParts, false});
-    const std::size_t index = static_cast<std::size_t>(it - m_engines.begin());
-    at(PREFILL_TIME + absl::Milliseconds(randomInt(40)), [this, index, boot = engine.boot, run] { beginAnswer(index, boot, run); });
-}
-
-EngineFleet::Run *EngineFleet::findRun(std::size_t engine, std::uint64_t boot, gateway::Number run)
-{
-    if (m_engines[engine]->boot != boot || !m_engines[engine]->isUp) {
-        return nullptr;
-    }
-    for (Run &candidate : m_engines[engine]->runs) {
-        if (candidate.number == run) {
-            return candidate.instance->gateway == nullptr ? nullptr : &candidate;
-        }
-    }
-    return nullptr;
-}
-
-bool EngineFleet::isCrashing(const std::vector<std::string> &sharedParts) const
-{
-    return std::any_of(sharedParts.begin(), sharedParts.end(), [this](const std::string &part) { return m_crashingParts.count(part) > 0; });
-}
-
-void EngineFleet::beginAnswer(std::size_t engine, std::uint64_t boot, gateway::Number run)
-{
-    Run *found = findRun(engine, boot, run);
-    if (found == nullptr) {
-        return;
-    }
-    found->hasHead = true;
-    if (!isCrashing(found->sharedParts)) {
-        found->instance->gateway->runHead(run, headOf(*m_engines[engine]));
-        writeEvent(engine, boot, run, 1);
-        return;
-    }
-    Instance &instance = *found->instance;
-    const std::vector<std::string> sharedParts = found->sharedParts;
-    instance.gateway->runHead(run, {200, {{"receipt", "x"}}});
-    if (!bytesBeforeCrash.empty()) {
-        instance.gateway->runData(run, bytesBeforeCrash);
-    }
-    at(CRASH_DELAY, [this, engine, boot, sharedParts] {
-        if (m_engines[engine]->boot != boot || !m_engines[engine]->isUp) {
-            return;
-        }
-        for (const std::string &part : sharedParts) {
-            if (m_crashingParts.count(part) > 0) {
-                m_crashes[part].push_back(timers.now());
-            }
-        }
-        crash(engine);
-    });
-}
-
-void EngineFleet::writeEvent(std::size_t engine, std::uint64_t boot, gateway::Number run, int event)
-{
-    Run *found = findRun(engine, boot, run);
-    if (found == nullptr) {
-        return;
-    }
-    Instance &instance = *found->instance;
-    if (event <= EVENTS) {
-        instance.gateway->runData(run, absl::StrCat("id: ", event, "\ndata: x\n\n"));
-        at(EVENT_TIME, [this, engine, boot, run, event] { writeEvent(engine, boot, run, event + 1); });
-        return;
-    }
-    const auto isRun = [run](const Run &candidate) {
-        return candidate.number == run;
-    };
-    std::vector<Run> &runs = m_engines[engine]->runs;
-    runs.erase(std::remove_if(runs.begin(), runs.end(), isRun), runs.end());
-    instance.gateway->runEnd(run, areAnswersCloseDelimited ? gateway::AnswerEnd::ConnectionClosed : gateway::AnswerEnd::Framed);
-}
-
-void EngineFleet::truncate(std::size_t engine)
-{
-    for (const Run &run : std::exchange(m_engines[engine]->runs, {})) {
-        if (run.instance->gateway == nullptr) {
-            continue;
-        }
-        if (areAnswersCloseDelimited && run.hasHead) {
-            run.instance->gateway->runEnd(run.number, gateway::AnswerEnd::ConnectionClosed);
-        } else {
-            run.instance->gateway->runFailed(run.number, true, run.hasHead ? gateway::REASON_ANSWER_BROKEN_OFF : gateway::REASON_NO_ANSWER);
-        }
-    }
-}
-
-void EngineFleet::crash(std::size_t index)
-{
-    Engine &engine = *m_engines[index];
-    engine.isUp = false;
-    truncate(index);
-    at(LAPSE_TIME, [this, key = engine.server.id.value()] { storeRecord(gateway::Topic::BackendServers, key, std::nullopt); });
-    at(RESTART_TIME, [this, &engine] {
-        ++engine.boot;
-        engine.isUp = true;
-        engine.server.id = core::BackendServerId(absl::StrCat("e-", m_revision, "-", engine.boot));
-        engine.server.startedAtMs = absl::ToUnixMillis(timers.now());
-        announce(engine);
-    });
+    return ask(instance, sharedParts, target, extra);
 }
 
-gateway::HttpHead EngineFleet::headOf(const Engine &engine) const
+std::shared_ptr<Answer> EngineFleet::askInRegion(std::size_t region, const std::vector<std::string> &sharedParts, const std::string &target)
 {
-    gateway::HttpHead head{200, {{"receipt", "x"}}};
-    if (engine.limit.has_value()) {
-        head.headers.push_back({"limit", absl::StrCat(*engine.limit)});
-    }
-    return head;
-}
-
-void EngineFleet::setLimit(std::size_t engine, std::optional<double> perSecond)
-{
-    m_engines.at(engine)->limit = perSecond;
-}
-
-core::BackendServerId EngineFleet::engineId(std::size_t engine) const
-{
-    return m_engines.at(engine)->server.id;
-}
-
-int EngineFleet::mostArrivals(std::size_t engine, absl::Time from, absl::Duration span) const
-{
-    std::deque<absl::Time> inSpan;
-    std::size_t most = 0;
-    for (const EngineArrival &arrival : m_arrivals) {
-        if (arrival.at < from || arrival.server != m_engines.at(engine)->server.id) {
-            continue;
-        }
-        inSpan.push_back(arrival.at);
-        while (arrival.at - inSpan.front() >= span) {
-            inSpan.pop_front();
-        }
-        most = std::max(most, inSpan.size());
-    }
-    return static_cast<int>(most);
+    const std::vector<std::size_t> instances = instancesOf(region);
+    std::size_t instance = 0;
+    do {
+        instance = instances[static_cast<std::size_t>(randomInt(static_cast<int>(instances.size())))];
+    } while (m_instances[instance]->gateway == nullptr);
+    return ask(instance, sharedParts, target);
 }
 
-void EngineFleet::announce(Engine &engine)
+void EngineFleet::leave()
 {
-    storeRecord(gateway::Topic::BackendServers, engine.server.id.value(), nlohmann::json(engine.server).dump());
+    m_instances.at(m_lastAsked)->gateway->requests().callerLeft(m_lastNumber);
 }
 
 void EngineFleet::storeRecord(gateway::Topic topic, const std::string &key, const std::optional<std::string> &value)
@@ -429,8 +214,10 @@
         m_store[topic].erase(key);
     }
     for (const std::unique_ptr<Instance> &instance : m_instances) {
-        if (instance->gateway != nullptr) {
-            instance->gateway->topicChanged(topic, {{key, value, m_revision}}, m_revision, timers.now());
+        if (!instance->isStoreCut) {
+            deliver(*instance, [topic, key, value, revision = m_revision, now = m_clock.now()](gateway::Gateway &gateway) {
+                gateway.topicChanged(topic, {{key, value, revision}}, revision, now);
+            });
         }
     }
 }
@@ -448,21 +235,12 @@
     }
 }
 
-int EngineFleet::logLines(const std::string &event) const
-{
-    int count = 0;
-    for (const std::unique_ptr<Instance> &instance : m_instances) {
-        const std::vector<std::string> &lines = instance->journal.lines;
-        count += static_cast<int>(
-            std::count_if(lines.begin(), lines.end(), [&event](const std::string &line) { return absl::StrContains(line, "event=" + event + " "); }));
-    }
-    return count;
-}
-
 void EngineFleet::kill(std::size_t index)
 {
     Instance &instance = *m_instances[index];
     instance.gateway.reset();
+    instance.isFrozen = false;
+    instance.heldBack.clear();
     for (const std::unique_ptr<Engine> &engine : m_engines) {
         const auto isOfInstance = [&instance](const Run &run) {
             return run.instance == &instance;
@@ -482,50 +260,105 @@
         settings.regions[engine->server.dataCentre] = core::RegionId(regionName(engine->region));
     }
     settings.flow.seed = m_random();
-    instance.gateway
-        = std::make_unique<gateway::Gateway>(settings, gateway::GatewayPorts{timers, m_headers, m_records, instance.runs, instance.links, instance.journal});
-    instance.gateway->recordToStore().subscribe([this](const gateway::RecordToStore &task) {
-        at(REGION_LATENCY, [this, record = task.record] { storeRecord(gateway::Topic::Members, record.key, record.value); });
+    instance.gateway = std::make_unique<gateway::Gateway>(
+        settings, gateway::GatewayPorts{instance.clock, m_headers, m_records, instance.runs, instance.links, instance.journal});
+    instance.gateway->recordToStore().subscribe([this, &instance](const gateway::RecordToStore &task) {
+        at(REGION_LATENCY, [this, &instance, record = task.record] {
+            if (!instance.isStoreCut) {
+                storeRecord(gateway::Topic::Members, record.key, record.value);
+            }
+        });
     });
-    for (const gateway::Topic topic : {gateway::Topic::Operator, gateway::Topic::BackendServers, gateway::Topic::Members}) {
+    readStore(instance);
+}
+
+void EngineFleet::readStore(Instance &instance)
+{
+    for (const gateway::Topic topic : TOPICS) {
         std::vector<gateway::Record> records;
         for (const auto &entry : m_store[topic]) {
             records.push_back(entry.second);
         }
-        instance.gateway->topicRead(topic, records, m_revision, timers.now());
+        deliver(instance,
+            [topic, records, revision = m_revision, now = m_clock.now()](gateway::Gateway &gateway) { gateway.topicRead(topic, records, revision, now); });
+    }
+}
+
+void EngineFleet::setFrozen(std::size_t index, bool isFrozen)
+{
+    Instance &instance = *m_instances[index];
+    instance.isFrozen = isFrozen;
+    while (!isFrozen && !instance.heldBack.empty()) {
+        const std::function<void(gateway::Gateway &)> action = instance.heldBack.front();
+        instance.heldBack.pop_front();
+        action(*instance.gateway);
     }
 }
 
-void EngineFleet::setCutOff(std::size_t instance, bool isCutOff)
+void EngineFleet::setStoreCut(std::size_t index, bool isCut)
 {
-    m_instances[instance]->isCutOff = isCutOff;
+    Instance &instance = *m_instances[index];
+    instance.isStoreCut = isCut;
+    if (!isCut) {
+        readStore(instance);
+    }
+}
+
+void EngineFleet::partition(const std::vector<std::vector<std::size_t>> &groups)
+{
+    m_groups.clear();
+    for (std::size_t group = 0; group < groups.size(); ++group) {
+        for (const std::size_t instance : groups[group]) {
+            m_groups[instance] = group + 1;
+        }
+    }
     keepLinks();
 }
 
+void EngineFleet::keepLeases()
+{
+    const absl::Time now = m_clock.now();
+    for (const std::unique_ptr<Instance> &instance : m_instances) {
+        const bool canRenew = instance->gateway != nullptr && !instance->isFrozen && !instance->isStoreCut;
+        const bool isDue = !instance->isAnnounced || now - instance->renewedAt >= RENEW_PERIOD;
+        if (canRenew && isDue) {
+            instance->renewedAt = now;
+            if (!instance->isAnnounced) {
+                instance->isAnnounced = true;
+                storeRecord(gateway::Topic::Members, instance->member.id.value(), nlohmann::json(instance->member).dump());
+            }
+        } else if (instance->isAnnounced && now - instance->renewedAt > LEASE_TIME) {
+            instance->isAnnounced = false;
+            storeRecord(gateway::Topic::Members, instance->member.id.value(), std::nullopt);
+        }
+    }
+}
+
 void EngineFleet::keepLinks()
 {
     std::set<std::pair<std::size_t, std::size_t>> wanted;
+    std::map<core::InstanceId, std::size_t> up;
     for (std::size_t index = 0; index < m_instances.size(); ++index) {
-        if (m_instances[index]->gateway == nullptr || m_instances[index]->isCutOff) {
-            continue;
+        if (m_instances[index]->gateway != nullptr) {
+            up[m_instances[index]->member.id] = index;
         }
-        for (const gateway::Member &member : m_instances[index]->gateway->membersToLink()) {
-            for (std::size_t other = 0; other < m_instances.size(); ++other) {
-                const Instance &peer = *m_instances[other];
-                if (peer.member.id == member.id && peer.gateway != nullptr && !peer.isCutOff) {
-                    wanted.insert(std::minmax(index, other));
-                }
+    }
+    const auto groupOf = [this](std::size_t index) {
+        const auto it = m_groups.find(index);
+        return it == m_groups.end() ? 0 : it->second;
+    };
+    for (const auto &entry : up) {
+        for (const gateway::Member &member : m_instances[entry.second]->gateway->membersToLink()) {
+            const auto other = up.find(member.id);
+            if (other != up.end() && groupOf(entry.second) == groupOf(other->second)) {
+                wanted.insert(std::minmax(entry.second, other->second));
             }
         }
     }
     const std::set<std::pair<std::size_t, std::size_t>> before = std::exchange(m_links, wanted);
     const auto tell = [this](std::size_t index, std::size_t other, bool isUp) {
-        gateway::Gateway *process = m_instances[index]->gateway.get();
-        if (process != nullptr && isUp) {
-            process->linkUp(m_instances[other]->member);
-        } else if (process != nullptr) {
-            process->linkDown(m_instances[other]->member.id);
-        }
+        deliver(*m_instances[index],
+            [peer = m_instances[other]->member, isUp](gateway::Gateway &gateway) { isUp ? gateway.linkUp(peer) : gateway.linkDown(peer.id); });
     };
     for (const std::pair<std::size_t, std::size_t> &link : before) {
         if (wanted.count(link) == 0) {
@@ -544,11 +377,12 @@
 void EngineFleet::confirmTopics()
 {
     for (const std::unique_ptr<Instance> &instance : m_instances) {
-        if (instance->gateway == nullptr) {
+        if (instance->isStoreCut) {
             continue;
         }
-        for (const gateway::Topic topic : {gateway::Topic::Operator, gateway::Topic::BackendServers, gateway::Topic::Members}) {
-            instance->gateway->topicChanged(topic, {}, m_revision, timers.now());
+        for (const gateway::Topic topic : TOPICS) {
+            deliver(
+                *instance, [topic, revision = m_revision, now = m_clock.now()](gateway::Gateway &gateway) { gateway.topicChanged(topic, {}, revision, now); });
         }
     }
 }
@@ -558,77 +392,4 @@
     return from.region == to.region ? REGION_LATENCY : OTHER_REGION_LATENCY;
 }
 
-std::size_t EngineFleet::instanceCount() const
-{
-    return m_instances.size();
-}
-
-std::size_t EngineFleet::engineCount() const
-{
-    return m_engines.size();
-}
-
-bool EngineFleet::isEngineUp(std::size_t engine) const
-{
-    return m_engines[engine]->isUp;
-}
-
-gateway::Gateway &EngineFleet::gateway(std::size_t instance)
-{
-    return *m_instances.at(instance)->gateway;
-}
-
-FakeJournal &EngineFleet::journal(std::size_t instance)
-{
-    return m_instances.at(instance)->journal;
-}
-
-absl::Time EngineFleet::now() const
-{
-    return timers.now();
-}
-
-int EngineFleet::randomInt(int below)
-{
-    return std::uniform_int_distribution<int>(0, below - 1)(m_random);
-}
-
-const std::vector<absl::Time> &EngineFleet::crashes(const std::string &part) const
-{
-    static const std::vector<absl::Time> none;
-    const auto it = m_crashes.find(part);
-    return it == m_crashes.end() ? none : it->second;
-}
-
-int EngineFleet::arrivals(const std::string &part, absl::Time after) const
-{
-    return static_cast<int>(std::count_if(m_arrivals.begin(), m_arrivals.end(), [&part, after](const EngineArrival &arrival) {
-        return arrival.at > after && std::find(arrival.sharedParts.begin(), arrival.sharedParts.end(), part) != arrival.sharedParts.end();
-    }));
-}
-
-const std::vector<EngineArrival> &EngineFleet::allArrivals() const
-{
-    return m_arrivals;
-}
-
-const std::vector<FleetRequest> &EngineFleet::requests() const
-{
-    return m_requests;
-}
-
-double EngineFleet::servedShare(absl::Time from, absl::Time to) const
-{
-    int sent = 0;
-    int served = 0;
-    for (const FleetRequest &request : m_requests) {
-        if (request.at < from || request.at >= to || isCrashing(request.sharedParts)) {
-            continue;
-        }
-        ++sent;
-        served += request.isServed() ? 1 : 0;
-    }
-    return sent == 0 ? 0.0 : static_cast<double>(served) / sent;
-}
-
 } // namespace snipeferry::tests
--- a/tests/gateway/enginefleet.h
+++ b/tests/gateway/enginefleet.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -44,9 +45,10 @@
 };
 
 /**
- * Instances of several regions with the real decision code on one clock, between engines that answer, crash and come back.
+ * Instances of several regions with the real decision code, between engines that answer, crash and come back.
  *
- * Messages and answers take the time of the network. Engines accept requests of their own region's instances.
+ * Messages and answers take the time of the network. Engines accept requests of their own region's instances. The store keeps announcements as long as their
+ * leases: an instance that is down or cut off from the store loses its own after nine seconds.
  */
 class EngineFleet
 {
@@ -56,35 +58,52 @@
 
     void advance(absl::Duration time);
 
+    // Callers
+
     /** Sends a request with these shared parts and a part of its own to an instance. */
-    std::shared_ptr<Answer> ask(std::size_t instance, const std::vector<std::string> &sharedParts, const std::string &target = "/stream/x");
+    std::shared_ptr<Answer> ask(
+        std::size_t instance, const std::vector<std::string> &sharedParts, const std::string &target = "/stream/x", const gateway::Headers &extra = {});
     /** Sends a request to a random instance that is up. */
-    std::shared_ptr<Answer> ask(const std::vector<std::string> &sharedParts, const std::string &target = "/stream/x");
+    std::shared_ptr<Answer> ask(const std::vector<std::string> &sharedParts, const std::string &target = "/stream/x", const gateway::Headers &extra = {});
+    /** Sends a request to a random instance of a region that is up. */
+    std::shared_ptr<Answer> askInRegion(std::size_t region, const std::vector<std::string> &sharedParts, const std::string &target = "/stream/x");
+    /** Closes the connection of the caller who asked last. */
+    void leave();
+
+    // Engines
 
     /** Makes each engine crash when it begins to write an answer on a part. */
     void setCrashing(const std::string &part, bool isCrashing = true);
-    /** Ends an engine's process; it is back after some seconds under another identifier. */
+    /** Makes an engine crash when it begins to write any answer, or none. */
+    void setFaulty(std::size_t engine, bool isFaulty);
+    /** Ends an engine's process; it is back after some seconds, under another identifier unless keepsEngineIds is set. */
     void crash(std::size_t engine);
-    /** Ends a share of the connections of an engine's runs without an end of its process. */
+    /** Takes an engine's power: its connections go silent. It is back after some seconds. */
+    void darken(std::size_t engine);
+    /** Ends the connections of an engine's runs without an end of its process. */
     void truncate(std::size_t engine);
-
-    /** Removes the records of quarantined parts from the store, as an operator does. */
-    void removeStoredQuarantines();
-    /** Number of log lines of an event at all instances. */
-    int logLines(const std::string &event) const;
-
     /** Makes an engine name a limit in its answers, or none. */
     void setLimit(std::size_t engine, std::optional<double> perSecond);
-    /** Largest number of requests that an engine got in any span of this length, beginning with a time. */
-    int mostArrivals(std::size_t engine, absl::Time from, absl::Duration span) const;
-    core::BackendServerId engineId(std::size_t engine) const;
+
+    // Instances
 
     void kill(std::size_t instance);
     void start(std::size_t instance);
-    /** Cuts the links between this instance and all others, or restores them. */
-    void setCutOff(std::size_t instance, bool isCutOff);
+    /** Starts an instance at a new address. Returns its number. */
+    std::size_t addInstance(std::size_t region);
+    /** Stops an instance's clock and messages, or lets it catch up. */
+    void setFrozen(std::size_t instance, bool isFrozen);
+    /** Cuts an instance off from the store, or restores the way there. */
+    void setStoreCut(std::size_t instance, bool isCut);
+    /** Cuts the links between instances of different groups. Instances that are not named form one group. */
+    void partition(const std::vector<std::vector<std::size_t>> &groups);
+    /** Removes the records of quarantined parts from the store, as an operator does. */
+    void removeStoredQuarantines();
+
+    // What can be seen
 
     std::size_t instanceCount() const;
+    std::vector<std::size_t> instancesOf(std::size_t region) const;
     std::size_t engineCount() const;
     bool isEngineUp(std::size_t engine) const;
     gateway::Gateway &gateway(std::size_t instance);
@@ -97,15 +116,20 @@
     /** Number of arrivals that hold a part, later than a time. */
     int arrivals(const std::string &part, absl::Time after) const;
     const std::vector<EngineArrival> &allArrivals() const;
+    /** Largest number of requests that an engine got in any span of this length, beginning with a time. */
+    int mostArrivals(std::size_t engine, absl::Time from, absl::Duration span) const;
     const std::vector<FleetRequest> &requests() const;
     /** Fraction of the requests sent in an interval that were served and do not hold a part that crashes engines. */
     double servedShare(absl::Time from, absl::Time to) const;
+    /** Number of log lines of an event at all instances. */
+    int logLines(const std::string &event) const;
 
-    core::VirtualTimerService timers;
     /** Whether answers end with their connection. */
     bool areAnswersCloseDelimited = false;
     /** Bytes of the first event that an engine writes before it crashes. */
     std::string bytesBeforeCrash;
+    /** Whether an engine has the same identifier after a crash. */
+    bool keepsEngineIds = false;
 
 private:
     struct Instance;
@@ -115,18 +139,27 @@
     class Runs;
 
     void at(absl::Duration delay, std::function<void()> action);
+    /** Acts on an instance's process, as soon as it is not frozen; does nothing if the process has ended. */
+    void deliver(Instance &instance, std::function<void(gateway::Gateway &)> action);
+    std::size_t add(std::size_t region);
     void keepLinks();
     void confirmTopics();
+    void keepLeases();
     void storeRecord(gateway::Topic topic, const std::string &key, const std::optional<std::string> &value);
-    gateway::HttpHead headOf(const Engine &engine) const;
+    /** Reads all topics of the store into an instance. */
+    void readStore(Instance &instance);
+    absl::Duration latency(const Instance &from, const Instance &to) const;
+
     void announce(Engine &engine);
+    void bringBack(Engine &engine, absl::Duration lapseTime, absl::Duration restartTime);
     void arrive(Instance &instance, gateway::Number run, const gateway::BackendServer &server, const gateway::HttpRequest &request);
     void beginAnswer(std::size_t engine, std::uint64_t boot, gateway::Number run);
     void writeEvent(std::size_t engine, std::uint64_t boot, gateway::Number run, int event);
     Run *findRun(std::size_t engine, std::uint64_t boot, gateway::Number run);
-    absl::Duration latency(const Instance &from, const Instance &to) const;
+    gateway::HttpHead headOf(const Engine &engine) const;
     bool isCrashing(const std::vector<std::string> &sharedParts) const;
 
+    core::VirtualTimerService m_clock;
     FakeHeaders m_headers;
     FakeRecords m_records;
     std::mt19937_64 m_random;
@@ -135,13 +168,17 @@
     std::multimap<absl::Time, std::function<void()>> m_events;
     std::map<gateway::Topic, std::map<std::string, gateway::Record>> m_store;
     core::Revision m_revision = 1;
+    std::map<core::InstanceId, std::size_t> m_instanceNumbers;
     std::set<std::pair<std::size_t, std::size_t>> m_links;
+    std::map<std::size_t, std::size_t> m_groups;
     std::set<std::string> m_crashingParts;
     std::map<std::string, std::vector<absl::Time>> m_crashes;
     std::vector<EngineArrival> m_arrivals;
     std::vector<FleetRequest> m_requests;
     absl::Time m_nextHousekeeping;
     int m_requestCount = 0;
+    std::size_t m_lastAsked = 0;
+    gateway::Number m_lastNumber = 0;
 };
 
 } // namespace snipeferry::tests
--- /dev/null
+++ b/tests/gateway/enginefleetengines.cpp
@@ -0,0 +1,256 @@
+#include "enginefleetparts.h"
+#include "snipeferry/gateway/answerprogress.h"
+
+#include <algorithm>
+
+// The engines of the fleet.
+namespace snipeferry::tests {
+
+namespace {
+
+/** An engine's announcement lapses after three missing reports, and the engine is back a little later. */
+constexpr absl::Duration LAPSE_TIME = absl::Milliseconds(3600);
+constexpr absl::Duration RESTART_TIME = absl::Milliseconds(4000);
+/** Time after which the other end of a connection to an engine without power gives up. */
+constexpr absl::Duration SILENCE_TIME = absl::Seconds(2);
+constexpr absl::Duration CONNECT_TIMEOUT = absl::Seconds(1);
+constexpr absl::Duration PREFILL_TIME = absl::Milliseconds(60);
+constexpr int PREFILL_SPREAD_MS = 40;
+constexpr absl::Duration EVENT_TIME = absl::Milliseconds(20);
+constexpr int EVENTS = 12;
+/** Time between the head of an answer and the crash of an engine that begins to write it. */
+constexpr absl::Duration CRASH_DELAY = absl::Milliseconds(40);
+
+std::vector<std::string> sharedPartsOf(const gateway::HttpRequest &request)
+{
+    std::vector<std::string> ids;
+    for (const absl::string_view part : absl::StrSplit(FakeHeaders::value(request.headers, "parts"), ',', absl::SkipEmpty())) {
+        ids.emplace_back(part.substr(0, part.find(':')));
+    }
+    if (!ids.empty()) {
+        ids.pop_back();
+    }
+    return ids;
+}
+
+} // namespace
+
+EngineFleet::Runs::Runs(EngineFleet &fleet, std::size_t self)
+    : m_fleet(fleet),
+      m_self(self)
+{
+}
+
+void EngineFleet::Runs::start(
+    gateway::Number run, const gateway::BackendServer &server, const gateway::HttpRequest &request, const core::RequestId & /*id*/, bool /*mayReuse*/)
+{
+    Instance &instance = *m_fleet.m_instances[m_self];
+    m_fleet.at(REGION_LATENCY, [this, &instance, run, server, request] {
+        if (instance.gateway != nullptr) {
+            m_fleet.arrive(instance, run, server, request);
+        }
+    });
+}
+
+void EngineFleet::Runs::cancel(gateway::Number run)
+{
+    for (const std::unique_ptr<Engine> &engine : m_fleet.m_engines) {
+        const auto isRun = [this, run](const Run &candidate) {
+            return candidate.number == run && candidate.instance == m_fleet.m_instances[m_self].get();
+        };
+        engine->runs.erase(std::remove_if(engine->runs.begin(), engine->runs.end(), isRun), engine->runs.end());
+    }
+}
+
+void EngineFleet::Runs::setPaused(gateway::Number /*run*/, bool /*isPaused*/)
+{
+    // Callers of this fleet take their answers at once.
+}
+
+void EngineFleet::setCrashing(const std::string &part, bool isCrashing)
+{
+    if (isCrashing) {
+        m_crashingParts.insert(part);
+    } else {
+        m_crashingParts.erase(part);
+    }
+}
+
+void EngineFleet::setFaulty(std::size_t engine, bool isFaulty)
+{
+    m_engines.at(engine)->isFaulty = isFaulty;
+}
+
+void EngineFleet::setLimit(std::size_t engine, std::optional<double> perSecond)
+{
+    m_engines.at(engine)->limit = perSecond;
+}
+
+gateway::HttpHead EngineFleet::headOf(const Engine &engine) const
+{
+    gateway::HttpHead head{200, {{"receipt", "x"}}};
+    if (engine.limit.has_value()) {
+        head.headers.push_back({"limit", absl::StrCat(*engine.limit)});
+    }
+    return head;
+}
+
+void EngineFleet::arrive(Instance &instance, gateway::Number run, const gateway::BackendServer &server, const gateway::HttpRequest &request)
+{
+    const auto isAddressed = [&server](const std::unique_ptr<Engine> &engine) {
+        return engine->server.id == server.id;
+    };
+    const auto it = std::find_if(m_engines.begin(), m_engines.end(), isAddressed);
+    if (it != m_engines.end() && (*it)->isDark) {
+        at(CONNECT_TIMEOUT,
+            [this, &instance, run] { deliver(instance, [run](gateway::Gateway &gateway) { gateway.runFailed(run, false, "connect_timeout"); }); });
+        return;
+    }
+    if (it == m_engines.end() || !(*it)->isUp) {
+        deliver(instance, [run](gateway::Gateway &gateway) { gateway.runFailed(run, false, gateway::REASON_CONNECT_REFUSED); });
+        return;
+    }
+    Engine &engine = **it;
+    const std::vector<std::string> sharedParts = sharedPartsOf(request);
+    m_arrivals.push_back({m_clock.now(), server.id, instance.member.id, FakeHeaders::value(request.headers, "id"), sharedParts});
+    engine.runs.push_back({&instance, run, sharedParts, false});
+    const std::size_t index = static_cast<std::size_t>(it - m_engines.begin());
+    at(PREFILL_TIME + absl::Milliseconds(randomInt(PREFILL_SPREAD_MS)), [this, index, boot = engine.boot, run] { beginAnswer(index, boot, run); });
+}
+
+EngineFleet::Run *EngineFleet::findRun(std::size_t engine, std::uint64_t boot, gateway::Number run)
+{
+    if (m_engines[engine]->boot != boot || !m_engines[engine]->isUp) {
+        return nullptr;
+    }
+    for (Run &candidate : m_engines[engine]->runs) {
+        if (candidate.number == run) {
+            return candidate.instance->gateway == nullptr ? nullptr : &candidate;
+        }
+    }
+    return nullptr;
+}
+
+bool EngineFleet::isCrashing(const std::vector<std::string> &sharedParts) const
+{
+    return std::any_of(sharedParts.begin(), sharedParts.end(), [this](const std::string &part) { return m_crashingParts.count(part) > 0; });
+}
+
+void EngineFleet::beginAnswer(std::size_t engine, std::uint64_t boot, gateway::Number run)
+{
+    Run *found = findRun(engine, boot, run);
+    if (found == nullptr) {
+        return;
+    }
+    found->hasHead = true;
+    Instance &instance = *found->instance;
+    const std::vector<std::string> sharedParts = found->sharedParts;
+    const bool willCrash = isCrashing(sharedParts) || m_engines[engine]->isFaulty;
+    deliver(instance, [run, head = headOf(*m_engines[engine]), bytes = willCrash ? bytesBeforeCrash : std::string()](gateway::Gateway &gateway) {
+        gateway.runHead(run, head);
+        if (!bytes.empty()) {
+            gateway.runData(run, bytes);
+        }
+    });
+    if (!willCrash) {
+        writeEvent(engine, boot, run, 1);
+        return;
+    }
+    at(CRASH_DELAY, [this, engine, boot, sharedParts] {
+        if (m_engines[engine]->boot != boot || !m_engines[engine]->isUp) {
+            return;
+        }
+        for (const std::string &part : sharedParts) {
+            if (m_crashingParts.count(part) > 0) {
+                m_crashes[part].push_back(m_clock.now());
+            }
+        }
+        crash(engine);
+    });
+}
+
+void EngineFleet::writeEvent(std::size_t engine, std::uint64_t boot, gateway::Number run, int event)
+{
+    Run *found = findRun(engine, boot, run);
+    if (found == nullptr) {
+        return;
+    }
+    Instance &instance = *found->instance;
+    if (event <= EVENTS) {
+        deliver(instance, [run, event](gateway::Gateway &gateway) { gateway.runData(run, absl::StrCat("id: ", event, "\ndata: x\n\n")); });
+        at(EVENT_TIME, [this, engine, boot, run, event] { writeEvent(engine, boot, run, event + 1); });
+        return;
+    }
+    const auto isRun = [run](const Run &candidate) {
+        return candidate.number == run;
+    };
+    std::vector<Run> &runs = m_engines[engine]->runs;
+    runs.erase(std::remove_if(runs.begin(), runs.end(), isRun), runs.end());
+    const gateway::AnswerEnd end = areAnswersCloseDelimited ? gateway::AnswerEnd::ConnectionClosed : gateway::AnswerEnd::Framed;
+    deliver(instance, [run, end](gateway::Gateway &gateway) { gateway.runEnd(run, end); });
+}
+
+void EngineFleet::truncate(std::size_t engine)
+{
+    for (const Run &run : std::exchange(m_engines[engine]->runs, {})) {
+        const gateway::Number number = run.number;
+        const bool hasHead = run.hasHead;
+        const bool endsQuietly = areAnswersCloseDelimited && hasHead;
+        deliver(*run.instance, [number, hasHead, endsQuietly](gateway::Gateway &gateway) {
+            if (endsQuietly) {
+                gateway.runEnd(number, gateway::AnswerEnd::ConnectionClosed);
+            } else {
+                gateway.runFailed(number, true, hasHead ? gateway::REASON_ANSWER_BROKEN_OFF : gateway::REASON_NO_ANSWER);
+            }
+        });
+    }
+}
+
+void EngineFleet::crash(std::size_t index)
+{
+    Engine &engine = *m_engines[index];
+    if (!engine.isUp) {
+        return;
+    }
+    engine.isUp = false;
+    truncate(index);
+    bringBack(engine, LAPSE_TIME, RESTART_TIME);
+}
+
+void EngineFleet::darken(std::size_t index)
+{
+    Engine &engine = *m_engines[index];
+    if (!engine.isUp) {
+        return;
+    }
+    engine.isUp = false;
+    engine.isDark = true;
+    for (const Run &run : std::exchange(engine.runs, {})) {
+        at(SILENCE_TIME, [this, instance = run.instance, number = run.number] {
+            deliver(*instance, [number](gateway::Gateway &gateway) { gateway.runFailed(number, true, gateway::REASON_CONNECTION_SILENT); });
+        });
+    }
+    bringBack(engine, LAPSE_TIME, RESTART_TIME);
+}
+
+void EngineFleet::bringBack(Engine &engine, absl::Duration lapseTime, absl::Duration restartTime)
+{
+    at(lapseTime, [this, key = engine.server.id.value()] { storeRecord(gateway::Topic::BackendServers, key, std::nullopt); });
+    at(restartTime, [this, &engine] {
+        ++engine.boot;
+        engine.isUp = true;
+        engine.isDark = false;
+        if (!keepsEngineIds) {
+            engine.server.id = core::BackendServerId(absl::StrCat("e-", m_revision, "-", engine.boot));
+        }
+        engine.server.startedAtMs = absl::ToUnixMillis(m_clock.now());
+        announce(engine);
+    });
+}
+
+void EngineFleet::announce(Engine &engine)
+{
+    storeRecord(gateway::Topic::BackendServers, engine.server.id.value(), nlohmann::json(engine.server).dump());
+}
+
+} // namespace snipeferry::tests
--- /dev/null
+++ b/tests/gateway/enginefleetparts.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "enginefleet.h"
+
+#include <deque>
+
+namespace snipeferry::tests {
+
+constexpr absl::Duration REGION_LATENCY = absl::Milliseconds(1);
+
+std::string regionName(std::size_t region);
+
+struct EngineFleet::Run
+{
+    Instance *instance = nullptr;
+    gateway::Number number = 0;
+    std::vector<std::string> sharedParts;
+    bool hasHead = false;
+};
+
+struct EngineFleet::Engine
+{
+    gateway::BackendServer server;
+    std::size_t region = 0;
+    bool isUp = true;
+    /** Whether it has no power: connections are neither accepted nor refused. */
+    bool isDark = false;
+    bool isFaulty = false;
+    /** Number of the engine's present process. */
+    std::uint64_t boot = 0;
+    std::optional<double> limit;
+    std::vector<Run> runs;
+};
+
+class EngineFleet::Links : public gateway::FleetLinks
+{
+public:
+    Links(EngineFleet &fleet, std::size_t self);
+
+    bool send(const core::InstanceId &to, const gateway::FleetMessage &message) override;
+    void sendToAll(const std::vector<core::InstanceId> &to, const gateway::FleetMessage &message) override;
+
+private:
+    EngineFleet &m_fleet;
+    std::size_t m_self;
+};
+
+class EngineFleet::Runs : public gateway::RunTransport
+{
+public:
+    Runs(EngineFleet &fleet, std::size_t self);
+
+    void start(
+        gateway::Number run, const gateway::BackendServer &server, const gateway::HttpRequest &request, const core::RequestId &id, bool mayReuse) override;
+    void cancel(gateway::Number run) override;
+    void setPaused(gateway::Number run, bool isPaused) override;
+
+private:
+    EngineFleet &m_fleet;
+    std::size_t m_self;
+};
+
+struct EngineFleet::Instance
+{
+    Instance(EngineFleet &fleet, std::size_t index, gateway::Member self, std::size_t regionIndex)
+        : member(std::move(self)),
+          region(regionIndex),
+          links(fleet, index),
+          runs(fleet, index)
+    {
+    }
+
+    gateway::Member member;
+    std::size_t region;
+    Links links;
+    Runs runs;
+    FakeJournal journal;
+    /** The instance's own clock, which stands still while it is frozen. */
+    core::VirtualTimerService clock;
+    bool isFrozen = false;
+    std::deque<std::function<void(gateway::Gateway &)>> heldBack;
+    bool isStoreCut = false;
+    /** When the announcement was last renewed. */
+    absl::Time renewedAt;
+    bool isAnnounced = false;
+    /** Empty while the instance is down. */
+    std::unique_ptr<gateway::Gateway> gateway;
+};
+
+} // namespace snipeferry::tests
--- a/tests/gateway/promptquarantinetest.cpp
+++ b/tests/gateway/promptquarantinetest.cpp
@@ -226,14 +226,14 @@
 {
     EngineFleet fleet(71);
     fleet.setCrashing("bad");
-    fleet.setCutOff(0, true);
+    fleet.partition({{0}});
     const absl::Time start = fleet.now();
     while (fleet.now() < start + absl::Seconds(10)) {
         fleet.ask(1 + static_cast<std::size_t>(fleet.randomInt(static_cast<int>(fleet.instanceCount()) - 1)), {"sys", "bad"});
         fleet.ask(1 + static_cast<std::size_t>(fleet.randomInt(static_cast<int>(fleet.instanceCount()) - 1)), {"sys", "doc1"});
         fleet.advance(absl::Milliseconds(40));
     }
-    fleet.setCutOff(0, false);
+    fleet.partition({});
     fleet.advance(absl::Milliseconds(300));
     const std::shared_ptr<Answer> answer = fleet.ask(0, {"sys", "bad"});
     REQUIRE(answer->error.has_value());
--- a/tests/gateway/serverlimitstest.cpp
+++ b/tests/gateway/serverlimitstest.cpp
@@ -96,9 +96,11 @@
         play(fleet, absl::Seconds(2));
         fleet.start(instance);
         play(fleet, absl::Seconds(4));
-        fleet.setCutOff(instance, true);
+        fleet.partition({{instance}});
+        fleet.setStoreCut(instance, true);
         play(fleet, absl::Seconds(5));
-        fleet.setCutOff(instance, false);
+        fleet.partition({});
+        fleet.setStoreCut(instance, false);
         play(fleet, absl::Seconds(3));
     }
     INFO("seed " << seed << ": " << fleet.mostArrivals(0, from, LIMIT_SPAN) << " and " << fleet.mostArrivals(1, from, LIMIT_SPAN));
