Derive the times of crashes and limits from what the deployment states

Cause: the time in which a broken run may turn out to be a crash was 8 s, which fits backend servers that report every 1.2 s; the age of the members' copy from which an instance halves its part of a limit was 7 s, which fits leases of 9 s. With other deployments a crash would not have been confirmed by the end of its announcement, or both sides of a cut would have sent a whole limit. Found by reading. Change: promises.server_report_period from the deployment's settings (three missing reports, and 4.4 s for the news); three quarters of store.lease_time for members and for instances that join. Figures of this deployment: 8.0 s as before, 6.75 s instead of 7 and 6. Ruled out: stating the times themselves in the template, which can't calculate.

--- a/include/snipeferry/gateway/crashhistory.h
+++ b/include/snipeferry/gateway/crashhistory.h
@@ -45,7 +45,8 @@
 class CrashHistory
 {
 public:
-    explicit CrashHistory(core::TimerService &timers);
+    /** @param serverReportPeriod interval at which backend servers renew their announcements */
+    CrashHistory(absl::Duration serverReportPeriod, core::TimerService &timers);
 
     /** @brief Adds a run whose connection has ended before its answer. */
     void addBrokenRun(const BackendServer &server, const std::vector<PromptPart> &parts, AnswerProgress progress);
@@ -92,6 +93,8 @@
     void confirm(Crash &crash);
     CrashReport reportOf(const Crash &crash) const;
 
+    /** Time for which a broken run may turn out to have been a crash. */
+    absl::Duration m_confirmationTime;
     core::TimerService &m_timers;
     std::deque<Crash> m_crashes;
     absl::flat_hash_map<PartKey, absl::Time> m_lastCrashes;
--- a/include/snipeferry/gateway/gateway.h
+++ b/include/snipeferry/gateway/gateway.h
@@ -24,6 +24,10 @@
     AllowanceSettings allowances;
     /** Longest time for which a backend server may get requests after the store accepted that it leaves. */
     absl::Duration serverDrainTime = absl::Seconds(3);
+    /** Interval at which backend servers renew their announcements. */
+    absl::Duration serverReportPeriod = absl::Milliseconds(1200);
+    /** How long an instance's announcement holds after its last renewal. */
+    absl::Duration announcementLifetime = absl::Seconds(9);
     /** Region of each data centre of the fleet. */
     std::map<core::DataCentreId, core::RegionId> regions;
     /** Shortest interval between two pulses to instances of the own region. In a large region the interval is longer. */
--- a/include/snipeferry/gateway/promptquarantine.h
+++ b/include/snipeferry/gateway/promptquarantine.h
@@ -24,7 +24,8 @@
 class PromptQuarantine
 {
 public:
-    PromptQuarantine(core::TimerService &timers, Journal &journal);
+    /** @param serverReportPeriod interval at which backend servers renew their announcements */
+    PromptQuarantine(absl::Duration serverReportPeriod, core::TimerService &timers, Journal &journal);
 
     /** @brief Records a run that the transport reported as failed, with its reason. */
     void addFailedRun(const BackendServer &server, const std::vector<PromptPart> &parts, AnswerProgress progress, const std::string &reason);
--- a/include/snipeferry/gateway/serverlimits.h
+++ b/include/snipeferry/gateway/serverlimits.h
@@ -79,6 +79,9 @@
     /** @brief Sets the announced members of this region, without this instance if it may send nothing because it is shutting down. */
     void setMembers(std::vector<core::InstanceId> members);
 
+    /** @brief Sets how long an instance stays among the announced members after its last renewal. */
+    void setAnnouncementLifetime(absl::Duration lifetime);
+
     /** @brief Records when the members were last confirmed. */
     void confirmMembers(absl::Time at);
 
@@ -112,6 +115,8 @@
     core::InstanceId m_self;
     core::TimerService &m_timers;
     absl::Time m_startedAt;
+    /** Age of the members' last confirmation from which another instance may have taken over this one's part. */
+    absl::Duration m_maxMembersAge = absl::Seconds(6);
     absl::Time m_membersConfirmedAt = absl::InfinitePast();
     std::vector<core::InstanceId> m_members;
     absl::flat_hash_map<core::BackendServerId, Entry> m_limits;
--- a/source/gateway/crashhistory.cpp
+++ b/source/gateway/crashhistory.cpp
@@ -9,8 +9,10 @@
 
 constexpr std::size_t MAX_CRASHES = 64;
 constexpr absl::Duration CRASH_LIFETIME = absl::Minutes(10);
-/** The announcement of a crashed backend server ends after three missing reports, and the news of it take up to a second. */
-constexpr absl::Duration CONFIRMATION_TIME = absl::Seconds(8);
+/** Missing reports after which the announcement of a crashed backend server ends. */
+constexpr int MISSED_REPORTS = 3;
+/** Time in which the news of that end arrive, also through a watch that had to be begun again. */
+constexpr absl::Duration ANNOUNCEMENT_NEWS_TIME = absl::Milliseconds(4400);
 /** Connections that a crash ends are noticed within this time of each other. */
 constexpr absl::Duration SAME_END_TIME = absl::Milliseconds(500);
 /** Parts kept of one crash. Beyond it only those of a possible culprit are added, up to the hard limit. */
@@ -32,8 +34,9 @@
     return it->second == AnswerProgress::Begun || std::none_of(parts.begin(), parts.end(), isBegun);
 }
 
-CrashHistory::CrashHistory(core::TimerService &timers)
-    : m_timers(timers)
+CrashHistory::CrashHistory(absl::Duration serverReportPeriod, core::TimerService &timers)
+    : m_confirmationTime(MISSED_REPORTS * serverReportPeriod + ANNOUNCEMENT_NEWS_TIME),
+      m_timers(timers)
 {
 }
 
@@ -42,7 +45,7 @@
     for (auto it = m_crashes.rbegin(); it != m_crashes.rend(); ++it) {
         if (it->server == server && it->startedAtMs == startedAtMs) {
             // Without a stated start, a later crash of the same identifier is another one.
-            return startedAtMs != 0 || m_timers.now() - it->at < CONFIRMATION_TIME ? &*it : nullptr;
+            return startedAtMs != 0 || m_timers.now() - it->at < m_confirmationTime ? &*it : nullptr;
         }
     }
     return nullptr;
@@ -125,8 +128,8 @@
 
 bool CrashHistory::mayHaveCrashedAt(const BackendServer &server, absl::Time at) const
 {
-    return std::any_of(m_crashes.begin(), m_crashes.end(), [&server, at](const Crash &crash) {
-        return crash.server == server.id && crash.startedAtMs == server.startedAtMs && crash.at - at < SAME_END_TIME && at - crash.at < CONFIRMATION_TIME;
+    return std::any_of(m_crashes.begin(), m_crashes.end(), [this, &server, at](const Crash &crash) {
+        return crash.server == server.id && crash.startedAtMs == server.startedAtMs && crash.at - at < SAME_END_TIME && at - crash.at < m_confirmationTime;
     });
 }
 
@@ -140,7 +143,7 @@
 {
     const absl::Time now = m_timers.now();
     for (Crash &crash : m_crashes) {
-        if (crash.server == server && now - crash.at < CONFIRMATION_TIME) {
+        if (crash.server == server && now - crash.at < m_confirmationTime) {
             confirm(crash);
         }
     }
@@ -215,8 +218,8 @@
 void CrashHistory::removeExpired()
 {
     const absl::Time now = m_timers.now();
-    const auto isExpired = [now](const Crash &crash) {
-        return now - crash.at > (crash.isConfirmed() ? CRASH_LIFETIME : CONFIRMATION_TIME);
+    const auto isExpired = [this, now](const Crash &crash) {
+        return now - crash.at > (crash.isConfirmed() ? CRASH_LIFETIME : m_confirmationTime);
     };
     m_crashes.erase(std::remove_if(m_crashes.begin(), m_crashes.end(), isExpired), m_crashes.end());
     // Parts of crashes that are gone need no clearance any more.
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -48,7 +48,7 @@
       m_allowances(m_settings.allowances, ports.timers),
       m_repeats(m_settings.repeats, ports.timers),
       m_rollouts(m_settings.self.id, m_settings.flow.seed + 1, ports.timers),
-      m_quarantine(ports.timers, ports.journal),
+      m_quarantine(m_settings.serverReportPeriod, ports.timers, ports.journal),
       m_random(m_settings.flow.seed + 2),
       m_requestFlow(m_settings.flow,
           FlowDependencies{
@@ -66,6 +66,7 @@
 {
     m_quarantine.changed().subscribe([this](const QuarantineRecord &quarantine) { storeQuarantine(quarantine); });
     m_allowances.shortages().subscribe([this](const AllowanceShortage &shortage) { requestTokens(shortage); });
+    m_backends.limits().setAnnouncementLifetime(m_settings.announcementLifetime);
     updateInstances();
 }
 
--- a/source/gateway/promptquarantine.cpp
+++ b/source/gateway/promptquarantine.cpp
@@ -27,10 +27,10 @@
 
 } // namespace
 
-PromptQuarantine::PromptQuarantine(core::TimerService &timers, Journal &journal)
+PromptQuarantine::PromptQuarantine(absl::Duration serverReportPeriod, core::TimerService &timers, Journal &journal)
     : m_timers(timers),
       m_journal(journal),
-      m_crashes(timers),
+      m_crashes(serverReportPeriod, timers),
       m_evaluationTimer(timers.every(EVALUATION_PERIOD, [this] { evaluate(); })),
       m_sweepTimer(timers.every(SWEEP_PERIOD, [this] { sweep(); }))
 {
--- a/source/gateway/rolloutguard.cpp
+++ b/source/gateway/rolloutguard.cpp
@@ -29,7 +29,7 @@
 constexpr int MIN_FAILURES = 3;
 /** A version is bad if its mean latency exceeds this multiple of the old version's. */
 constexpr double MAX_LATENCY_RATIO = 3.0;
-/** Name of the evidence about answers with about the same expected time. No route of a deployment has it, because it holds a space. */
+/** Prefix of the name under which answers with about the same expected time are counted, in place of a route. */
 constexpr const char *PACE_PREFIX = "expected time 2^";
 /** An answer is slow if its first data takes this multiple of the expected time. */
 constexpr double SLOW_FACTOR = 2.0;
--- a/source/gateway/serverlimits.cpp
+++ b/source/gateway/serverlimits.cpp
@@ -16,10 +16,8 @@
 constexpr double MIN_PER_SECOND = 0.1;
 /** Time's worth of its part that an instance may send at once. */
 constexpr absl::Duration BURST_TIME = absl::Milliseconds(250);
-/** Time in which all others learn of a started instance. */
-constexpr absl::Duration JOIN_TIME = absl::Seconds(6);
-/** Age of the members' last confirmation from which another instance may have taken over this one's part. Less than the lifetime of an announcement. */
-constexpr absl::Duration MAX_MEMBERS_AGE = absl::Seconds(7);
+/** Part of an announcement's lifetime in which an instance has to hear of the other members, before they can take it for gone. */
+constexpr double MEMBERS_AGE_FRACTION = 0.75;
 constexpr double UNCONFIRMED_FRACTION = 0.5;
 /** Relative change of a limit that the others are told. */
 constexpr double MIN_CHANGE = 0.02;
@@ -132,6 +130,11 @@
     m_members = std::move(members);
 }
 
+void ServerLimits::setAnnouncementLifetime(absl::Duration lifetime)
+{
+    m_maxMembersAge = MEMBERS_AGE_FRACTION * lifetime;
+}
+
 void ServerLimits::confirmMembers(absl::Time at)
 {
     m_membersConfirmedAt = std::max(m_membersConfirmedAt, at);
@@ -149,11 +152,13 @@
         isMember = isMember || member == m_self;
         before += rendezvousWeight(server.value(), member.value()) > ownWeight ? 1 : 0;
     }
-    if (!isMember || before >= sharing || now - m_startedAt < JOIN_TIME) {
+    // The others may not know yet that this instance has started; after the longest age of what they know they do.
+    const bool isJoining = now - m_startedAt < m_maxMembersAge;
+    if (!isMember || before >= sharing || isJoining) {
         return 0;
     }
     const double part = std::max(perSecond, MIN_PER_SECOND) / static_cast<double>(sharing);
-    return now - m_membersConfirmedAt > MAX_MEMBERS_AGE ? part * UNCONFIRMED_FRACTION : part;
+    return now - m_membersConfirmedAt > m_maxMembersAge ? part * UNCONFIRMED_FRACTION : part;
 }
 
 absl::Duration ServerLimits::timeUntilDispatch(const core::BackendServerId &server) const
--- a/source/net/gatewaysettings.cpp
+++ b/source/net/gatewaysettings.cpp
@@ -65,6 +65,7 @@
     gateway::GatewaySettings &gateway = settings.gateway;
     gateway.flow.keyWithdrawalTime = promises.duration("key_withdrawal", absl::ZeroDuration(), LONGEST, gateway.flow.keyWithdrawalTime);
     gateway.serverDrainTime = promises.duration("server_drain", absl::ZeroDuration(), LONGEST, gateway.serverDrainTime);
+    gateway.serverReportPeriod = promises.duration("server_report_period", absl::ZeroDuration(), LONGEST, gateway.serverReportPeriod);
     gateway.repeats.share = promises.number("repeat_share", 0.0, MAX_RATIO, gateway.repeats.share);
     gateway.repeats.slack = promises.number("repeat_slack", 0.0, MAX_QUANTITY, 0.0);
     gateway.repeats.window = promises.duration("repeat_window", absl::ZeroDuration(), LONGEST, gateway.repeats.window);
@@ -77,6 +78,7 @@
     YamlMap store = root.map("store");
     settings.store.address = store.address("address");
     settings.store.leaseTime = store.duration("lease_time", absl::Seconds(1), absl::Minutes(10), settings.store.leaseTime);
+    gateway.announcementLifetime = settings.store.leaseTime;
     settings.store.renewPeriod = store.duration("renew_period", absl::Milliseconds(100), absl::Minutes(5), settings.store.renewPeriod);
     settings.store.operatorWait = store.duration("operator_wait", MIN_STORE_WAIT, absl::Seconds(30), settings.store.operatorWait);
     // A confirmation is at most as old as the wait, and news of a leaving backend server have to be known well within its drain time.
@@ -139,6 +141,7 @@
         {"machine.memory_mb", settings.machine.memoryMb == fresh.machine.memoryMb},
         {"machine.cpu_share", settings.machine.cpuShare == fresh.machine.cpuShare},
         {"promises.server_drain", before.serverDrainTime == after.serverDrainTime},
+        {"promises.server_report_period", before.serverReportPeriod == after.serverReportPeriod},
         {"promises.repeat_share", before.repeats.share == after.repeats.share},
         {"promises.repeat_slack", before.repeats.slack == after.repeats.slack},
         {"promises.repeat_window", before.repeats.window == after.repeats.window},
--- a/tests/gateway/crashhistorytest.cpp
+++ b/tests/gateway/crashhistorytest.cpp
@@ -8,7 +8,7 @@
 struct QuarantineFixture
 {
     QuarantineFixture()
-        : quarantine(timers, journal)
+        : quarantine(absl::Milliseconds(1200), timers, journal)
     {
     }
 
--- a/tests/gateway/enginefleet.cpp
+++ b/tests/gateway/enginefleet.cpp
@@ -255,6 +255,7 @@
     Instance &instance = *m_instances[index];
     gateway::GatewaySettings settings = GatewayFixture::settings();
     settings.self = instance.member;
+    settings.announcementLifetime = LEASE_TIME;
     settings.regions.clear();
     for (const std::unique_ptr<Engine> &engine : m_engines) {
         settings.regions[engine->server.dataCentre] = core::RegionId(regionName(engine->region));
--- a/tests/net/gatewaytemplatetest.cpp
+++ b/tests/net/gatewaytemplatetest.cpp
@@ -93,7 +93,7 @@
 /** Fields of a small deployment, in figures of this test's own. */
 Json deploymentFields()
 {
-    return Json::parse(R"({"nodeName": "front-a-1", "zone": "a", "region": "north", "zones": {"a": "north", "b: c": "south"}, "ip": "10.0.0.1",
+    return Json::parse(R"({"nodeName": "front-a-1", "zone": "a", "region": "north", "zones": {"a": "north", "b: c": "south"}, "ip": "10.0.0.1", "beatIntervalMs": 900,
         "internalPorts": [7000, 7015], "platform": {"address": "10.9.0.1:80"}, "limits": {"memoryMb": 200, "cpuShare": 0.2},
         "listen": {"front": "10.0.0.1:1", "directory": "10.0.0.1:2", "ready": "10.0.0.1:3", "control": "10.0.0.1:4"},
         "bounds": {"revokeMs": 4000, "drainMs": 2500, "retryRatio": 0.15, "quotaSlack": 90000, "quotaExcess": 0.2, "retrySlack": 44, "budgetWindowS": 9,
@@ -110,9 +110,9 @@
 TEST_CASE("a process starts with every form of number that a deployment may state for a bound")
 {
     const std::string path = GENERATE("bounds.revokeMs", "bounds.drainMs", "bounds.retryRatio", "bounds.quotaSlack", "bounds.quotaExcess", "bounds.retrySlack",
-        "bounds.budgetWindowS", "bounds.graceS", "limits.memoryMb", "limits.cpuShare");
+        "bounds.budgetWindowS", "bounds.graceS", "beatIntervalMs", "limits.memoryMb", "limits.cpuShare");
     const std::vector<std::string> parts = absl::StrSplit(path, '.');
-    const bool isBound = parts[0] == "bounds";
+    const bool isBound = parts[0] == "bounds" || parts.size() == 1;
     Json fields = deploymentFields();
     for (const std::string &form : std::vector<std::string>{"33.1578947368421", "0", "absent", "2000000000", "2.5e2", "1e-7", "0.0"}) {
         if (!isBound && form != "absent") {
@@ -121,11 +121,12 @@
         INFO(path << " = " << form);
         fields["bounds"] = deploymentFields()["bounds"];
         fields["limits"] = deploymentFields()["limits"];
+        Json &group = parts.size() == 1 ? fields : fields[parts[0]];
         if (form == "absent") {
-            fields[parts[0]].erase(parts[1]);
+            group.erase(parts.back());
         } else {
             // The platform writes a number with an exponent as it is; the library would not.
-            fields[parts[0]][parts[1]] = form;
+            group[parts.back()] = form;
         }
         const core::Expected<net::GatewayProcessSettings> settings = settingsOf(fields);
         INFO((settings ? "" : settings.error().message));
