Let no record that the store refuses hold up the end of a roll-out

Cause: records of quarantined parts and decisions about roll-outs waited in one queue, in which each is sent again until the store takes it. A record that it refuses for good would have kept every decision behind it from the operator. Found by reading; no play has shown it. Ruled out: dropping decisions, which nobody offers again. After: test-net passes (43 cases). Conclusion: the refusal itself is not tried by a test yet.

--- a/include/snipeferry/net/storeclient.h
+++ b/include/snipeferry/net/storeclient.h
@@ -52,7 +52,8 @@
 private:
     std::array<std::shared_ptr<Follower>, gateway::TOPIC_COUNT> m_followers;
     std::shared_ptr<Announcer> m_announcer;
-    std::shared_ptr<StoreWriter> m_writer;
+    std::shared_ptr<StoreWriter> m_rolloutWriter;
+    std::shared_ptr<StoreWriter> m_quarantineWriter;
 };
 
 } // namespace snipeferry::net
--- a/source/net/storeclient.cpp
+++ b/source/net/storeclient.cpp
@@ -341,9 +341,11 @@
         m_followers[index] = std::make_shared<Follower>(loop, settings, static_cast<gateway::Topic>(index), waits[index], format, gateway, journal);
     }
     m_announcer = std::make_shared<Announcer>(loop, settings, format, gateway, journal);
-    m_writer = std::make_shared<StoreWriter>(loop, settings, format, records, gateway, journal);
-    gateway.rolloutDecided().subscribe([writer = m_writer](const gateway::RolloutDecision &decision) { writer->write(decision); });
-    gateway.recordToStore().subscribe([writer = m_writer](const gateway::RecordToStore &task) { writer->write(task.record); });
+    // Two writers, so that neither kind of record waits for the other.
+    m_rolloutWriter = std::make_shared<StoreWriter>(loop, settings, format, records, gateway, journal);
+    m_quarantineWriter = std::make_shared<StoreWriter>(loop, settings, format, records, gateway, journal);
+    gateway.rolloutDecided().subscribe([writer = m_rolloutWriter](const gateway::RolloutDecision &decision) { writer->write(decision); });
+    gateway.recordToStore().subscribe([writer = m_quarantineWriter](const gateway::RecordToStore &task) { writer->write(task.record); });
 }
 
 StoreClient::~StoreClient() = default;
--- a/source/net/storewriter.cpp
+++ b/source/net/storewriter.cpp
@@ -12,14 +12,23 @@
 
 constexpr absl::Duration WRITE_TIMEOUT = absl::Milliseconds(2500);
 constexpr int HTTP_OK = 200;
+constexpr int FIRST_CALLER_ERROR = 400;
+constexpr int FIRST_SERVER_ERROR = 500;
 /** Precondition failed: a guard stands in the way. */
 constexpr int HTTP_CONFLICT = 412;
+constexpr int HTTP_TOO_MANY_CALLS = 429;
 
 bool isFinal(const gateway::RolloutDecision &decision)
 {
     return decision.state == gateway::RolloutState::Completed || decision.state == gateway::RolloutState::Reverted;
 }
 
+/** Whether the store will not take the call at any later time either. */
+bool isRefusedForGood(int status)
+{
+    return status >= FIRST_CALLER_ERROR && status < FIRST_SERVER_ERROR && status != HTTP_TOO_MANY_CALLS;
+}
+
 } // namespace
 
 StoreWriter::StoreWriter(EventLoop &loop, const StoreClientSettings &settings, const StoreFormat &format, const gateway::RecordCodec &records,
@@ -74,15 +83,20 @@
 
 void StoreWriter::answered(const core::Expected<CallAnswer> &answer)
 {
+    const gateway::Record *record = std::get_if<gateway::Record>(&m_waiting.front());
     const bool isConflict = answer && answer->status == HTTP_CONFLICT;
-    if (!answer || (answer->status != HTTP_OK && !isConflict)) {
+    // The gateway offers a record that the store lacks again later; what waits behind it must not wait for ever.
+    const bool isDropped = record != nullptr && answer && isRefusedForGood(answer->status);
+    if (!isDropped && (!answer || (answer->status != HTTP_OK && !isConflict))) {
         m_pause = m_loop.timers().after(m_backoff.next(), [self = shared_from_this()] { self->send(); });
         return;
     }
     m_backoff.reset();
     const Task task = std::move(m_waiting.front());
     if (const gateway::Record *written = std::get_if<gateway::Record>(&task)) {
-        m_journal.log(core::LogEvent{"quarantine_stored", {}}.with("key", written->key));
+        m_journal.log(core::LogEvent{isDropped ? "quarantine_store_refused" : "quarantine_stored", {}}
+                          .with("key", written->key)
+                          .with("status", absl::StrCat(answer->status)));
     } else {
         decisionAnswered(std::get<gateway::RolloutDecision>(task), *answer, isConflict);
     }
