--- a/tests/gateway/enginefleet.h
+++ b/tests/gateway/enginefleet.h
@@ -106,6 +106,8 @@
     std::vector<std::size_t> instancesOf(std::size_t region) const;
     std::size_t engineCount() const;
     bool isEngineUp(std::size_t engine) const;
+    /** Engine that has a run with a part in work; empty if there is none. */
+    std::optional<std::size_t> engineAtWorkOn(const std::string &part) const;
     gateway::Gateway &gateway(std::size_t instance);
     FakeJournal &journal(std::size_t instance);
     absl::Time now() const;
--- a/tests/gateway/enginefleetmeasures.cpp
+++ b/tests/gateway/enginefleetmeasures.cpp
@@ -32,6 +32,19 @@
     return m_engines[engine]->isUp;
 }
 
+std::optional<std::size_t> EngineFleet::engineAtWorkOn(const std::string &part) const
+{
+    const auto holdsPart = [&part](const Run &run) {
+        return std::find(run.sharedParts.begin(), run.sharedParts.end(), part) != run.sharedParts.end();
+    };
+    for (std::size_t engine = 0; engine < m_engines.size(); ++engine) {
+        if (std::any_of(m_engines[engine]->runs.begin(), m_engines[engine]->runs.end(), holdsPart)) {
+            return engine;
+        }
+    }
+    return std::nullopt;
+}
+
 gateway::Gateway &EngineFleet::gateway(std::size_t instance)
 {
     return *m_instances.at(instance)->gateway;
