Tell a new link only the crashes that a part is not cleared of

What callers saw (test): an instance that started after engines had crashed by themselves quarantined parts that had ended well since; their requests were refused until another instance contradicted it. Cause: the summary for a new link held the last 16 crashes with all parts that had been in work, and none of the runs that had cleared them. Ruled out: telling the clearances beside the crashes, up to 256 for each of 16 crashes; the receiver needs neither. Why it works: a part that is left out of a report is not blamed for that crash, which is what its run that ended well means. Conclusion: mended for links; what a restart reads from the store is decided already.

--- a/source/gateway/promptquarantine.cpp
+++ b/source/gateway/promptquarantine.cpp
@@ -326,10 +326,20 @@
 
 PromptEvidence PromptQuarantine::summary() const
 {
+    const absl::Time now = m_timers.now();
     PromptEvidence all;
-    all.crashes = m_crashes.recentReports();
+    for (CrashReport &report : m_crashes.recentReports()) {
+        // The receiver has not heard of the runs that ended well since.
+        const auto isCleared = [this, &report, now](const PartInWork &part) {
+            return clearedAt(PartKey{report.service, part.part}) >= now - report.ago;
+        };
+        report.parts.erase(std::remove_if(report.parts.begin(), report.parts.end(), isCleared), report.parts.end());
+        if (!report.parts.empty()) {
+            all.crashes.push_back(std::move(report));
+        }
+    }
     for (const auto &entry : m_quarantined) {
-        all.quarantined.push_back({entry.first, entry.second.part.crashes, m_timers.now() - entry.second.lastCrashAt});
+        all.quarantined.push_back({entry.first, entry.second.part.crashes, now - entry.second.lastCrashAt});
     }
     return all;
 }
