Release a part that any instance has seen ending well from blame that it shares

What callers saw (test): a sound part that each crashing request held, and that few others hold, was refused for good: none of its requests was served from 10 s after the fifth crash on (LOST). Cause: of parts that are blamed for the same crashes those that never ended well are quarantined. Whether one ever did was known to the instances that had served it alone; any other one quarantined the sound part beside the bad one, all adopted that, and a refused part has no run that could clear it. Ruled out: telling each part that ends well (a message for each prompt); refusing only requests that hold all parts in question (a bad request without one of them would pass). Why it works: parts that are quarantined together name each other, and an instance that knows of a run with one of them that ended well, before or after the crashes, says so; the part is released everywhere. If all of them ended well before, their crashes are weighed again without that. Conclusion: mended for parts of which a run ended well before; a part that was first used beside the bad one stays refused until an operator removes its record.

--- a/include/snipeferry/core/value.h
+++ b/include/snipeferry/core/value.h
@@ -39,6 +39,37 @@
         NLOHMANN_JSON_EXPAND(NLOHMANN_JSON_PASTE(NLOHMANN_JSON_FROM, __VA_ARGS__))                                                                             \
     }
 
+/**
+ * As SNIPEFERRY_VALUE, with one more container that earlier builds do not know. It is left out where it is empty, and empty where it is missing.
+ */
+#define SNIPEFERRY_EXTENDED_VALUE(Type, added, ...)                                                                                                            \
+    auto tied() const                                                                                                                                          \
+    {                                                                                                                                                          \
+        return std::tie(__VA_ARGS__, added);                                                                                                                   \
+    }                                                                                                                                                          \
+    friend bool operator==(const Type &left, const Type &right)                                                                                                \
+    {                                                                                                                                                          \
+        return left.tied() == right.tied();                                                                                                                    \
+    }                                                                                                                                                          \
+    friend bool operator!=(const Type &left, const Type &right)                                                                                                \
+    {                                                                                                                                                          \
+        return !(left == right);                                                                                                                               \
+    }                                                                                                                                                          \
+    template<typename BasicJson>                                                                                                                               \
+    friend void to_json(BasicJson &nlohmann_json_j, const Type &nlohmann_json_t)                                                                               \
+    {                                                                                                                                                          \
+        NLOHMANN_JSON_EXPAND(NLOHMANN_JSON_PASTE(NLOHMANN_JSON_TO, __VA_ARGS__))                                                                               \
+        if (!nlohmann_json_t.added.empty()) {                                                                                                                  \
+            nlohmann_json_j[#added] = nlohmann_json_t.added;                                                                                                   \
+        }                                                                                                                                                      \
+    }                                                                                                                                                          \
+    template<typename BasicJson>                                                                                                                               \
+    friend void from_json(const BasicJson &nlohmann_json_j, Type &nlohmann_json_t)                                                                             \
+    {                                                                                                                                                          \
+        NLOHMANN_JSON_EXPAND(NLOHMANN_JSON_PASTE(NLOHMANN_JSON_FROM, __VA_ARGS__))                                                                             \
+        nlohmann_json_t.added = nlohmann_json_j.value(#added, decltype(nlohmann_json_t.added)());                                                              \
+    }
+
 namespace nlohmann {
 
 template<typename Tag>
--- a/include/snipeferry/gateway/promptevidence.h
+++ b/include/snipeferry/gateway/promptevidence.h
@@ -70,8 +70,10 @@
     int crashes = 0;
     /** Time since the last of them. */
     absl::Duration lastCrashAgo;
+    /** Other parts that are held to have caused the same crashes, as the sender knows of no run with any of them that ended well. */
+    std::vector<std::string> equallyBlamed;
 
-    SNIPEFERRY_VALUE(QuarantinedPart, key, crashes, lastCrashAgo)
+    SNIPEFERRY_EXTENDED_VALUE(QuarantinedPart, equallyBlamed, key, crashes, lastCrashAgo)
 };
 
 /** A quarantined part as the store holds it. */
--- a/include/snipeferry/gateway/promptquarantine.h
+++ b/include/snipeferry/gateway/promptquarantine.h
@@ -87,6 +87,7 @@
         absl::Time endedAt;
     };
 
+    QuarantinedPart describe(const Entry &entry) const;
     void addSoundRun(const BackendServer &server, const std::vector<std::string> &parts, absl::Time endedAt);
     void checkClosedRuns();
     void evaluate();
@@ -96,7 +97,9 @@
     /** Notes that evidence has changed, so that it is evaluated as soon as all reports of it can have arrived. */
     void evidenceChanged();
     bool isExplained(const Crash &crash) const;
-    void quarantine(const PartKey &key, int crashes, absl::Time lastCrashAt, const std::string &source);
+    void quarantine(const QuarantinedPart &part, const std::string &source);
+    /** Whether a run that ended well at this time speaks for a quarantined part: after its crashes, or at all if other parts are blamed equally. */
+    bool isExonerated(const QuarantinedPart &part, absl::Time endedWellAt) const;
     void release(const PartKey &key, const std::string &reason);
     /** Time at which a run with the part last ended well; InfinitePast if that is not known. */
     absl::Time clearedAt(const PartKey &key) const;
--- a/source/gateway/promptquarantine.cpp
+++ b/source/gateway/promptquarantine.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace snipeferry::gateway {
@@ -20,6 +21,17 @@
 /** Parts in each of the two maps of parts that ended well. */
 constexpr std::size_t MAX_CLEARED = 4096;
 
+std::vector<std::string> otherParts(const std::vector<PartBlame> &blamed, const PartKey &key)
+{
+    std::vector<std::string> others;
+    for (const PartBlame &blame : blamed) {
+        if (blame.key() != key) {
+            others.push_back(blame.key().part);
+        }
+    }
+    return others;
+}
+
 bool isEarlier(const Crash *left, const Crash *right)
 {
     return left->at < right->at;
@@ -111,11 +123,24 @@
     absl::Time &last = m_cleared[key];
     last = std::max({last, at, clearedAt(key)});
     const auto entry = m_quarantined.find(key);
-    if (entry != m_quarantined.end() && at > entry->second.lastCrashAt) {
+    if (entry == m_quarantined.end()) {
+        return;
+    }
+    if (isExonerated(describe(entry->second), at)) {
         release(key, "ended_well");
+        // Its crashes may be without an explanation now.
+        evidenceChanged();
     }
 }
 
+bool PromptQuarantine::isExonerated(const QuarantinedPart &part, absl::Time endedWellAt) const
+{
+    if (!part.equallyBlamed.empty()) {
+        return endedWellAt > absl::InfinitePast();
+    }
+    return endedWellAt > m_timers.now() - part.lastCrashAgo;
+}
+
 const QuarantinedPart *PromptQuarantine::find(const core::ServiceId &service, const std::vector<PromptPart> &parts)
 {
     if (m_quarantined.empty()) {
@@ -193,11 +218,17 @@
             return std::make_pair(left.crashes(), !left.everEndedWell()) < std::make_pair(right.crashes(), !right.everEndedWell());
         };
         const PartBlame worst = *std::max_element(blamed.begin(), blamed.end(), isLess);
+        const auto isLikeWorst = [&worst](const PartBlame &blame) {
+            return blame.crashes() == worst.crashes() && blame.everEndedWell() == worst.everEndedWell() && blame.key().service == worst.key().service;
+        };
+        blamed.erase(std::remove_if(blamed.begin(), blamed.end(), std::not_fn(isLikeWorst)), blamed.end());
         for (const PartBlame &blame : blamed) {
-            if (blame.crashes() == worst.crashes() && blame.everEndedWell() == worst.everEndedWell()) {
-                quarantine(blame.key(), blame.crashes(), blame.lastCrashAt(), "evidence");
-                m_quarantineNews.push_back(blame.key());
+            QuarantinedPart part{blame.key(), blame.crashes(), m_timers.now() - blame.lastCrashAt(), {}};
+            if (!worst.everEndedWell()) {
+                part.equallyBlamed = otherParts(blamed, blame.key());
             }
+            quarantine(part, "evidence");
+            m_quarantineNews.push_back(blame.key());
         }
     }
 }
@@ -226,13 +257,15 @@
     return false;
 }
 
-void PromptQuarantine::quarantine(const PartKey &key, int crashes, absl::Time lastCrashAt, const std::string &source)
+void PromptQuarantine::quarantine(const QuarantinedPart &part, const std::string &source)
 {
+    const PartKey &key = part.key;
     const absl::Time now = m_timers.now();
+    const absl::Time lastCrashAt = now - part.lastCrashAgo;
     const auto known = m_quarantined.find(key);
     if (known != m_quarantined.end()) {
         known->second.lastCrashAt = std::max(known->second.lastCrashAt, lastCrashAt);
-        known->second.part.crashes = std::max(known->second.part.crashes, crashes);
+        known->second.part.crashes = std::max(known->second.part.crashes, part.crashes);
         return;
     }
     if (m_quarantined.size() >= MAX_QUARANTINED) {
@@ -242,15 +275,16 @@
         const PartKey dropped = std::min_element(m_quarantined.begin(), m_quarantined.end(), isAskedEarlier)->first;
         release(dropped, "too_many");
     }
-    m_quarantined[key] = Entry{QuarantinedPart{key, crashes, now - lastCrashAt}, lastCrashAt, now};
+    m_quarantined[key] = Entry{part, lastCrashAt, now};
     m_journal.log(core::LogEvent{"part_quarantined", {}}
                       .with("service", key.service.value())
                       .with("part", key.part)
-                      .with("crashes", absl::StrCat(crashes))
-                      .with("last_crash_ms", absl::StrCat(absl::ToInt64Milliseconds(now - lastCrashAt)))
+                      .with("crashes", absl::StrCat(part.crashes))
+                      .with("last_crash_ms", absl::StrCat(absl::ToInt64Milliseconds(part.lastCrashAgo)))
+                      .with("equally_blamed", absl::StrCat(part.equallyBlamed.size()))
                       .with("source", source));
     m_journal.count("parts_quarantined_total", source, 1);
-    m_changed.emit(QuarantineRecord{key, crashes, false});
+    m_changed.emit(QuarantineRecord{key, part.crashes, false});
 }
 
 void PromptQuarantine::release(const PartKey &key, const std::string &reason)
@@ -265,6 +299,13 @@
     m_changed.emit(QuarantineRecord{key, crashes, true});
 }
 
+QuarantinedPart PromptQuarantine::describe(const Entry &entry) const
+{
+    QuarantinedPart part = entry.part;
+    part.lastCrashAgo = m_timers.now() - entry.lastCrashAt;
+    return part;
+}
+
 PromptEvidence PromptQuarantine::receive(const PromptEvidence &message)
 {
     const absl::Time now = m_timers.now();
@@ -284,16 +325,15 @@
         }
     }
     for (const QuarantinedPart &part : message.quarantined) {
-        const absl::Time lastCrashAt = now - part.lastCrashAgo;
-        if (clearedAt(part.key) > lastCrashAt) {
-            // The sender does not know yet that a run with the part has ended well since.
+        if (isExonerated(part, clearedAt(part.key))) {
+            // The sender does not know of the run with the part that ended well.
             m_clearanceNews.push_back(part.key);
             continue;
         }
         if (!m_quarantined.contains(part.key)) {
             fresh.quarantined.push_back(part);
         }
-        quarantine(part.key, part.crashes, lastCrashAt, "instance");
+        quarantine(part, "instance");
     }
     return fresh;
 }
@@ -318,7 +358,7 @@
     for (const PartKey &key : std::exchange(m_quarantineNews, {})) {
         const auto it = m_quarantined.find(key);
         if (it != m_quarantined.end()) {
-            news.quarantined.push_back({key, it->second.part.crashes, now - it->second.lastCrashAt});
+            news.quarantined.push_back(describe(it->second));
         }
     }
     return news;
@@ -339,7 +379,7 @@
         }
     }
     for (const auto &entry : m_quarantined) {
-        all.quarantined.push_back({entry.first, entry.second.part.crashes, now - entry.second.lastCrashAt});
+        all.quarantined.push_back(describe(entry.second));
     }
     return all;
 }
@@ -349,7 +389,7 @@
     if (record.isReleased) {
         release(record.key, "stored");
     } else if (!m_quarantined.contains(record.key)) {
-        quarantine(record.key, record.crashes, m_timers.now(), "store");
+        quarantine(QuarantinedPart{record.key, record.crashes, absl::ZeroDuration(), {}}, "store");
     }
 }
 
