End the evaluation of crashes that a quarantined part does not explain

What callers would see: an instance that answers nothing any more and grows until it is ended. Cause: a part that was in work at five crashes is quarantined even if it waited or wrote while others began; such a crash is not explained by it, so it was found again, and again, without end. Evidence: gateway.a part that was in work at five crashes in which other parts had begun is quarantined once: the test's process did not end within nine minutes and took 5 GB of address space before; 0.1 s now. Ruled out: taking the part as an explanation, which would hide the part that began; leaving it alone, since it may be the culprit of engines that end without a word. Why it works: a part that is quarantined already is not considered again, so each round quarantines another one or is the last. Class: a loop whose end depends on an effect that may not come.

--- a/source/gateway/promptquarantine.cpp
+++ b/source/gateway/promptquarantine.cpp
@@ -209,7 +209,11 @@
     }
     while (true) {
         std::vector<PartBlame> blamed = unexplainedBlame();
-        blamed.erase(std::remove_if(blamed.begin(), blamed.end(), [](const PartBlame &blame) { return !blame.isEnough(); }), blamed.end());
+        const auto changesNothing = [this](const PartBlame &blame) {
+            // A quarantined part does not explain the crashes at which it waited or wrote while others began.
+            return !blame.isEnough() || m_quarantined.contains(blame.key());
+        };
+        blamed.erase(std::remove_if(blamed.begin(), blamed.end(), changesNothing), blamed.end());
         if (blamed.empty()) {
             return;
         }
--- a/tests/gateway/crashhistorytest.cpp
+++ b/tests/gateway/crashhistorytest.cpp
@@ -139,3 +139,20 @@
     CHECK(fixture.quarantine.summary().crashes.size() <= 16);
     CHECK(fixture.isQuarantined("bad"));
 }
+
+// Guards against an evaluation without end: a part is blamed for crashes in which others had begun, and does not explain them.
+TEST_CASE("a part that was in work at five crashes in which other parts had begun is quarantined once")
+{
+    QuarantineFixture fixture;
+    for (int count = 0; count < 6; ++count) {
+        const gateway::BackendServer server = GatewayFixture::server(absl::StrCat("s", count));
+        fixture.quarantine.addFailedRun(server, QuarantineFixture::parts("long"), gateway::AnswerProgress::Writing, gateway::REASON_ANSWER_BROKEN_OFF);
+        fixture.quarantine.addFailedRun(
+            server, QuarantineFixture::parts(absl::StrCat("other", count)), gateway::AnswerProgress::Begun, gateway::REASON_ANSWER_BROKEN_OFF);
+        fixture.quarantine.addFailedRun(server, {}, gateway::AnswerProgress::NotBegun, gateway::REASON_CONNECT_REFUSED);
+        fixture.timers.advance(absl::Seconds(1));
+    }
+    CHECK(fixture.isQuarantined("long"));
+    CHECK_FALSE(fixture.isQuarantined("other0"));
+    CHECK(fixture.quarantine.takeNews().quarantined.size() == 1);
+}
