--- a/standins/users/usersrunner.cpp
+++ b/standins/users/usersrunner.cpp
@@ -25,6 +25,8 @@
 constexpr int SLOWNESS = 20;
 constexpr absl::Duration IDLE_TIMEOUT = absl::Seconds(4);
 constexpr std::size_t PLAIN_BODY_BYTES = 800;
+/** Time between the head of an answer and the crash of a runner that begins to write it. */
+constexpr absl::Duration CRASH_DELAY = absl::Milliseconds(20);
 
 std::string headerOf(const gateway::HttpRequest &request, const char *name)
 {
@@ -127,6 +129,25 @@
     m_fault = fault;
 }
 
+void UsersRunner::setCrashingPart(const std::string &part, std::function<void()> onCrash)
+{
+    m_crashingPart = part;
+    m_onCrash = std::move(onCrash);
+}
+
+void UsersRunner::setRequestLimit(std::optional<double> perSecond)
+{
+    m_requestLimit = perSecond;
+}
+
+bool UsersRunner::holdsCrashingPart(const gateway::HttpRequest &request) const
+{
+    const std::string prefix = headerOf(request, "Prompt-Prefix");
+    const std::vector<std::string> parts = absl::StrSplit(prefix, ',');
+    return !m_crashingPart.empty()
+        && std::any_of(parts.begin(), parts.end(), [this](const std::string &part) { return absl::StartsWith(part, m_crashingPart + ":"); });
+}
+
 void UsersRunner::abortRuns()
 {
     m_waiting.clear();
@@ -227,6 +248,13 @@
             return;
         }
         run->exchange->begin(headFor(*run, OK));
+        if (holdsCrashingPart(run->seen->request)) {
+            run->timer = m_loop.timers().after(CRASH_DELAY, [this] {
+                abortRuns();
+                m_onCrash();
+            });
+            return;
+        }
         sendEvent(run);
     });
 }
@@ -276,6 +304,9 @@
     const std::string attempt = headerOf(run.seen->request, "Attempt-Id");
     gateway::HttpHead head{status, {{"Attempt-Id", attempt}, {"Server-Seal", absl::StrCat(m_settings.id, ".", attempt)}}};
     head.headers.push_back({"Runner-Load", absl::StrCat(running(), ",", m_waiting.size(), ",", m_settings.slots)});
+    if (m_requestLimit.has_value()) {
+        head.headers.push_back({"Server-Limit", absl::StrCat(*m_requestLimit)});
+    }
     head.headers.push_back({"Content-Type", run.lastEvent > 0 ? "text/event-stream" : "text/plain"});
     return head;
 }
--- a/standins/users/usersrunner.h
+++ b/standins/users/usersrunner.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -88,6 +89,15 @@
 
     void setFault(RunnerFault fault);
 
+    /**
+     * @brief Makes the runner crash when it begins to write an answer on a prompt part; an empty part: on none.
+     * @param onCrash called after all runs have ended; it ends the runner's connections and withdraws its entry
+     */
+    void setCrashingPart(const std::string &part, std::function<void()> onCrash);
+
+    /** @brief Names a limit in requests a second in each answer, or none. */
+    void setRequestLimit(std::optional<double> perSecond);
+
     /** @brief Ends all runs without an answer, as a crash does. */
     void abortRuns();
 
@@ -108,6 +118,7 @@
     void startNext();
     void start(const std::shared_ptr<Run> &run);
     void sendEvent(const std::shared_ptr<Run> &run);
+    bool holdsCrashingPart(const gateway::HttpRequest &request) const;
     /** Sends filler as fast as the client reads it, until the client closes. */
     void sendFiller(const std::shared_ptr<Run> &run);
     void finish(const std::shared_ptr<Run> &run, bool isComplete);
@@ -126,6 +137,9 @@
     std::string m_announcedAddress;
     std::string m_state = "ready";
     RunnerFault m_fault = RunnerFault::None;
+    std::string m_crashingPart;
+    std::function<void()> m_onCrash;
+    std::optional<double> m_requestLimit;
     std::vector<std::shared_ptr<Run>> m_running;
     std::vector<std::shared_ptr<Run>> m_waiting;
     std::vector<std::unique_ptr<RunSeen>> m_seen;
--- a/tests/users-platform/usersfixture.cpp
+++ b/tests/users-platform/usersfixture.cpp
@@ -10,6 +10,8 @@
 
 constexpr std::size_t ANSWER_BYTES = std::size_t{1} << 20;
 constexpr int EVENTS = 6;
+/** Time after which a crashed runner is back. */
+constexpr absl::Duration RESTART_TIME = absl::Seconds(1);
 constexpr absl::Duration LOOK_AGAIN = absl::Milliseconds(20);
 const std::string PROGRAM = std::string(SNIPEFERRY_PROGRAM_DIR) + "/snipeferry-gateway";
 
@@ -44,6 +46,7 @@
 {
     m_gateway.reset();
     m_thread.call([this] {
+        m_restarts.clear();
         m_runners.clear();
         m_ways.clear();
         m_wayToStore.reset();
@@ -64,6 +67,27 @@
     runner->announce(m_ways[id]->address());
 }
 
+void UsersFixture::setCrashingPart(const std::vector<std::string> &runners, const std::string &part)
+{
+    m_thread.call([this, &runners, &part] {
+        for (const std::string &id : runners) {
+            runner(id).setCrashingPart(part, [this, id] { restartRunner(id); });
+        }
+    });
+}
+
+void UsersFixture::restartRunner(const std::string &id)
+{
+    way(id).refuse(true);
+    way(id).resetAll();
+    runner(id).withdraw();
+    m_restarts[id] = m_thread.loop().timers().after(RESTART_TIME, [this, id] {
+        runner(id).restartAs(absl::StrCat(id, "-", ++m_restartCount), "v1");
+        way(id).refuse(false);
+        runner(id).announce(way(id).address());
+    });
+}
+
 void UsersFixture::startGateway()
 {
     const std::string settings = gatewaySettingsText({"gw-1", "north-1", "north"}, m_addresses, m_wayToStore->address(), {{"north-1", "north"}});
@@ -90,7 +114,7 @@
     return true;
 }
 
-UsersAnswer UsersFixture::ask(const std::string &path, const std::string &key, int timeLimitMs)
+UsersAnswer UsersFixture::ask(const std::string &path, const std::string &key, int timeLimitMs, const std::string &promptParts)
 {
     UsersAnswer result;
     result.attempt = absl::StrCat("attempt-", ++m_lastAttempt);
@@ -104,7 +128,7 @@
     if (isStream) {
         request.headers.push_back({"Model", "m"});
         request.headers.push_back({"Token-Counts", absl::StrCat("100,", EVENTS)});
-        request.headers.push_back({"Prompt-Prefix", "5c1e07a2:80,91bd3f06:20"});
+        request.headers.push_back({"Prompt-Prefix", promptParts});
     }
     result.answer = http::fetch(std::move(request), ANSWER_BYTES);
     return result;
--- a/tests/users-platform/usersfixture.h
+++ b/tests/users-platform/usersfixture.h
@@ -38,8 +38,11 @@
     /** @brief Waits until readiness is as wanted and a request of each kind is served. */
     bool servesWithin(absl::Duration limit);
 
+    /** Parts of the prompts of streams, with their tokens. */
+    static constexpr const char *SOUND_PARTS = "5c1e07a2:80,91bd3f06:20";
+
     /** @brief Sends a request; those of streams ask for 6 events. */
-    UsersAnswer ask(const std::string &path, const std::string &key = "k-bar-1", int timeLimitMs = 2000);
+    UsersAnswer ask(const std::string &path, const std::string &key = "k-bar-1", int timeLimitMs = 2000, const std::string &promptParts = SOUND_PARTS);
 
     /** @brief Whether an answer is the runner's whole answer to this very request. */
     static bool isWhole(const std::string &path, const UsersAnswer &answer);
@@ -75,7 +78,13 @@
     /** @brief Starts and announces one more runner; on the thread of the stand-ins. */
     void addRunner(const std::string &id, const std::string &service, const std::string &version = "v1");
 
+    /** @brief Makes runners crash when they begin to write an answer on a part. Each is back after a while, under another identifier. */
+    void setCrashingPart(const std::vector<std::string> &runners, const std::string &part);
+
 private:
+    /** Ends the connections of a runner and withdraws it, until it is back; on the thread of the stand-ins. */
+    void restartRunner(const std::string &id);
+
     TemporaryFolder m_folder;
     mutable LoopThread m_thread;
     GatewayAddresses m_addresses;
@@ -85,6 +94,8 @@
     std::map<std::string, std::unique_ptr<standins::UsersRunner>> m_runners;
     std::map<std::string, std::unique_ptr<standins::FaultProxy>> m_ways;
     std::list<standins::RunSeen *> m_runs;
+    std::map<std::string, core::Subscription> m_restarts;
+    int m_restartCount = 0;
     std::unique_ptr<Process> m_gateway;
     std::atomic<int> m_lastAttempt = 0;
 };
