Show that urgent requests go with all others where all backend servers have named limits

Cause: an instance's part of a limit goes to whoever comes first. Ruled out: too little room, since the limits allow four times what is urgent.

--- a/tests/gateway/enginefleet.cpp
+++ b/tests/gateway/enginefleet.cpp
@@ -81,6 +81,10 @@
     keyedStream.isOpen = false;
     keyedStream.isStream = true;
     deployment.routes.push_back(keyedStream);
+    gateway::Route urgentStream = GatewayFixture::route("/urgent-stream/");
+    urgentStream.isStream = true;
+    urgentStream.priority = 0;
+    deployment.routes.push_back(urgentStream);
     storeRecord(gateway::Topic::Operator, "deployment", nlohmann::json(deployment).dump());
     for (std::size_t region = 0; region < shape.instances.size(); ++region) {
         for (int number = 0; number < shape.instances[region]; ++number) {
--- a/tests/gateway/limitcasestest.cpp
+++ b/tests/gateway/limitcasestest.cpp
@@ -1,6 +1,8 @@
 #include "enginefleet.h"
 #include "snipeferry/gateway/serverlimits.h"
 
+#include <algorithm>
+
 using namespace snipeferry;
 using namespace snipeferry::tests;
 
@@ -158,3 +160,38 @@
     CHECK(limits.note(server, naming(std::nullopt), true, timers.now()));
     CHECK(limits.states().empty());
 }
+
+// Guards against requests that take what the backend servers allow in the order of their arrival, so that the urgent ones are refused with all others.
+TEST_CASE("if all backend servers have named limits, urgent requests are served before others")
+{
+    const std::uint64_t seed = GENERATE(251, 252, 253);
+    EngineFleet fleet(seed);
+    fleet.advance(absl::Seconds(4));
+    for (std::size_t engine = 0; engine < fleet.engineCount(); ++engine) {
+        fleet.setLimit(engine, 1.0);
+    }
+    play(fleet, absl::Seconds(10));
+    const absl::Time from = fleet.now();
+    std::vector<std::shared_ptr<Answer>> urgent;
+    std::vector<std::shared_ptr<Answer>> other;
+    while (fleet.now() < from + absl::Seconds(30)) {
+        const bool isUrgent = fleet.randomInt(25) == 0;
+        const std::vector<std::string> parts = {"sys", absl::StrCat("doc", fleet.randomInt(30))};
+        (isUrgent ? urgent : other).push_back(fleet.ask(parts, isUrgent ? "/urgent-stream/x" : "/stream/x"));
+        fleet.advance(REQUEST_PERIOD);
+    }
+    fleet.advance(absl::Seconds(1));
+    const auto shareOf = [](const std::vector<std::shared_ptr<Answer>> &answers) {
+        const auto isServed = [](const std::shared_ptr<Answer> &answer) {
+            return answer->status == 200;
+        };
+        return static_cast<double>(std::count_if(answers.begin(), answers.end(), isServed)) / static_cast<double>(answers.size());
+    };
+    INFO("seed " << seed << ": urgent " << shareOf(urgent) << ", other " << shareOf(other));
+    // The limits allow 18 requests a second; 4 urgent ones and 96 others come.
+    CHECK(shareOf(urgent) >= 0.75);
+    CHECK(shareOf(other) > 0.05);
+    for (std::size_t engine = 0; engine < fleet.engineCount(); ++engine) {
+        CHECK(fleet.mostArrivals(engine, from, LIMIT_SPAN) <= allowed(1.0));
+    }
+}
