Let urgent requests go ahead of others within the limits that backend servers name

What callers saw (test): with all backend servers limited, urgent requests were refused as often as all others. Cause: an instance's part of a limit went to whoever came first, so the many others used up what the few urgent ones needed. Ruled out: a shorter burst for the others, which leaves an urgent request a quarter of the time; a fixed share for the urgent ones, which is lost while there are none. Why it works: an urgent request may be one request ahead of its instance's part, and the others wait until that is made up for. Other regions are offered the levels for which there is room. The bound holds: at most 4.75 times the limit in 4 s.

--- a/include/snipeferry/gateway/backendtable.h
+++ b/include/snipeferry/gateway/backendtable.h
@@ -24,6 +24,9 @@
 /** @brief The urgency level of a priority; level 0 is served first. */
 int urgencyOf(int priority);
 
+/** @brief How many requests an urgency level may be ahead of this instance's part of a limit that a backend server has named. */
+double limitLeadOf(int level);
+
 /** Work that one instance has dispatched to one backend server and that is not finished yet. */
 struct ServerWork
 {
@@ -258,7 +261,7 @@
     void refreshPeerWork();
 
     /** Error for a service all of whose usable backend servers have to be spared now. */
-    core::Error noServerError(const ServiceState &service);
+    core::Error noServerError(const ServiceState &service, double limitLead);
 
     core::InstanceId m_self;
     core::TimerService &m_timers;
--- a/include/snipeferry/gateway/serverlimits.h
+++ b/include/snipeferry/gateway/serverlimits.h
@@ -85,11 +85,14 @@
     /** @brief Records when the members were last confirmed. */
     void confirmMembers(absl::Time at);
 
-    /** @brief Whether this instance may send a request to a backend server now. */
-    bool mayDispatch(const core::BackendServerId &server) const;
+    /**
+     * @brief Whether this instance may send a request to a backend server now.
+     * @param lead how many requests it may be ahead of its part, from 0 to 1; more urgent requests have a larger lead than others
+     */
+    bool mayDispatch(const core::BackendServerId &server, double lead) const;
 
     /** @brief Time until this instance may send a request there; infinite if it has no part of the limit. */
-    absl::Duration timeUntilDispatch(const core::BackendServerId &server) const;
+    absl::Duration timeUntilDispatch(const core::BackendServerId &server, double lead) const;
 
     /** @brief Records that a request was sent. */
     void dispatched(const core::BackendServerId &server);
--- a/source/gateway/backendchoice.cpp
+++ b/source/gateway/backendchoice.cpp
@@ -116,6 +116,7 @@
 std::vector<core::BackendServerId> BackendTable::candidates(const ServiceState &service, const ServerQuery &query, const std::string &affinityKey)
 {
     const absl::Time now = m_timers.now();
+    const double lead = limitLeadOf(urgencyOf(query.priority));
     std::vector<core::BackendServerId> eligible;
     for (const core::BackendServerId &id : service.servers) {
         ServerState &candidate = m_servers.at(id);
@@ -123,7 +124,7 @@
         const bool matchesVersion
             = (query.version.isEmpty() || version == query.version) && (query.excludedVersion.isEmpty() || version != query.excludedVersion);
         const bool isExcluded = std::find(query.excluded.begin(), query.excluded.end(), id) != query.excluded.end();
-        if (acceptsRequests(candidate) && matchesVersion && !isExcluded && mayDispatchToCold(candidate, now) && m_limits.mayDispatch(id)) {
+        if (acceptsRequests(candidate) && matchesVersion && !isExcluded && mayDispatchToCold(candidate, now) && m_limits.mayDispatch(id, lead)) {
             eligible.push_back(id);
         }
     }
@@ -260,16 +261,16 @@
         best = bestEjected;
     }
     if (best.server.isEmpty()) {
-        return tl::make_unexpected(noServerError(service->second));
+        return tl::make_unexpected(noServerError(service->second, limitLeadOf(urgencyOf(query.priority))));
     }
     return best;
 }
 
-core::Error BackendTable::noServerError(const ServiceState &service)
+core::Error BackendTable::noServerError(const ServiceState &service, double limitLead)
 {
     absl::Duration shortest = absl::InfiniteDuration();
     for (const core::BackendServerId &id : service.servers) {
-        const absl::Duration time = m_limits.timeUntilDispatch(id);
+        const absl::Duration time = m_limits.timeUntilDispatch(id, limitLead);
         if (acceptsRequests(m_servers.at(id)) && time > absl::ZeroDuration()) {
             shortest = std::min(shortest, time);
         }
--- a/source/gateway/backendtable.cpp
+++ b/source/gateway/backendtable.cpp
@@ -30,6 +30,11 @@
     return std::clamp(priority, 0, URGENCY_LEVELS - 1);
 }
 
+double limitLeadOf(int level)
+{
+    return static_cast<double>(URGENCY_LEVELS - 1 - level) / (URGENCY_LEVELS - 1);
+}
+
 BackendTable::BackendTable(core::InstanceId self, core::TimerService &timers)
     : m_self(std::move(self)),
       m_timers(timers),
@@ -236,14 +241,21 @@
     const absl::Time now = m_timers.now();
     for (const core::BackendServerId &id : it->second.servers) {
         const ServerState &state = m_servers.at(id);
-        if (!acceptsRequests(state) || state.ejectedUntil > now || state.coldUntil > now || !m_limits.mayDispatch(id)) {
+        if (!acceptsRequests(state) || state.ejectedUntil > now || state.coldUntil > now || !m_limits.mayDispatch(id, limitLeadOf(0))) {
             continue;
         }
         least.resize(URGENCY_LEVELS, absl::InfiniteDuration());
         for (int level = 0; level < URGENCY_LEVELS; ++level) {
+            if (!m_limits.mayDispatch(id, limitLeadOf(level))) {
+                continue;
+            }
             least[level] = std::min(least[level], estimate(state, it->second, level, 0));
         }
     }
+    // Where all limits are used up for the less urgent levels, only the more urgent ones are offered.
+    while (!least.empty() && least.back() == absl::InfiniteDuration()) {
+        least.pop_back();
+    }
     return least;
 }
 
--- a/source/gateway/serverlimits.cpp
+++ b/source/gateway/serverlimits.cpp
@@ -161,21 +161,22 @@
     return now - m_membersConfirmedAt > m_maxMembersAge ? part * UNCONFIRMED_FRACTION : part;
 }
 
-absl::Duration ServerLimits::timeUntilDispatch(const core::BackendServerId &server) const
+absl::Duration ServerLimits::timeUntilDispatch(const core::BackendServerId &server, double lead) const
 {
     const auto it = m_limits.find(server);
     if (it == m_limits.end() || !it->second.perSecond.has_value()) {
         return absl::ZeroDuration();
     }
-    if (ownPart(server, *it->second.perSecond) <= 0) {
+    const double part = ownPart(server, *it->second.perSecond);
+    if (part <= 0) {
         return absl::InfiniteDuration();
     }
-    return std::max(absl::ZeroDuration(), it->second.nextDueAt - BURST_TIME - m_timers.now());
+    return std::max(absl::ZeroDuration(), it->second.nextDueAt - BURST_TIME - absl::Seconds(lead / part) - m_timers.now());
 }
 
-bool ServerLimits::mayDispatch(const core::BackendServerId &server) const
+bool ServerLimits::mayDispatch(const core::BackendServerId &server, double lead) const
 {
-    return m_limits.empty() || timeUntilDispatch(server) == absl::ZeroDuration();
+    return m_limits.empty() || timeUntilDispatch(server, lead) == absl::ZeroDuration();
 }
 
 void ServerLimits::dispatched(const core::BackendServerId &server)
