--- a/include/snipeferry/core/value.h
+++ b/include/snipeferry/core/value.h
@@ -9,13 +9,8 @@
 #include <string>
 #include <tuple>
 
-/**
- * Support for immutable value types: equality operators and conversion to and from JSON and CBOR, generated from one list of fields.
- *
- * Put SNIPEFERRY_VALUE(Type, field...) as the last line of a struct. The conversions are templates, so that only source files that
- * convert a type spend compile time on them.
- */
-#define SNIPEFERRY_VALUE(Type, ...)                                                                                                                            \
+/** Equality by the values of the fields. */
+#define SNIPEFERRY_COMPARED_BY(Type, ...)                                                                                                                      \
     auto tied() const                                                                                                                                          \
     {                                                                                                                                                          \
         return std::tie(__VA_ARGS__);                                                                                                                          \
@@ -27,7 +22,16 @@
     friend bool operator!=(const Type &left, const Type &right)                                                                                                \
     {                                                                                                                                                          \
         return !(left == right);                                                                                                                               \
-    }                                                                                                                                                          \
+    }
+
+/**
+ * Support for immutable value types: equality operators and conversion to and from JSON and CBOR, generated from one list of fields.
+ *
+ * Put SNIPEFERRY_VALUE(Type, field...) as the last line of a struct. The conversions are templates, so that only source files that
+ * convert a type spend compile time on them.
+ */
+#define SNIPEFERRY_VALUE(Type, ...)                                                                                                                            \
+    SNIPEFERRY_COMPARED_BY(Type, __VA_ARGS__)                                                                                                                  \
     template<typename BasicJson>                                                                                                                               \
     friend void to_json(BasicJson &nlohmann_json_j, const Type &nlohmann_json_t)                                                                               \
     {                                                                                                                                                          \
@@ -43,18 +47,7 @@
  * As SNIPEFERRY_VALUE, with one more container that earlier builds do not know. It is left out where it is empty, and empty where it is missing.
  */
 #define SNIPEFERRY_EXTENDED_VALUE(Type, added, ...)                                                                                                            \
-    auto tied() const                                                                                                                                          \
-    {                                                                                                                                                          \
-        return std::tie(__VA_ARGS__, added);                                                                                                                   \
-    }                                                                                                                                                          \
-    friend bool operator==(const Type &left, const Type &right)                                                                                                \
-    {                                                                                                                                                          \
-        return left.tied() == right.tied();                                                                                                                    \
-    }                                                                                                                                                          \
-    friend bool operator!=(const Type &left, const Type &right)                                                                                                \
-    {                                                                                                                                                          \
-        return !(left == right);                                                                                                                               \
-    }                                                                                                                                                          \
+    SNIPEFERRY_COMPARED_BY(Type, __VA_ARGS__, added)                                                                                                           \
     template<typename BasicJson>                                                                                                                               \
     friend void to_json(BasicJson &nlohmann_json_j, const Type &nlohmann_json_t)                                                                               \
     {                                                                                                                                                          \
--- a/tests/gateway/limitcasestest.cpp
+++ b/tests/gateway/limitcasestest.cpp
@@ -1,4 +1,4 @@
-#include "enginefleet.h"
+#include "fleetbounds.h"
 #include "snipeferry/gateway/serverlimits.h"
 
 #include <algorithm>
@@ -8,17 +8,8 @@
 
 namespace {
 
-constexpr absl::Duration CONTACT_TIME = absl::Seconds(5);
-constexpr absl::Duration LIMIT_SPAN = absl::Seconds(4);
-constexpr double LIMIT_FACTOR = 1.5;
-constexpr int LIMIT_SLACK = 5;
 constexpr absl::Duration REQUEST_PERIOD = absl::Milliseconds(10);
 
-int allowed(double perSecond)
-{
-    return static_cast<int>(LIMIT_FACTOR * perSecond * absl::ToDoubleSeconds(LIMIT_SPAN)) + LIMIT_SLACK;
-}
-
 void play(EngineFleet &fleet, absl::Duration time, const std::string &target = "/stream/x")
 {
     const absl::Time end = fleet.now() + time;
--- a/tests/gateway/promptcasestest.cpp
+++ b/tests/gateway/promptcasestest.cpp
@@ -1,4 +1,4 @@
-#include "enginefleet.h"
+#include "fleetbounds.h"
 
 #include <set>
 
@@ -7,9 +7,6 @@
 
 namespace {
 
-constexpr absl::Duration CONTACT_TIME = absl::Seconds(5);
-constexpr std::size_t COUNTED_CRASHES = 5;
-constexpr int MAX_LATER_ARRIVALS = 3;
 constexpr absl::Duration REQUEST_PERIOD = absl::Milliseconds(20);
 /** Each so many requests hold the part that crashes engines. */
 constexpr int CRASHING_PERIOD = 5;
@@ -35,12 +32,6 @@
     }
 }
 
-int boundedArrivals(const EngineFleet &fleet, const std::string &part)
-{
-    const std::vector<absl::Time> &crashes = fleet.crashes(part);
-    return crashes.size() < COUNTED_CRASHES ? 0 : fleet.arrivals(part, crashes[COUNTED_CRASHES - 1] + CONTACT_TIME);
-}
-
 /** Share of the requests with exactly these shared parts that were served, among those sent from a time on. */
 double servedShareOf(const EngineFleet &fleet, const Shared &parts, absl::Time from)
 {
@@ -113,7 +104,7 @@
     const std::vector<absl::Time> &crashes = fleet.crashes("bad");
     REQUIRE(crashes.size() >= 3);
     INFO("seed " << seed << ": " << crashes.size() << " crashes");
-    const absl::Time from = crashes[std::min(crashes.size(), COUNTED_CRASHES) - 1] + 2 * CONTACT_TIME;
+    const absl::Time from = decisiveCrash(fleet, "bad") + 2 * CONTACT_TIME;
     CHECK(boundedArrivals(fleet, "bad") <= MAX_LATER_ARRIVALS);
     CHECK(servedShareOf(fleet, {"sys", "seldom"}, from) >= 0.9);
 }
@@ -128,7 +119,7 @@
     const absl::Time start = fleet.now();
     while (fleet.now() < start + absl::Seconds(30)) {
         for (const bool isBad : {true, false, false, false}) {
-            const std::string target = targets[static_cast<std::size_t>(fleet.randomInt(3))];
+            const std::string &target = targets[static_cast<std::size_t>(fleet.randomInt(3))];
             const gateway::Headers key = target == "/keyed-stream/x" ? gateway::Headers{{"key", "bar-key"}} : gateway::Headers{};
             Shared parts = fleet.randomInt(2) == 0 ? Shared{"sys"} : soundParts(fleet);
             if (isBad) {
@@ -143,7 +134,7 @@
     INFO("seed " << seed << ": " << crashes.size() << " crashes");
     REQUIRE(crashes.size() >= 3);
     CHECK(boundedArrivals(fleet, "bad") <= MAX_LATER_ARRIVALS);
-    CHECK(fleet.servedShare(crashes[std::min(crashes.size(), COUNTED_CRASHES) - 1] + 2 * CONTACT_TIME, fleet.now()) >= 0.9);
+    CHECK(fleet.servedShare(decisiveCrash(fleet, "bad") + 2 * CONTACT_TIME, fleet.now()) >= 0.9);
 }
 
 // Guards against an instance that wakes up and goes on as if nothing had been learned meanwhile.
--- a/tests/gateway/promptquarantinetest.cpp
+++ b/tests/gateway/promptquarantinetest.cpp
@@ -1,15 +1,10 @@
-#include "enginefleet.h"
+#include "fleetbounds.h"
 
 using namespace snipeferry;
 using namespace snipeferry::tests;
 
 namespace {
 
-/** Time within which an instance that is in touch with the others has to act on what the fleet has seen. */
-constexpr absl::Duration CONTACT_TIME = absl::Seconds(5);
-/** Crashes from which the bound holds, and the requests that may still reach an engine then. */
-constexpr std::size_t COUNTED_CRASHES = 5;
-constexpr int MAX_LATER_ARRIVALS = 3;
 constexpr absl::Duration REQUEST_PERIOD = absl::Milliseconds(20);
 
 /** Shared parts of a request that crashes engines. */
@@ -44,13 +39,6 @@
     }
 }
 
-/** Arrivals of a part beyond the time from which they are bounded. */
-int boundedArrivals(const EngineFleet &fleet, const std::string &part)
-{
-    const std::vector<absl::Time> &crashes = fleet.crashes(part);
-    return crashes.size() < COUNTED_CRASHES ? 0 : fleet.arrivals(part, crashes[COUNTED_CRASHES - 1] + CONTACT_TIME);
-}
-
 } // namespace
 
 // Guards against requests with one prompt part that crash one backend server after the other, because each instance blames the servers alone (BUDGET).
@@ -74,7 +62,7 @@
     fleet.advance(absl::Seconds(1));
     const std::vector<absl::Time> &crashes = fleet.crashes("bad");
     REQUIRE(!crashes.empty());
-    const absl::Time from = crashes[std::min(crashes.size(), COUNTED_CRASHES) - 1] + 2 * CONTACT_TIME;
+    const absl::Time from = decisiveCrash(fleet, "bad") + 2 * CONTACT_TIME;
     const double share = fleet.servedShare(from, fleet.now());
     INFO("seed " << seed << ": " << crashes.size() << " crashes, served share " << share);
     // Outside impairment all are served; half of that is the bound.
--- a/tests/gateway/serverlimitstest.cpp
+++ b/tests/gateway/serverlimitstest.cpp
@@ -1,22 +1,12 @@
-#include "enginefleet.h"
+#include "fleetbounds.h"
 
 using namespace snipeferry;
 using namespace snipeferry::tests;
 
 namespace {
 
-/** Time from the first answer that names a limit from which it holds for all instances that are in touch. */
-constexpr absl::Duration CONTACT_TIME = absl::Seconds(5);
-constexpr absl::Duration LIMIT_SPAN = absl::Seconds(4);
-constexpr double LIMIT_FACTOR = 1.5;
-constexpr int LIMIT_SLACK = 5;
 constexpr absl::Duration REQUEST_PERIOD = absl::Milliseconds(10);
 
-int allowed(double perSecond)
-{
-    return static_cast<int>(LIMIT_FACTOR * perSecond * absl::ToDoubleSeconds(LIMIT_SPAN)) + LIMIT_SLACK;
-}
-
 void play(EngineFleet &fleet, absl::Duration time)
 {
     const absl::Time end = fleet.now() + time;
