--- a/tests/net/gatewaytemplatetest.cpp
+++ b/tests/net/gatewaytemplatetest.cpp
@@ -93,7 +93,8 @@
 /** Fields of a small deployment, in figures of this test's own. */
 Json deploymentFields()
 {
-    return Json::parse(R"({"nodeName": "front-a-1", "zone": "a", "region": "north", "zones": {"a": "north", "b: c": "south"}, "ip": "10.0.0.1", "beatIntervalMs": 900,
+    return Json::parse(
+        R"({"nodeName": "front-a-1", "zone": "a", "region": "north", "zones": {"a": "north", "b: c": "south"}, "ip": "10.0.0.1", "beatIntervalMs": 900,
         "internalPorts": [7000, 7015], "platform": {"address": "10.9.0.1:80"}, "limits": {"memoryMb": 200, "cpuShare": 0.2},
         "listen": {"front": "10.0.0.1:1", "directory": "10.0.0.1:2", "ready": "10.0.0.1:3", "control": "10.0.0.1:4"},
         "bounds": {"revokeMs": 4000, "drainMs": 2500, "retryRatio": 0.15, "quotaSlack": 90000, "quotaExcess": 0.2, "retrySlack": 44, "budgetWindowS": 9,
