Bound the rounds in which crashes are evaluated

What callers would see: an instance that answers nothing any more. Cause: if more parts are blamed than can be quarantined and none of them explains a crash, each one that is dropped for another is blamed again, without end. Evidence: gateway.more parts that are blamed than can be quarantined end the evaluation (200 parts that were being written at five crashes, in each of which another one had begun): ended by hand after 20 s before, passes now. Ruled out: not quarantining at all where many are blamed; the culprit may be among them. Why it works: an evaluation has eight rounds, and goes on at the next period for as long as the evidence is new. After: 143 cases of test-gateway pass.

--- a/source/gateway/promptquarantine.cpp
+++ b/source/gateway/promptquarantine.cpp
@@ -18,6 +18,8 @@
 constexpr absl::Duration EVALUATION_PERIOD = absl::Milliseconds(100);
 constexpr absl::Duration SWEEP_PERIOD = absl::Seconds(1);
 constexpr std::size_t MAX_QUARANTINED = 128;
+/** Rounds of one evaluation. Each quarantines the parts that are blamed most, which may explain the crashes of others. */
+constexpr int MAX_EVALUATION_ROUNDS = 8;
 /** Parts in each of the two maps of parts that ended well. */
 constexpr std::size_t MAX_CLEARED = 4096;
 
@@ -207,7 +209,8 @@
     if (m_timers.now() > m_evaluateUntil) {
         return;
     }
-    while (true) {
+    // More parts may be blamed than can be quarantined; what remains is left to the next evaluation.
+    for (int round = 0; round < MAX_EVALUATION_ROUNDS; ++round) {
         std::vector<PartBlame> blamed = unexplainedBlame();
         const auto changesNothing = [this](const PartBlame &blame) {
             // A quarantined part does not explain the crashes at which it waited or wrote while others began.
--- a/tests/gateway/crashhistorytest.cpp
+++ b/tests/gateway/crashhistorytest.cpp
@@ -156,3 +156,23 @@
     CHECK_FALSE(fixture.isQuarantined("other0"));
     CHECK(fixture.quarantine.takeNews().quarantined.size() == 1);
 }
+
+// Guards against an evaluation without end: more parts are blamed than can be quarantined, and each that is dropped is blamed again.
+TEST_CASE("more parts that are blamed than can be quarantined end the evaluation")
+{
+    constexpr int PARTS = 200;
+    QuarantineFixture fixture;
+    for (int crash = 0; crash < 5; ++crash) {
+        const gateway::BackendServer server = GatewayFixture::server(absl::StrCat("s", crash));
+        for (int part = 0; part < PARTS; ++part) {
+            fixture.quarantine.addFailedRun(
+                server, QuarantineFixture::parts(absl::StrCat("p", part)), gateway::AnswerProgress::Writing, gateway::REASON_ANSWER_BROKEN_OFF);
+        }
+        fixture.quarantine.addFailedRun(
+            server, QuarantineFixture::parts(absl::StrCat("other", crash)), gateway::AnswerProgress::Begun, gateway::REASON_ANSWER_BROKEN_OFF);
+        fixture.quarantine.addFailedRun(server, {}, gateway::AnswerProgress::NotBegun, gateway::REASON_CONNECT_REFUSED);
+        fixture.timers.advance(absl::Seconds(1));
+    }
+    CHECK(fixture.quarantine.records().size() <= 128);
+    CHECK_FALSE(fixture.isQuarantined("other0"));
+}
