Log what a roll-out's decision rests on, and runs at cold backend servers

Change: rollout_state with state, reason, age, answers and failures of both versions and the number of instances heard; run_started and forward_started name the version and how long the server remains cold. No decision changes. Ruled out: counting this in metrics alone, since a decision has to be found in the order of the log.

--- a/include/snipeferry/gateway/backendtable.h
+++ b/include/snipeferry/gateway/backendtable.h
@@ -156,6 +156,9 @@
 
     const BackendServer *find(const core::BackendServerId &id) const;
 
+    /** @brief How long a backend server remains cold as far as this instance knows; zero for a warm or unknown one. */
+    absl::Duration coldLeft(const core::BackendServerId &id) const;
+
     /** @brief Versions of the service's backend servers that accept requests. */
     std::vector<core::VersionId> versions(const core::ServiceId &service) const;
 
--- a/include/snipeferry/gateway/gateway.h
+++ b/include/snipeferry/gateway/gateway.h
@@ -162,6 +162,7 @@
     void applyRecordChanges(Topic topic, const std::vector<RecordChange> &changes);
     void applyOperatorRecord(const RecordChange &change);
     void applyBackendServerRecord(const RecordChange &change);
+    void logRolloutChange(const RolloutChange &change);
     void applyMemberRecord(const RecordChange &change);
     void applyQuarantineRecord(const RecordChange &change);
     /** Writes the record of a quarantined part, if that is this instance's task and the store does not have it. */
--- a/include/snipeferry/gateway/rolloutguard.h
+++ b/include/snipeferry/gateway/rolloutguard.h
@@ -83,6 +83,24 @@
     std::string reason;
 };
 
+/** A change of a rollout's state at this instance, with the evidence that it rests on. */
+struct RolloutChange
+{
+    RolloutOrder order;
+    core::Revision revision = 0;
+    RolloutState state = RolloutState::Trial;
+    std::string reason;
+    /** Time since this instance learned of the order. */
+    absl::Duration age;
+    /** Answers and failed answers of the new and of the old version that this instance knows of. */
+    int targetAnswers = 0;
+    int targetFailures = 0;
+    int baselineAnswers = 0;
+    int baselineFailures = 0;
+    /** Instances whose evidence is included. */
+    int instances = 0;
+};
+
 /**
  * Moves a service to another version of its backend servers, or reverts the move.
  *
@@ -132,6 +150,9 @@
     /** @brief Emitted when this instance has to store a decision. */
     core::Signal<RolloutDecision> &decided();
 
+    /** @brief Emitted when the state of a rollout has changed here. */
+    core::Signal<RolloutChange> &changed();
+
 private:
     struct RolloutProgress
     {
@@ -157,6 +178,8 @@
     bool isReporter(const RolloutProgress &progress) const;
     void changeState(RolloutProgress &progress, RolloutState state, const std::string &reason, bool isReported);
     void evaluateRollouts();
+    /** Tells the listeners of changed() a new state and the evidence for it. */
+    void emitChange(const RolloutProgress &progress, const std::string &reason) const;
 
     core::InstanceId m_self;
     core::TimerService &m_timers;
@@ -165,6 +188,7 @@
     RolloutRole m_role = RolloutRole::Equal;
     absl::flat_hash_map<core::ServiceId, RolloutProgress> m_rollouts;
     core::Signal<RolloutDecision> m_decided;
+    core::Signal<RolloutChange> m_changed;
     core::Subscription m_timer;
 };
 
--- a/source/gateway/backendtable.cpp
+++ b/source/gateway/backendtable.cpp
@@ -184,6 +184,12 @@
     return it == m_servers.end() ? nullptr : &it->second.server;
 }
 
+absl::Duration BackendTable::coldLeft(const core::BackendServerId &id) const
+{
+    const auto it = m_servers.find(id);
+    return it == m_servers.end() ? absl::ZeroDuration() : std::max(absl::ZeroDuration(), it->second.coldUntil - m_timers.now());
+}
+
 std::vector<core::VersionId> BackendTable::versions(const core::ServiceId &service) const
 {
     std::vector<core::VersionId> all;
--- a/source/gateway/forwardreceiver.cpp
+++ b/source/gateway/forwardreceiver.cpp
@@ -122,7 +122,9 @@
                       .with("request", message.request.id.value())
                       .with("from", from.value())
                       .with("server", choice->server.value())
-                      .with("estimate_ms", absl::StrCat(absl::ToInt64Milliseconds(choice->estimate))));
+                      .with("estimate_ms", absl::StrCat(absl::ToInt64Milliseconds(choice->estimate)))
+                      .with("cold_ms", absl::StrCat(absl::ToInt64Milliseconds(m_backends.coldLeft(choice->server))))
+                      .with("version", forwardedRun.version.value()));
     m_runs.start(run, *m_backends.find(choice->server), request, message.request.id, message.isRepeatable);
 }
 
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -64,6 +64,7 @@
           })),
       m_quarantineStoreTimer(ports.timers.every(QUARANTINE_STORE_PERIOD, [this] { storeMissingQuarantines(); }))
 {
+    m_rollouts.changed().subscribe([this](const RolloutChange &change) { logRolloutChange(change); });
     m_quarantine.changed().subscribe([this](const QuarantineRecord &quarantine) { storeQuarantine(quarantine); });
     m_allowances.shortages().subscribe([this](const AllowanceShortage &shortage) { requestTokens(shortage); });
     m_backends.limits().setAnnouncementLifetime(m_settings.announcementLifetime);
--- a/source/gateway/gatewayrecords.cpp
+++ b/source/gateway/gatewayrecords.cpp
@@ -1,6 +1,7 @@
 #include "snipeferry/gateway/gateway.h"
 
 #include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -89,6 +90,22 @@
     }
 }
 
+void Gateway::logRolloutChange(const RolloutChange &change)
+{
+    m_ports.journal.log(core::LogEvent{
+        "rollout_state", {}}.with("service", change.order.service.value())
+                            .with("target", change.order.target.value())
+                            .with("revision", absl::StrCat(change.revision))
+                            .with("state", nlohmann::json(change.state).get<std::string>())
+                            .with("reason", change.reason)
+                            .with("age_ms", absl::StrCat(absl::ToInt64Milliseconds(change.age)))
+                            .with("answers", absl::StrCat(change.targetAnswers))
+                            .with("failures", absl::StrCat(change.targetFailures))
+                            .with("old_answers", absl::StrCat(change.baselineAnswers))
+                            .with("old_failures", absl::StrCat(change.baselineFailures))
+                            .with("instances", absl::StrCat(change.instances)));
+}
+
 void Gateway::applyBackendServerRecord(const RecordChange &change)
 {
     const core::BackendServerId id = m_ports.records.backendServerOf(change.key);
--- a/source/gateway/requestplacement.cpp
+++ b/source/gateway/requestplacement.cpp
@@ -167,6 +167,8 @@
                                    .with("send", absl::StrCat(open.sendCount))
                                    .with("estimate_ms", absl::StrCat(absl::ToInt64Milliseconds(choice.estimate)))
                                    .with("unread_tokens", absl::StrCat(choice.unreadTokens))
+                                   .with("cold_ms", absl::StrCat(absl::ToInt64Milliseconds(m_dependencies.backends.coldLeft(choice.server))))
+                                   .with("version", open.version.value())
                                    .with("memory_source", choice.memorySource));
     m_dependencies.journal.count("runs_started_total", open.service.value(), 1);
     m_dependencies.journal.count("prompt_tokens_total", "unread", static_cast<double>(choice.unreadTokens));
--- a/source/gateway/rolloutguard.cpp
+++ b/source/gateway/rolloutguard.cpp
@@ -57,6 +57,25 @@
     return m_decided;
 }
 
+core::Signal<RolloutChange> &RolloutGuard::changed()
+{
+    return m_changed;
+}
+
+void RolloutGuard::emitChange(const RolloutProgress &progress, const std::string &reason) const
+{
+    RolloutChange change{progress.order, progress.revision, progress.state, reason, m_timers.now() - progress.startedAt};
+    change.instances = 1 + static_cast<int>(progress.peerEvidence.size());
+    for (const VersionEvidence &evidence : mergedEvidence(progress, includeAll)) {
+        if (absl::StartsWith(evidence.route, PACE_PREFIX)) {
+            continue;
+        }
+        (evidence.isTarget ? change.targetAnswers : change.baselineAnswers) += evidence.answers;
+        (evidence.isTarget ? change.targetFailures : change.baselineFailures) += evidence.failures;
+    }
+    m_changed.emit(change);
+}
+
 void RolloutGuard::setInstances(std::vector<core::InstanceId> instances, RolloutRole role)
 {
     m_instances = std::move(instances);
@@ -225,6 +244,7 @@
 void RolloutGuard::changeState(RolloutProgress &progress, RolloutState state, const std::string &reason, bool isReported)
 {
     progress.state = state;
+    emitChange(progress, reason);
     if (isReported) {
         m_decided.emit(RolloutDecision{progress.order, progress.revision, state, reason});
     }
@@ -300,8 +320,9 @@
 void RolloutGuard::decisionStored(const core::ServiceId &service, core::Revision revision, RolloutState state)
 {
     const auto it = m_rollouts.find(service);
-    if (it != m_rollouts.end() && it->second.revision == revision) {
+    if (it != m_rollouts.end() && it->second.revision == revision && it->second.state != state) {
         it->second.state = state;
+        emitChange(it->second, "stored");
     }
 }
 
