Reproduce a cold backend server that gets requests from several instances at once, failing

What callers saw: a cold server got more requests in one second than it bears, and crashed. Cause, as far as known: the one instance that sends to a cold server is chosen among those that each instance hears of, so two or more choose themselves during a cut, a freeze, a restart, or while announcements are missing; and an instance that takes over sends in the second in which the one before did.

--- a/tests/gateway/enginefleet.cpp
+++ b/tests/gateway/enginefleet.cpp
@@ -76,7 +76,7 @@
     }
     gateway::Deployment deployment = GatewayFixture::deployment();
     deployment.services.front().isModelEngine = true;
-    deployment.services.front().coldRate = 0;
+    deployment.services.front().coldRate = shape.coldRate;
     gateway::Route keyedStream = GatewayFixture::route("/keyed-stream/");
     keyedStream.isOpen = false;
     keyedStream.isStream = true;
@@ -226,6 +226,19 @@
     }
 }
 
+void EngineFleet::removeStoredMembers()
+{
+    for (const std::unique_ptr<Instance> &instance : m_instances) {
+        if (instance->isAnnounced) {
+            storeRecord(gateway::Topic::Members, instance->member.id.value(), std::nullopt);
+        }
+    }
+    // The announcement comes again with the next renewal.
+    for (const std::unique_ptr<Instance> &instance : m_instances) {
+        at(absl::Milliseconds(randomInt(static_cast<int>(absl::ToInt64Milliseconds(RENEW_PERIOD)))), [&instance] { instance->isAnnounced = false; });
+    }
+}
+
 void EngineFleet::removeStoredQuarantines()
 {
     std::vector<std::string> keys;
--- a/tests/gateway/enginefleet.h
+++ b/tests/gateway/enginefleet.h
@@ -18,6 +18,8 @@
 {
     std::vector<int> instances = {3, 3, 2};
     std::vector<int> engines = {8, 6, 4};
+    /** Requests per second that a cold engine bears; 0 for no limit. */
+    double coldRate = 0;
 };
 
 /** A request as it arrived at an engine. */
@@ -82,6 +84,8 @@
     void darken(std::size_t engine);
     /** Ends the connections of an engine's runs without an end of its process. */
     void truncate(std::size_t engine);
+    /** Makes an engine announce that it remains cold for a time. */
+    void makeCold(std::size_t engine, absl::Duration time);
     /** Makes an engine name a limit in its answers, or none. */
     void setLimit(std::size_t engine, std::optional<double> perSecond);
 
@@ -97,6 +101,8 @@
     void setStoreCut(std::size_t instance, bool isCut);
     /** Cuts the links between instances of different groups. Instances that are not named form one group. */
     void partition(const std::vector<std::vector<std::size_t>> &groups);
+    /** Removes the announcements of instances from the store; each is written again when its lease is renewed. */
+    void removeStoredMembers();
     /** Removes the records of quarantined parts from the store, as an operator does. */
     void removeStoredQuarantines();
 
--- a/tests/gateway/enginefleetengines.cpp
+++ b/tests/gateway/enginefleetengines.cpp
@@ -81,6 +81,14 @@
     m_engines.at(engine)->isFaulty = isFaulty;
 }
 
+void EngineFleet::makeCold(std::size_t engine, absl::Duration time)
+{
+    Engine &cold = *m_engines.at(engine);
+    cold.server.coldLeft = time;
+    announce(cold);
+    cold.server.coldLeft = absl::ZeroDuration();
+}
+
 void EngineFleet::setLimit(std::size_t engine, std::optional<double> perSecond)
 {
     m_engines.at(engine)->limit = perSecond;
--- a/tests/gateway/fleetbounds.h
+++ b/tests/gateway/fleetbounds.h
@@ -17,6 +17,14 @@
 constexpr double LIMIT_FACTOR = 1.5;
 constexpr int LIMIT_SLACK = 5;
 
+/** Requests that a cold backend server may get in one second. */
+inline int allowedCold(double perSecond)
+{
+    constexpr double COLD_FACTOR = 1.5;
+    constexpr int COLD_SLACK = 3;
+    return static_cast<int>(COLD_FACTOR * perSecond) + COLD_SLACK;
+}
+
 /** Time of the crash from which arrivals of a part are bounded, or of the last one if there are fewer. */
 inline absl::Time decisiveCrash(const EngineFleet &fleet, const std::string &part)
 {
