Reproduce a store that comes back from a copy and is never followed again, failing

Cause, as far as known: a copy of a topic ignores a read of a lower revision; calls for changes after its own revision get 410, which is followed by the next read at once. Change: the stand-in names its era, comes back from a copy with a lower revision and another backend server, and answers 410 to a revision that it does not have. Seen: the other backend server is not known after 8 s; reads do not end. Ruled out: a slow answer of the stand-in, which has answered hundreds of reads by then. Conclusion: reproduced.

--- a/tests/net/storeclienttest.cpp
+++ b/tests/net/storeclienttest.cpp
@@ -49,9 +49,14 @@
             oldOperatorReads += absl::StrContains(call, "prefix=op/&allowStale") ? 1 : 0;
             const bool isServers = absl::StrContains(call, "prefix=servers/");
             const std::string items
-                = isServers ? absl::StrCat(R"({"key":"servers/i-1","value":")", absl::Base64Escape(SERVER), R"(","rev":3})") : std::string();
-            reply(socket, 200, absl::StrCat(R"({"items":[)", items, R"(],"morePages":false,"asOf":5})"));
+                = isServers ? absl::StrCat(R"({"key":"servers/)", announced, R"(","value":")", absl::Base64Escape(SERVER), R"(","rev":2})") : std::string();
+            reply(socket, 200, absl::StrCat(R"({"items":[)", items, R"(],"morePages":false,"asOf":)", revision, "}"));
         } else if (absl::StrContains(call, "kv-watch")) {
+            const std::size_t after = call.find("after=") + 6;
+            if (std::stoll(call.substr(after)) > revision) {
+                reply(socket, 410, "{}");
+                return;
+            }
             watch(socket);
         } else if (absl::StrContains(call, "kv-lease")) {
             ++leases;
@@ -92,15 +97,29 @@
         }
     }
 
-    static void reply(const std::shared_ptr<ScriptedServer::Socket> &socket, int status, const std::string &body)
+    /** Comes back from a copy that announces another backend server and has a lower revision. */
+    void restore()
     {
-        ScriptedServer::send(socket, absl::StrCat("HTTP/1.1 ", status, " X\r\nContent-Length: ", body.size(), "\r\n\r\n", body));
+        era = std::to_string(std::stoi(era) + 1);
+        announced = "i-2";
+        revision = 3;
+    }
+
+    void reply(const std::shared_ptr<ScriptedServer::Socket> &socket, int status, const std::string &body) const
+    {
+        const std::string header = era.empty() ? std::string() : absl::StrCat("Store-Era: ", era, "\r\n");
+        ScriptedServer::send(socket, absl::StrCat("HTTP/1.1 ", status, " X\r\n", header, "Content-Length: ", body.size(), "\r\n\r\n", body));
     }
 
     static constexpr const char *SERVER
         = R"({"service":"booking","address":"10.0.0.1:80","zone":"north-1","version":"v1","slots":6,"state":"ready","coldLeftMs":0,"callSeq":1})";
 
     ScriptedServer server;
+    /** Text of the header that names the store's era; empty for none. */
+    std::string era;
+    std::int64_t revision = 5;
+    /** The backend server that is announced. */
+    std::string announced = "i-1";
     Fault fault = Fault::None;
     int faultsLeft = 0;
     bool isLeaseLost = false;
@@ -197,6 +216,27 @@
     CHECK(fixture.store.oldReads == 2);
 }
 
+// Guards against a copy that never goes back, and so follows neither the store's older state nor what is written after it (CONFIG, DENIED, HOME).
+TEST_CASE("a store that came back from a copy is followed, and read once for each topic")
+{
+    StoreFixture fixture;
+    fixture.store.era = "4";
+    fixture.start();
+    REQUIRE(fixture.until([&] { return fixture.store.writes >= 1 && fixture.store.watches > 3; }));
+    const int readsBefore = fixture.store.reads;
+    fixture.store.restore();
+    CHECK(fixture.until([&] { return fixture.gateway.hasRecord(gateway::Topic::BackendServers, "servers/i-2"); }));
+    // What this instance wrote there is gone, and its lease may belong to another one.
+    CHECK(fixture.until([&] { return fixture.store.leases >= 2 && fixture.store.writes >= 2; }));
+    const int watches = fixture.store.watches;
+    CHECK(fixture.until([&] { return fixture.store.watches > watches + 9; }));
+    CHECK(fixture.store.reads == readsBefore + 3);
+    // A second return at once.
+    fixture.store.restore();
+    fixture.store.announced = "i-3";
+    CHECK(fixture.until([&] { return fixture.gateway.hasRecord(gateway::Topic::BackendServers, "servers/i-3"); }));
+}
+
 TEST_CASE("a lease that ended is opened again, and the announcement written again")
 {
     StoreFixture fixture;
