Keep the store's era in each position, and follow a store that comes back from a copy

Cause: everything that compares revisions took a lower one for an older one, though it was of a later life of the store. A 410 led to a full read at once, and that to the next 410. Why it works: a position holds era and counter in one ordered number, so copies, pulses, transfers, orders and updates compare rightly; the older state is taken as the state, and what the operator and the servers are about to write again is held meanwhile.

--- a/include/snipeferry/gateway/gateway.h
+++ b/include/snipeferry/gateway/gateway.h
@@ -98,6 +98,9 @@
     /** @brief Reports that the store did not answer or returned an error. */
     void storeFailed();
 
+    /** @brief Number of instances that this one knows of, itself included. */
+    int instanceCount() const;
+
     /** @brief Revision up to which the copy of a topic is complete; 0 if the topic was never read. */
     core::Revision revision(Topic topic) const;
 
@@ -161,9 +164,24 @@
     const RecordMirror &mirror(Topic topic) const;
     /** Component that started a run and receives its events. */
     RunEvents &ownerOf(Number run);
-    void applyRecordChanges(Topic topic, const std::vector<RecordChange> &changes);
+    /** Replaces the copy of a topic by a full read of the store, of this instance or of another one. Returns the number of changes. */
+    std::size_t replaceTopic(Topic topic, const std::vector<Record> &records, core::Revision revision);
+    enum class RecordOrigin {
+        /** The record was written since. */
+        Written,
+        /** The record is one of a store that has come back from a copy, and may be older than what is known. */
+        ReturnedStore,
+    };
+    void applyRecordChanges(Topic topic, const std::vector<RecordChange> &changes, RecordOrigin origin = RecordOrigin::Written);
+    /** Applies the differences between the copy and a store that has come back from a copy. What is missing there is mostly written again. */
+    void applyReturnedRecords(Topic topic, const std::vector<RecordChange> &changes);
     void applyOperatorRecord(const RecordChange &change);
-    void applyBackendServerRecord(const RecordChange &change);
+    void applyDeployment(const Deployment &deployment, core::Revision revision);
+    void applyBackendServerRecord(const RecordChange &change, RecordOrigin origin);
+    /** Whether a returned announcement is one of a backend server that is known to leave or to have left. */
+    bool isKnownToLeave(const BackendServer &server) const;
+    /** Drops what was held since the store's return and was not written again. */
+    void removeHeldRecords();
     void applyMemberRecord(const RecordChange &change);
     void applyQuarantineRecord(const RecordChange &change);
     void applyRolloutNotice(const RecordChange &change);
@@ -266,6 +284,15 @@
     std::map<std::string, core::InstanceId> m_memberKeys;
     /** Prompt part of each record of a quarantine. */
     std::map<std::string, PartKey> m_quarantineKeys;
+    /** A backend server that left: its process, and when that was seen. */
+    struct LeftServer
+    {
+        std::int64_t startedAtMs = 0;
+        absl::Time seenAt;
+    };
+    std::map<core::BackendServerId, LeftServer> m_leftServers;
+    /** Records that the store lacks, or announces wrongly, since its return, and until when the state before counts. */
+    std::map<std::pair<Topic, std::string>, absl::Time> m_heldRecords;
     /** Backend servers whose announcements may have lapsed because of a store outage. They are in use until lapsedServersRemovedAt(). */
     std::set<core::BackendServerId> m_lapsedServers;
     absl::Time m_storeFailedAt = absl::InfinitePast();
--- a/include/snipeferry/gateway/rolloutguard.h
+++ b/include/snipeferry/gateway/rolloutguard.h
@@ -183,6 +183,11 @@
     /** @brief Adopts a decision from the store, whichever instance has made it. It may come before the order. */
     void decisionStored(const core::ServiceId &service, core::Revision revision, RolloutState state);
 
+    /** @brief The store has come back from a copy: an order that is read again from now on is the same, and an earlier one is no new one. */
+    void storeReturned();
+    /** @brief Stores again what this instance is to store of all rollouts, since the store may have lost it. */
+    void tellAgain();
+
     /** @brief Emitted when this instance has to store a decision. */
     core::Signal<RolloutDecision> &decided();
 
@@ -220,6 +225,7 @@
     {
         RolloutProgress current;
         std::vector<core::VersionId> rejected;
+        std::vector<RolloutOrder> earlierOrders;
     };
 
     /** What the trial of a rollout may and should send, and when it ends. */
@@ -236,6 +242,8 @@
         absl::Duration completionAt;
     };
 
+    /** Whether an order is one that is known already, read from a store that has come back from a copy. */
+    bool isReadAgain(ServiceRollouts &rollouts, const RolloutOrder &order, core::Revision revision) const;
     static Evidence regionEvidence(const RolloutProgress &progress);
     static Evidence allEvidence(const RolloutProgress &progress);
     /** Reports with the evidence that a function selects. */
@@ -272,6 +280,7 @@
     absl::flat_hash_map<core::ServiceId, Evidence> m_recentAnswers;
     /** The latest stored decision of each service. */
     std::map<core::ServiceId, std::pair<core::Revision, RolloutState>> m_storedDecisions;
+    absl::Time m_storeReturnedAt = absl::InfinitePast();
     core::Signal<RolloutDecision> m_decided;
     core::Signal<RolloutChange> m_changed;
     core::Subscription m_timer;
--- a/include/snipeferry/net/storeclient.h
+++ b/include/snipeferry/net/storeclient.h
@@ -26,6 +26,7 @@
     absl::Duration renewPeriod = absl::Seconds(3);
 };
 
+class StoreEra;
 class StoreWriter;
 
 /**
@@ -50,6 +51,7 @@
     class Announcer;
 
 private:
+    std::unique_ptr<StoreEra> m_era;
     std::array<std::shared_ptr<Follower>, gateway::TOPIC_COUNT> m_followers;
     std::shared_ptr<Announcer> m_announcer;
     std::shared_ptr<StoreWriter> m_rolloutWriter;
--- a/include/snipeferry/net/storeformat.h
+++ b/include/snipeferry/net/storeformat.h
@@ -5,6 +5,7 @@
 
 #include <absl/time/time.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,9 @@
 public:
     virtual ~StoreFormat() = default;
 
+    /** @brief The era that an answer names; none if it names none, an error if it cannot be read or is out of range. */
+    virtual core::Expected<std::optional<std::int64_t>> decodeEra(const gateway::Headers &headers) const = 0;
+
     /** @brief Reads records of a topic behind a key; empty from the first one. @param mayBeOld takes an answer that is seconds old */
     virtual gateway::HttpRequest readPage(gateway::Topic topic, const std::string &afterKey, bool mayBeOld) const = 0;
     virtual core::Expected<RecordPage> decodePage(const std::string &body) const = 0;
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "snipeferry/gateway/gateway.h"
 
 #include "snipeferry/gateway/rendezvous.h"
+#include "snipeferry/gateway/storeposition.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -134,14 +135,34 @@
     return mirror(topic).find(key) != nullptr;
 }
 
+int Gateway::instanceCount() const
+{
+    return m_fleet.instanceCount();
+}
+
+std::size_t Gateway::replaceTopic(Topic topic, const std::vector<Record> &records, core::Revision revision)
+{
+    RecordMirror &own = mirror(topic);
+    const bool isReturned = own.isLoaded() && eraOf(revision) > eraOf(own.revision());
+    const std::vector<RecordChange> changes = own.replace(records, revision);
+    if (!isReturned) {
+        applyRecordChanges(topic, changes);
+        return changes.size();
+    }
+    applyReturnedRecords(topic, changes);
+    // The instances of the region learn of the era by this, and ask for the topic.
+    sendToRegion();
+    return changes.size();
+}
+
 void Gateway::topicRead(Topic topic, const std::vector<Record> &records, core::Revision revision, absl::Time confirmedAt)
 {
-    const std::vector<RecordChange> changes = mirror(topic).replace(records, revision);
+    const std::size_t changes = replaceTopic(topic, records, revision);
     m_ports.journal.log(core::LogEvent{
         "topic_read", {}}.with("topic", absl::StrCat(static_cast<int>(topic)))
-                            .with("revision", absl::StrCat(revision))
-                            .with("changes", absl::StrCat(changes.size())));
-    applyRecordChanges(topic, changes);
+                            .with("era", absl::StrCat(eraOf(revision)))
+                            .with("revision", absl::StrCat(counterOf(revision)))
+                            .with("changes", absl::StrCat(changes)));
     if (topic == Topic::BackendServers && confirmedAt == absl::InfinitePast()) {
         m_backends.setUnconfirmedUntil(m_ports.timers.now() + CONFIRMATION_TIMEOUT);
     }
--- a/source/gateway/gatewayfleet.cpp
+++ b/source/gateway/gatewayfleet.cpp
@@ -1,4 +1,5 @@
 #include "snipeferry/gateway/gateway.h"
+#include "snipeferry/gateway/storeposition.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -192,7 +193,7 @@
             if (sentNoEarlierThan > absl::InfinitePast()) {
                 confirm(state.topic, sentNoEarlierThan - state.confirmedAgo);
             }
-        } else if (m_ports.timers.now() - own.confirmedAt() > STALE_CONFIRMATION_AGE) {
+        } else if (eraOf(state.revision) > eraOf(own.revision()) || m_ports.timers.now() - own.confirmedAt() > STALE_CONFIRMATION_AGE) {
             requestRecords(from, state.topic);
         }
     }
@@ -276,13 +277,13 @@
     if (index >= m_mirrors.size()) {
         return;
     }
-    const std::vector<RecordChange> changes = m_mirrors[index].replace(message.records, message.revision);
+    const std::size_t changes = replaceTopic(message.topic, message.records, message.revision);
     m_ports.journal.log(core::LogEvent{"topic_from_peer", {}}
                             .with("topic", absl::StrCat(index))
                             .with("from", from.value())
-                            .with("revision", absl::StrCat(message.revision))
-                            .with("changes", absl::StrCat(changes.size())));
-    applyRecordChanges(message.topic, changes);
+                            .with("era", absl::StrCat(eraOf(message.revision)))
+                            .with("revision", absl::StrCat(counterOf(message.revision)))
+                            .with("changes", absl::StrCat(changes)));
 }
 
 void Gateway::handle(const core::InstanceId &from, const RecordsUpdate &message)
--- a/source/gateway/gatewayrecords.cpp
+++ b/source/gateway/gatewayrecords.cpp
@@ -18,10 +18,16 @@
 constexpr absl::Duration REANNOUNCE_TIMEOUT = absl::Milliseconds(2600);
 /** The same as a limit by the time in which a leaving backend server may get requests: it may also have left just after the store's return. */
 constexpr double REANNOUNCE_DRAIN_FRACTION = 0.85;
+/** Time in which the operator writes again what a returned store has lost. */
+constexpr absl::Duration REWRITE_TIME = absl::Seconds(10);
+/** How long a backend server that left is remembered, in case a returned store announces it once more. */
+constexpr absl::Duration LEFT_SERVER_TIME = absl::Minutes(2);
+/** Reports that a backend server misses before the store drops its announcement, and one more. */
+constexpr int MISSED_REPORTS = 4;
 
 } // namespace
 
-void Gateway::applyRecordChanges(Topic topic, const std::vector<RecordChange> &changes)
+void Gateway::applyRecordChanges(Topic topic, const std::vector<RecordChange> &changes, RecordOrigin origin)
 {
     for (const RecordChange &change : changes) {
         switch (topic) {
@@ -29,7 +35,7 @@
             applyOperatorRecord(change);
             break;
         case Topic::BackendServers:
-            applyBackendServerRecord(change);
+            applyBackendServerRecord(change, origin);
             break;
         case Topic::Members:
             applyMemberRecord(change);
@@ -50,22 +56,12 @@
         return;
     }
     switch (record->kind) {
-    case OperatorRecord::Kind::Deployment: {
-        // Ignore the removal of the deployment, and an older version.
-        const bool isNewer = record->deployment.has_value() && (m_routes == nullptr || record->deployment->version > m_routes->deployment().version);
-        if (!isNewer) {
-            return;
+    case OperatorRecord::Kind::Deployment:
+        // The removal of the deployment is ignored.
+        if (record->deployment.has_value()) {
+            applyDeployment(*record->deployment, change.revision);
         }
-        m_routes = std::make_shared<const RouteTable>(*record->deployment);
-        m_backends.configure(m_routes->deployment().services);
-        m_allowances.configure(m_routes->deployment().customers);
-        m_requestFlow.configure(m_routes);
-        m_limitsChanged.emit(LimitsChanged{m_routes->deployment().limits});
-        m_ports.journal.log(core::LogEvent{"deployment_in_force", {}}
-                                .with("version", absl::StrCat(record->deployment->version))
-                                .with("revision", absl::StrCat(change.revision)));
         return;
-    }
     case OperatorRecord::Kind::Evacuation:
         m_backends.setEvacuated(record->dataCentre, change.value.has_value());
         m_ports.journal.log(core::LogEvent{
@@ -90,6 +86,86 @@
     }
 }
 
+void Gateway::applyDeployment(const Deployment &deployment, core::Revision revision)
+{
+    // A store that has come back may hold an older version. The operator confirmed the newer one and writes it again.
+    const bool isOlder = m_routes != nullptr && deployment.version < m_routes->deployment().version;
+    const bool isKnown = m_routes != nullptr && deployment == m_routes->deployment();
+    if (isOlder || isKnown) {
+        m_ports.journal.log(core::LogEvent{"deployment_kept", {}}
+                                .with("version", absl::StrCat(m_routes->deployment().version))
+                                .with("read_version", absl::StrCat(deployment.version))
+                                .with("revision", absl::StrCat(revision)));
+        return;
+    }
+    m_routes = std::make_shared<const RouteTable>(deployment);
+    m_backends.configure(m_routes->deployment().services);
+    m_allowances.configure(m_routes->deployment().customers);
+    m_requestFlow.configure(m_routes);
+    m_limitsChanged.emit(LimitsChanged{m_routes->deployment().limits});
+    m_ports.journal.log(core::LogEvent{"deployment_in_force", {}}.with("version", absl::StrCat(deployment.version)).with("revision", absl::StrCat(revision)));
+}
+
+void Gateway::applyReturnedRecords(Topic topic, const std::vector<RecordChange> &changes)
+{
+    const absl::Time now = m_ports.timers.now();
+    m_storeRegainedAt = now;
+    m_rollouts.storeReturned();
+    std::vector<RecordChange> present;
+    for (const RecordChange &change : changes) {
+        if (change.value.has_value()) {
+            present.push_back(change);
+            continue;
+        }
+        // Announcements of backend servers are held as after any outage of the store.
+        if (topic == Topic::BackendServers) {
+            present.push_back(change);
+            continue;
+        }
+        m_heldRecords[{topic, change.key}] = now + (topic == Topic::Members ? m_settings.announcementLifetime : REWRITE_TIME);
+    }
+    m_ports.journal.log(core::LogEvent{"store_returned", {}}
+                            .with("topic", absl::StrCat(static_cast<int>(topic)))
+                            .with("changed", absl::StrCat(present.size()))
+                            .with("missing", absl::StrCat(changes.size() - present.size())));
+    applyRecordChanges(topic, present, RecordOrigin::ReturnedStore);
+    if (topic == Topic::Members) {
+        storeMissingQuarantines();
+        m_rollouts.tellAgain();
+    }
+}
+
+void Gateway::removeHeldRecords()
+{
+    const absl::Time now = m_ports.timers.now();
+    for (auto it = m_heldRecords.begin(); it != m_heldRecords.end();) {
+        const Topic topic = it->first.first;
+        const std::string key = it->first.second;
+        const Record *record = mirror(topic).find(key);
+        const bool isWrittenAgain = record != nullptr && topic != Topic::BackendServers;
+        if (!isWrittenAgain && now < it->second) {
+            ++it;
+            continue;
+        }
+        it = m_heldRecords.erase(it);
+        if (isWrittenAgain) {
+            continue;
+        }
+        m_ports.journal.log(core::LogEvent{"held_record_dropped", {}}.with("topic", absl::StrCat(static_cast<int>(topic))).with("key", key));
+        if (topic == Topic::BackendServers) {
+            m_leftServers.erase(m_ports.records.backendServerOf(key));
+        }
+        const std::optional<std::string> value = record == nullptr ? std::nullopt : std::optional<std::string>(record->value);
+        applyRecordChanges(topic, {{key, value, mirror(topic).revision()}});
+    }
+}
+
+bool Gateway::isKnownToLeave(const BackendServer &server) const
+{
+    const auto left = m_leftServers.find(server.id);
+    return left != m_leftServers.end() && left->second.startedAtMs == server.startedAtMs && m_ports.timers.now() - left->second.seenAt < LEFT_SERVER_TIME;
+}
+
 void Gateway::announceRolloutChange(const RolloutChange &change)
 {
     m_ports.journal.log(core::LogEvent{
@@ -111,10 +187,14 @@
     }
 }
 
-void Gateway::applyBackendServerRecord(const RecordChange &change)
+void Gateway::applyBackendServerRecord(const RecordChange &change, RecordOrigin origin)
 {
     const core::BackendServerId id = m_ports.records.backendServerOf(change.key);
     if (!change.value.has_value()) {
+        const BackendServer *gone = m_backends.find(id);
+        if (gone != nullptr) {
+            m_leftServers[id] = {gone->startedAtMs, m_ports.timers.now()};
+        }
         const bool mayHaveLapsed = m_isStoreLost || m_ports.timers.now() < lapsedServersRemovedAt();
         if (mayHaveLapsed) {
             m_lapsedServers.insert(id);
@@ -125,7 +205,7 @@
         m_ports.journal.log(core::LogEvent{"server_gone", {}}.with("server", id.value()).with("is_held", mayHaveLapsed ? "true" : "false"));
         return;
     }
-    const core::Expected<BackendServer> server = m_ports.records.decodeBackendServer(change.key, *change.value);
+    core::Expected<BackendServer> server = m_ports.records.decodeBackendServer(change.key, *change.value);
     m_lapsedServers.erase(id);
     if (!server) {
         // An unreadable announcement removes the backend server.
@@ -139,6 +219,17 @@
         m_backends.announceRemote(*server);
         return;
     }
+    if (origin == RecordOrigin::ReturnedStore && isKnownToLeave(*server)) {
+        // The copy is older than its leaving. Where it is alive after all, its announcement outlasts the reports that it would miss.
+        server->isDraining = true;
+        m_heldRecords[{Topic::BackendServers, change.key}] = m_ports.timers.now() + REANNOUNCE_TIMEOUT + MISSED_REPORTS * m_settings.serverReportPeriod;
+        m_ports.journal.log(core::LogEvent{"server_leaving_kept", {}}.with("server", id.value()));
+    } else {
+        m_heldRecords.erase({Topic::BackendServers, change.key});
+    }
+    if (server->isDraining) {
+        m_leftServers[id] = {server->startedAtMs, m_ports.timers.now()};
+    }
     const BackendServer *known = m_backends.find(id);
     if (known != nullptr && known->startedAtMs != server->startedAtMs) {
         m_quarantine.addEndOfProcess(id);
@@ -167,6 +258,7 @@
             m_ports.journal.log(core::LogEvent{"server_gone", {}}.with("server", id.value()).with("is_held", "false"));
         }
     }
+    removeHeldRecords();
     updateInstances();
 }
 
--- a/source/gateway/records.cpp
+++ b/source/gateway/records.cpp
@@ -1,5 +1,7 @@
 #include "snipeferry/gateway/records.h"
 
+#include "snipeferry/gateway/storeposition.h"
+
 #include <algorithm>
 
 namespace snipeferry::gateway {
@@ -15,16 +17,25 @@
     if (m_isLoaded && revision < m_revision) {
         return changes;
     }
+    // After a return of the store each record has a new position; what it holds decides whether it has changed.
+    const bool isReturned = m_isLoaded && eraOf(revision) > eraOf(m_revision);
     std::map<std::string, Record> updatedRecords;
     for (const Record &record : records) {
         const auto known = m_records.find(record.key);
+        const bool isSame = isReturned && known != m_records.end() && known->second.value == record.value;
         if (known == m_records.end() || known->second.revision < record.revision) {
-            changes.push_back({record.key, record.value, record.revision});
+            if (!isSame) {
+                changes.push_back({record.key, record.value, record.revision});
+            }
+            m_changeRevision = std::max(m_changeRevision, record.revision);
             updatedRecords[record.key] = record;
         } else {
             updatedRecords[record.key] = known->second;
         }
     }
+    if (isReturned) {
+        m_changeRevision = std::max(m_changeRevision, positionOf(eraOf(revision), 0));
+    }
     for (const auto &entry : m_records) {
         if (updatedRecords.count(entry.first) == 0) {
             changes.push_back({entry.first, std::nullopt, revision});
--- a/source/gateway/rolloutguard.cpp
+++ b/source/gateway/rolloutguard.cpp
@@ -1,6 +1,7 @@
 #include "snipeferry/gateway/rolloutguard.h"
 
 #include "snipeferry/gateway/rendezvous.h"
+#include "snipeferry/gateway/storeposition.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -29,6 +30,8 @@
 constexpr absl::Duration MIN_RATE_TIME = absl::Milliseconds(700);
 /** An instance that has heard no decision this long after the time limit takes the version back. */
 constexpr absl::Duration UNDECIDED_TIME = absl::Seconds(1);
+/** Time after a store's return in which the operator writes its orders again. */
+constexpr absl::Duration ORDER_REWRITE_TIME = absl::Seconds(10);
 constexpr absl::Duration CHECK_PERIOD = absl::Milliseconds(50);
 
 bool isOpen(RolloutState state)
@@ -97,9 +100,12 @@
 {
     const bool isFirst = m_rollouts.find(order.service) == m_rollouts.end();
     ServiceRollouts &rollouts = m_rollouts[order.service];
-    if (!isFirst && rollouts.current.revision >= revision) {
+    if (!isFirst && (rollouts.current.revision >= revision || isReadAgain(rollouts, order, revision))) {
         return;
     }
+    if (!isFirst) {
+        rollouts.earlierOrders.push_back(rollouts.current.order);
+    }
     // The backend servers of the order before may still be up. What was not completed is not in use.
     std::vector<core::VersionId> &rejected = rollouts.rejected;
     if (!isFirst && rollouts.current.state != RolloutState::Completed) {
@@ -124,6 +130,33 @@
     }
 }
 
+bool RolloutGuard::isReadAgain(ServiceRollouts &rollouts, const RolloutOrder &order, core::Revision revision) const
+{
+    const bool isNewEra = eraOf(revision) > eraOf(rollouts.current.revision);
+    const bool isAfterReturn = m_timers.now() - m_storeReturnedAt < ORDER_REWRITE_TIME;
+    if (order == rollouts.current.order && (isNewEra || isAfterReturn)) {
+        rollouts.current.revision = revision;
+        return true;
+    }
+    const std::vector<RolloutOrder> &earlier = rollouts.earlierOrders;
+    return isAfterReturn && std::find(earlier.begin(), earlier.end(), order) != earlier.end();
+}
+
+void RolloutGuard::storeReturned()
+{
+    m_storeReturnedAt = m_timers.now();
+}
+
+void RolloutGuard::tellAgain()
+{
+    for (const auto &item : m_rollouts) {
+        const RolloutProgress &progress = item.second.current;
+        if (progress.state != RolloutState::Takeover && isReporter(progress)) {
+            m_decided.emit(RolloutDecision{progress.order, progress.revision, progress.state, "told again"});
+        }
+    }
+}
+
 void RolloutGuard::withdraw(const core::ServiceId &service)
 {
     const auto it = m_rollouts.find(service);
--- a/source/net/httpcaller.cpp
+++ b/source/net/httpcaller.cpp
@@ -116,6 +116,9 @@
         }
         CallAnswer answer;
         answer.status = static_cast<int>(self->m_parser->get().result_int());
+        for (const auto &field : self->m_parser->get()) {
+            answer.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+        }
         answer.body = std::move(self->m_parser->get().body());
         if (!self->m_parser->keep_alive() || self->m_buffer.size() > 0) {
             self->close();
--- a/source/net/httpcaller.h
+++ b/source/net/httpcaller.h
@@ -19,6 +19,7 @@
 struct CallAnswer
 {
     int status = 0;
+    gateway::Headers headers;
     std::string body;
 };
 
--- a/source/net/storeclient.cpp
+++ b/source/net/storeclient.cpp
@@ -2,6 +2,8 @@
 
 #include "backoff.h"
 #include "httpcaller.h"
+#include "snipeferry/gateway/storeposition.h"
+#include "storeera.h"
 #include "storewriter.h"
 
 #include <absl/strings/str_cat.h>
@@ -30,6 +32,8 @@
 constexpr absl::Duration FIRST_CONFIRMATION_WAIT = absl::Milliseconds(1);
 /** Time for which other instances may confirm a first reading before the store is called for it. */
 constexpr absl::Duration PEER_CONFIRMATION_TIME = absl::Milliseconds(300);
+/** Time over which the reads after a store's return are spread, for each instance of the fleet. */
+constexpr absl::Duration RETURN_READ_SPREAD = absl::Milliseconds(4);
 constexpr int HTTP_OK = 200;
 constexpr int HTTP_NOT_FOUND = 404;
 constexpr int HTTP_GONE = 410;
@@ -40,17 +44,20 @@
 class StoreClient::Follower : public std::enable_shared_from_this<StoreClient::Follower>
 {
 public:
-    Follower(EventLoop &loop, const StoreClientSettings &settings, gateway::Topic topic, absl::Duration wait, const StoreFormat &format,
+    Follower(EventLoop &loop, const StoreClientSettings &settings, gateway::Topic topic, absl::Duration wait, const StoreFormat &format, StoreEra &era,
         gateway::Gateway &gateway, gateway::Journal &journal)
         : m_loop(loop),
           m_answerTimeout(settings.answerTimeout),
           m_topic(topic),
           m_wait(wait),
           m_format(format),
+          m_era(era),
           m_gateway(gateway),
           m_journal(journal),
           m_caller(std::make_shared<HttpCaller>(loop, settings.address)),
-          m_backoff(std::random_device()())
+          m_backoff(std::random_device()()),
+          m_goneBackoff(std::random_device()()),
+          m_random(std::random_device()())
     {
         m_caller->setMaxAnswerBytes(settings.maxAnswerBytes);
     }
@@ -80,19 +87,27 @@
 
     void pageRead(const core::Expected<CallAnswer> &answer)
     {
-        if (!answer || answer->status != HTTP_OK) {
+        if (!answer || !m_era.note(*answer) || answer->status != HTTP_OK) {
             failed(answer, [self = shared_from_this()] { self->readAll(); });
             return;
         }
         const core::Expected<RecordPage> page = m_format.decodePage(answer->body);
-        if (!page) {
-            unreadable(page.error(), [self = shared_from_this()] { self->readAll(); });
+        if (!page || page->revision < 0 || page->revision > gateway::MAX_POSITION_COUNTER) {
+            unreadable(page ? revisionError() : page.error(), [self = shared_from_this()] { self->readAll(); });
+            return;
+        }
+        const core::Revision position = gateway::positionOf(m_era.current(), page->revision);
+        if (m_revision != 0 && gateway::eraOf(m_revision) != m_era.current()) {
+            // The store came back between two pages.
+            m_pause = m_loop.timers().after(m_backoff.next(), [self = shared_from_this()] { self->readAll(); });
             return;
         }
         m_backoff.reset();
-        m_records.insert(m_records.end(), page->records.begin(), page->records.end());
+        for (const gateway::Record &record : page->records) {
+            m_records.push_back({record.key, record.value, gateway::positionOf(m_era.current(), record.revision)});
+        }
         // Pages are no snapshot; changes since the first page are watched.
-        m_revision = m_revision == 0 ? page->revision : std::min(m_revision, page->revision);
+        m_revision = m_revision == 0 ? position : std::min(m_revision, position);
         if (page->hasMore && !page->records.empty()) {
             readPage(page->records.back().key);
             return;
@@ -110,24 +125,55 @@
         }
     }
 
+    /** Reads a topic after the store came back, unless another instance tells it first. All instances learn of the return at about the same time. */
+    void readReturned()
+    {
+        const absl::Duration spread = RETURN_READ_SPREAD * m_gateway.instanceCount();
+        const absl::Duration pause = spread * std::uniform_real_distribution<double>(0, 1)(m_random);
+        m_pause = m_loop.timers().after(pause, [self = shared_from_this()] {
+            const bool isTold = gateway::eraOf(self->m_gateway.revision(self->m_topic)) >= self->m_era.current();
+            isTold ? self->watch() : self->readAll();
+        });
+    }
+
+    static core::Error revisionError()
+    {
+        return core::makeError(core::ErrorKind::PlatformUnavailable, "a revision is out of range");
+    }
+
     void watch()
     {
         if (!m_gateway.shouldWatch(m_topic)) {
             m_pause = m_loop.timers().after(TURN_CHECK_PERIOD, [self = shared_from_this()] { self->watch(); });
             return;
         }
+        const core::Revision position = m_gateway.revision(m_topic);
+        if (gateway::eraOf(position) < m_era.current()) {
+            readReturned();
+            return;
+        }
         m_journal.count("store_calls_total", "watch", 1);
+        m_watched = position;
         m_startedAt = m_loop.timers().now();
         m_currentWait = m_gateway.isUnconfirmed(m_topic) ? FIRST_CONFIRMATION_WAIT : m_wait;
-        m_caller->call(m_format.awaitChanges(m_topic, m_gateway.revision(m_topic), m_currentWait), m_currentWait + m_answerTimeout,
+        m_caller->call(m_format.awaitChanges(m_topic, gateway::counterOf(position), m_currentWait), m_currentWait + m_answerTimeout,
             [self = shared_from_this()](const core::Expected<CallAnswer> &answer) { self->watched(answer); });
     }
 
     void watched(const core::Expected<CallAnswer> &answer)
     {
+        if (answer && !m_era.note(*answer)) {
+            failed(answer, [self = shared_from_this()] { self->watch(); });
+            return;
+        }
+        if (answer && m_era.current() != gateway::eraOf(m_watched)) {
+            // Changes of another era do not follow those that are known.
+            watch();
+            return;
+        }
         if (answer && answer->status == HTTP_GONE) {
             m_journal.log(core::LogEvent{"store_history_gone", {}}.with("topic", absl::StrCat(static_cast<int>(m_topic))));
-            readAll();
+            m_pause = m_loop.timers().after(m_goneBackoff.next(), [self = shared_from_this()] { self->readAll(); });
             return;
         }
         if (!answer && answer.error().kind == core::ErrorKind::RequestTooLarge) {
@@ -140,12 +186,17 @@
             return;
         }
         const core::Expected<ChangePage> page = m_format.decodeChanges(answer->body);
-        if (!page) {
-            unreadable(page.error(), [self = shared_from_this()] { self->readAll(); });
+        if (!page || page->revision < 0 || page->revision > gateway::MAX_POSITION_COUNTER) {
+            unreadable(page ? revisionError() : page.error(), [self = shared_from_this()] { self->readAll(); });
             return;
         }
         m_backoff.reset();
-        m_gateway.topicChanged(m_topic, page->changes, page->revision, confirmedAt(*page));
+        m_goneBackoff.reset();
+        std::vector<gateway::RecordChange> changes = page->changes;
+        for (gateway::RecordChange &change : changes) {
+            change.revision = gateway::positionOf(m_era.current(), change.revision);
+        }
+        m_gateway.topicChanged(m_topic, changes, gateway::positionOf(m_era.current(), page->revision), confirmedAt(*page));
         const bool isPatient = m_topic != gateway::Topic::Operator && !page->changes.empty();
         if (isPatient) {
             m_pause = m_loop.timers().after(GATHERING_TIME, [self = shared_from_this()] { self->watch(); });
@@ -188,12 +239,18 @@
     /** Wait of the call in progress. */
     absl::Duration m_currentWait;
     const StoreFormat &m_format;
+    StoreEra &m_era;
     gateway::Gateway &m_gateway;
     gateway::Journal &m_journal;
     std::shared_ptr<HttpCaller> m_caller;
     Backoff m_backoff;
+    /** Pauses between full reads that follow each other because the history is gone. */
+    Backoff m_goneBackoff;
+    std::mt19937_64 m_random;
     std::vector<gateway::Record> m_records;
     core::Revision m_revision = 0;
+    /** Position after which the call in progress asks for changes. */
+    core::Revision m_watched = 0;
     bool m_mayBeOld = false;
     absl::Time m_startedAt;
     core::Subscription m_pause;
@@ -203,10 +260,12 @@
 class StoreClient::Announcer : public std::enable_shared_from_this<StoreClient::Announcer>
 {
 public:
-    Announcer(EventLoop &loop, const StoreClientSettings &settings, const StoreFormat &format, gateway::Gateway &gateway, gateway::Journal &journal)
+    Announcer(
+        EventLoop &loop, const StoreClientSettings &settings, const StoreFormat &format, StoreEra &era, gateway::Gateway &gateway, gateway::Journal &journal)
         : m_loop(loop),
           m_settings(settings),
           m_format(format),
+          m_era(era),
           m_gateway(gateway),
           m_journal(journal),
           m_caller(std::make_shared<HttpCaller>(loop, settings.address)),
@@ -220,10 +279,18 @@
         openLease();
     }
 
+    /** Announces this instance afresh: the store has lost the lease, or will give its number to another instance. */
+    void storeReturned()
+    {
+        if (!m_isCalling && !m_isWithdrawn) {
+            after(absl::ZeroDuration(), &Announcer::openLease);
+        }
+    }
+
     void withdraw()
     {
         m_isWithdrawn = true;
-        if (m_lease.id.empty()) {
+        if (m_lease.id.empty() || m_leaseEra != m_era.current()) {
             return;
         }
         m_caller->close();
@@ -239,11 +306,19 @@
     {
         m_journal.count("store_calls_total", name, 1);
         const absl::Time startedAt = m_loop.timers().now();
+        m_isCalling = true;
         m_caller->call(
             request, READ_TIMEOUT, [self = shared_from_this(), done = std::move(done), again, name, startedAt](const core::Expected<CallAnswer> &answer) {
+                const bool isCurrent = !answer || self->m_era.note(*answer);
+                self->m_isCalling = false;
                 if (self->m_isWithdrawn) {
                     return;
                 }
+                const bool isOfEarlierLease = again != &Announcer::openLease && self->m_leaseEra != self->m_era.current();
+                if (!isCurrent || isOfEarlierLease) {
+                    self->after(self->m_backoff.next(), &Announcer::openLease);
+                    return;
+                }
                 self->m_journal.observe("store_call_seconds", name, self->m_loop.timers().now() - startedAt);
                 if (answer && (answer->status == HTTP_OK || answer->status == HTTP_NOT_FOUND)) {
                     self->m_backoff.reset();
@@ -277,6 +352,7 @@
                     return;
                 }
                 m_lease = *lease;
+                m_leaseEra = m_era.current();
                 write();
             },
             &Announcer::openLease);
@@ -322,12 +398,16 @@
     EventLoop &m_loop;
     StoreClientSettings m_settings;
     const StoreFormat &m_format;
+    StoreEra &m_era;
     gateway::Gateway &m_gateway;
     gateway::Journal &m_journal;
     std::shared_ptr<HttpCaller> m_caller;
     Backoff m_backoff;
     gateway::Record m_record;
     Lease m_lease;
+    /** The store's era in which the lease was opened. */
+    std::int64_t m_leaseEra = 0;
+    bool m_isCalling = false;
     absl::Time m_writtenAt = absl::InfinitePast();
     bool m_isWithdrawn = false;
     core::Subscription m_pause;
@@ -335,15 +415,17 @@
 
 StoreClient::StoreClient(EventLoop &loop, const StoreClientSettings &settings, const StoreFormat &format, const gateway::RecordCodec &records,
     gateway::Gateway &gateway, gateway::Journal &journal)
+    : m_era(std::make_unique<StoreEra>(format, journal))
 {
     const std::array<absl::Duration, gateway::TOPIC_COUNT> waits = {settings.operatorWait, settings.backendServerWait, settings.memberWait};
     for (int index = 0; index < gateway::TOPIC_COUNT; ++index) {
-        m_followers[index] = std::make_shared<Follower>(loop, settings, static_cast<gateway::Topic>(index), waits[index], format, gateway, journal);
+        m_followers[index] = std::make_shared<Follower>(loop, settings, static_cast<gateway::Topic>(index), waits[index], format, *m_era, gateway, journal);
     }
-    m_announcer = std::make_shared<Announcer>(loop, settings, format, gateway, journal);
+    m_announcer = std::make_shared<Announcer>(loop, settings, format, *m_era, gateway, journal);
     // Two writers, so that neither kind of record waits for the other.
-    m_rolloutWriter = std::make_shared<StoreWriter>(loop, settings, format, records, gateway, journal);
-    m_quarantineWriter = std::make_shared<StoreWriter>(loop, settings, format, records, gateway, journal);
+    m_rolloutWriter = std::make_shared<StoreWriter>(loop, settings, format, records, *m_era, gateway, journal);
+    m_quarantineWriter = std::make_shared<StoreWriter>(loop, settings, format, records, *m_era, gateway, journal);
+    m_era->advanced().subscribe([announcer = m_announcer](std::int64_t /*era*/) { announcer->storeReturned(); });
     gateway.rolloutDecided().subscribe([writer = m_rolloutWriter](const gateway::RolloutDecision &decision) { writer->write(decision); });
     gateway.recordToStore().subscribe([writer = m_quarantineWriter](const gateway::RecordToStore &task) { writer->write(task.record); });
 }
--- a/source/net/storewriter.cpp
+++ b/source/net/storewriter.cpp
@@ -31,11 +31,12 @@
 
 } // namespace
 
-StoreWriter::StoreWriter(EventLoop &loop, const StoreClientSettings &settings, const StoreFormat &format, const gateway::RecordCodec &records,
+StoreWriter::StoreWriter(EventLoop &loop, const StoreClientSettings &settings, const StoreFormat &format, const gateway::RecordCodec &records, StoreEra &era,
     gateway::Gateway &gateway, gateway::Journal &journal)
     : m_loop(loop),
       m_format(format),
       m_records(records),
+      m_era(era),
       m_gateway(gateway),
       m_journal(journal),
       m_caller(std::make_shared<HttpCaller>(loop, settings.address)),
@@ -90,8 +91,9 @@
     const gateway::Record *record = std::get_if<gateway::Record>(&m_waiting.front());
     const bool isConflict = answer && answer->status == HTTP_CONFLICT;
     // The gateway offers a record that the store lacks again later; what waits behind it must not wait for ever.
-    const bool isDropped = record != nullptr && answer && isRefusedForGood(answer->status);
-    if (!isDropped && (!answer || (answer->status != HTTP_OK && !isConflict))) {
+    const bool isCurrent = answer && m_era.note(*answer);
+    const bool isDropped = record != nullptr && isCurrent && isRefusedForGood(answer->status);
+    if (!isDropped && (!isCurrent || (answer->status != HTTP_OK && !isConflict))) {
         m_pause = m_loop.timers().after(m_backoff.next(), [self = shared_from_this()] { self->send(); });
         return;
     }
--- a/source/net/storewriter.h
+++ b/source/net/storewriter.h
@@ -3,6 +3,7 @@
 #include "backoff.h"
 #include "httpcaller.h"
 #include "snipeferry/net/storeclient.h"
+#include "storeera.h"
 
 #include <deque>
 #include <memory>
@@ -15,8 +16,8 @@
 class StoreWriter : public std::enable_shared_from_this<StoreWriter>
 {
 public:
-    StoreWriter(EventLoop &loop, const StoreClientSettings &settings, const StoreFormat &format, const gateway::RecordCodec &records, gateway::Gateway &gateway,
-        gateway::Journal &journal);
+    StoreWriter(EventLoop &loop, const StoreClientSettings &settings, const StoreFormat &format, const gateway::RecordCodec &records, StoreEra &era,
+        gateway::Gateway &gateway, gateway::Journal &journal);
 
     void write(const gateway::RolloutDecision &decision);
     void write(const gateway::Record &record);
@@ -35,6 +36,7 @@
     EventLoop &m_loop;
     const StoreFormat &m_format;
     const gateway::RecordCodec &m_records;
+    StoreEra &m_era;
     gateway::Gateway &m_gateway;
     gateway::Journal &m_journal;
     std::shared_ptr<HttpCaller> m_caller;
