Go on with a caller's stream only by a stream of the same kind that ends at a whole event

What callers saw (test): after a stream had broken off, the answer of the next server stood in the middle of it (a JSON error with status 200), or the stream ended as if it were complete (status 204; half an event in an answer with a length). Cause: a resumed run's head was checked for success only, and an incomplete event at its end was passed on where the answer had a length, as for a run that nobody had begun before. Ruled out: comparing the whole head, since receipts and versions differ from run to run. Why it works: the caller has the first run's head, so what follows has to be of its status and content type; a stream that another run has begun is whole only at an event's end. Forwarded runs take the same way (the head comes through ForwardHead); no test of their own. An empty continuation with a length still ends the stream as complete: it is what a server sends that has nothing more.

--- a/include/snipeferry/gateway/requestflow.h
+++ b/include/snipeferry/gateway/requestflow.h
@@ -170,6 +170,8 @@
         AnswerProgress progress = AnswerProgress::NotBegun;
         /** Whether the caller has received the head of a streamed answer. */
         bool hasBegunAnswer = false;
+        /** Whether the current run goes on with a stream that another one has begun. */
+        bool isResumed = false;
         /** Buffered answer, if it is not a stream. */
         std::string body;
         EventStream events;
@@ -225,6 +227,8 @@
     /** Passes complete events of a stream to the caller; buffers any other answer. */
     void relayData(OpenRequest &open, const std::string &data);
     void complete(OpenRequest &open);
+    /** Whether the head of a resumed run's answer is one with which the caller's stream can go on. */
+    static bool continuesStream(const OpenRequest &open, const HttpHead &head);
     /** Whether the answer is passed on event by event. */
     static bool isEventStream(const OpenRequest &open);
     /** Who sends the answer of the current run, for AnswerMemory. */
--- a/source/gateway/requestanswer.cpp
+++ b/source/gateway/requestanswer.cpp
@@ -1,5 +1,6 @@
 #include "snipeferry/gateway/requestflow.h"
 
+#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -70,7 +71,7 @@
         fail(*open, core::makeError(core::ErrorKind::BackendFailed, "The backend server refused the request without stating that it was not executed."));
         return;
     }
-    if (open->hasBegunAnswer && !isSuccess) {
+    if (open->hasBegunAnswer && !continuesStream(*open, head)) {
         stopTransport(*open);
         retryOrFail(open->number, true, RunEnd::ServerError, "resumed_run_failed");
         return;
@@ -83,6 +84,18 @@
     }
 }
 
+bool RequestFlow::continuesStream(const OpenRequest &open, const HttpHead &head)
+{
+    const auto contentType = [](const HttpHead &of) {
+        const auto isContentType = [](const Header &header) {
+            return absl::EqualsIgnoreCase(header.name, "Content-Type");
+        };
+        const auto it = std::find_if(of.headers.begin(), of.headers.end(), isContentType);
+        return it == of.headers.end() ? std::string() : it->value.substr(0, it->value.find(';'));
+    };
+    return head.status == open.head.status && absl::EqualsIgnoreCase(contentType(head), contentType(open.head));
+}
+
 void RequestFlow::runData(Number run, const std::string &data)
 {
     OpenRequest *open = findByRun(run);
@@ -216,7 +229,9 @@
     }
     // A stream that ends with its connection in the middle of an event, or before its first one, is not whole.
     const bool hasWholeEvents = open->events.partial().empty() && open->progress == AnswerProgress::Writing;
-    if (end == AnswerEnd::ConnectionClosed && isEventStream(*open) && !hasWholeEvents) {
+    // Neither is the rest of one that another server has begun, whatever its framing.
+    const bool endsInsideEvent = open->hasBegunAnswer && !open->events.partial().empty() && open->isResumed;
+    if (isEventStream(*open) && ((end == AnswerEnd::ConnectionClosed && !hasWholeEvents) || endsInsideEvent)) {
         noteFailedRun(*open, REASON_ANSWER_BROKEN_OFF);
         retryOrFail(open->number, true, RunEnd::Unreachable, REASON_ANSWER_BROKEN_OFF);
         return;
--- a/source/gateway/requestplacement.cpp
+++ b/source/gateway/requestplacement.cpp
@@ -343,6 +343,7 @@
         return false;
     }
     open.events.dropPartial();
+    open.isResumed = true;
     m_answerMemory.update(answerSource(open), std::exchange(open.countedBytes, 0), 0);
     m_dependencies.journal.count("requests_repeated_total", "resumed", 1);
     return place(open).has_value();
--- a/tests/gateway/requestflowtest.cpp
+++ b/tests/gateway/requestflowtest.cpp
@@ -98,6 +98,43 @@
     CHECK(answer->finalCount == 1);
 }
 
+// Guards against the text of an error, or of an answer that is no stream, in the middle of a caller's stream, and against one that ends as if it were complete.
+TEST_CASE("a stream ends as broken off, at its whole events, if the server that should go on with it answers with anything else")
+{
+    struct Continuation
+    {
+        int status;
+        std::string contentType;
+        std::string body;
+        gateway::AnswerEnd end;
+    };
+    const std::string stream = "text/event-stream";
+    const Continuation continuation = GENERATE_COPY(Continuation{404, "text/plain", "no such thing", gateway::AnswerEnd::Framed},
+        Continuation{500, "text/plain", "id: 2\ndata: oops\n\n", gateway::AnswerEnd::Framed},
+        Continuation{503, "text/plain", "full", gateway::AnswerEnd::Framed},
+        Continuation{200, "application/json", R"({"error":"x"})", gateway::AnswerEnd::Framed},
+        Continuation{200, "application/json", "{\"error\":\n\n\"x\"}", gateway::AnswerEnd::ConnectionClosed},
+        Continuation{204, stream, "", gateway::AnswerEnd::Framed}, Continuation{200, stream, "id: 2\nda", gateway::AnswerEnd::Framed},
+        Continuation{200, stream, "id: 2\nda", gateway::AnswerEnd::ConnectionClosed}, Continuation{200, stream, "", gateway::AnswerEnd::ConnectionClosed});
+    GatewayFixture fixture;
+    fixture.start();
+    const std::shared_ptr<Answer> answer = fixture.ask("/resume/plan");
+    const gateway::Number first = fixture.lastRun().run;
+    fixture.gateway.runHead(first, {200, {{"receipt", "first"}, {"Content-Type", stream}}});
+    fixture.gateway.runData(first, "id: 1\ndata: a\n\n");
+    fixture.gateway.runFailed(first, true, "answer_broken_off");
+    REQUIRE(fixture.runs.sent.size() == 2);
+    const gateway::Number second = fixture.lastRun().run;
+    fixture.gateway.runHead(second, {continuation.status, {{"receipt", "second"}, {"Content-Type", continuation.contentType}}});
+    fixture.gateway.runData(second, continuation.body);
+    fixture.gateway.runEnd(second, continuation.end);
+    INFO("status " << continuation.status << " body " << continuation.body);
+    CHECK(answer->body == "id: 1\ndata: a\n\n");
+    CHECK(answer->isBrokenOff);
+    CHECK_FALSE(answer->isComplete);
+    CHECK(answer->finalCount == 1);
+}
+
 TEST_CASE("a stream that may not be resumed breaks off and never looks complete")
 {
     GatewayFixture fixture;
