Leave an announcement out whose numbers, address, size or nesting cannot be meant

What others reported: one odd entry among those of the backend servers ended the machines that read the list, or they stopped following it (LOST). Cause: types were checked, ranges were not, and the parser builds whatever it is given. Ruled out: a limit on the whole list, which one entry would then empty. Conclusion: fixed for this topic; the operator's records are not bounded (the store accepts only valid ones).

--- a/tests/platform-adapter/adaptertest.cpp
+++ b/tests/platform-adapter/adaptertest.cpp
@@ -115,6 +115,32 @@
     CHECK(HEADERS.decodeAnswer({200, {{"Server-Limit", "1"}, {"Server-Limit", "2"}}}).isLimitUnreadable);
 }
 
+// Guards against processes that end, or stop following the list, because another writer left one odd entry there (LOST).
+TEST_CASE("an odd entry among the announcements of backend servers is an error of its own")
+{
+    constexpr std::size_t LARGE = 1U << 20U;
+    const auto with = [](const std::string &field, const std::string &value) {
+        nlohmann::json fields = nlohmann::json::parse(SERVER);
+        fields[field] = nullptr;
+        std::string text = fields.dump();
+        const std::string empty = "\"" + field + "\":null";
+        return text.replace(text.find(empty), empty.size(), "\"" + field + "\":" + value);
+    };
+    std::vector<std::string> odd = {std::string(LARGE, '['), std::string(5000, '[') + std::string(5000, ']'), "\xff\xfe{",
+        with("slots", "99999999999999999999999"), with("slots", "18446744073709551617"), with("slots", "1.5"), with("slots", "4294967297"),
+        with("coldLeftMs", "1e400"), with("coldLeftMs", "1e300"), with("coldLeftMs", "-1e300"), with("born", "1e30"),
+        with("extra", std::string(3000, '[') + std::string(3000, ']')), with("extra", "\"" + std::string(LARGE, 'x') + "\"")};
+    for (const char *address : {"10.0.0.1:0", "10.0.0.1:-1", "10.0.0.1:65536", "10.0.0.1:http", "10.0.0.1", "10.0.0.1:1:2", "10.0.0.999:80", ""}) {
+        odd.push_back(with("address", absl::StrCat("\"", address, "\"")));
+    }
+    for (const std::string &entry : odd) {
+        INFO(entry.substr(0, 200));
+        CHECK_FALSE(RECORDS.decodeBackendServer("servers/i-7", entry));
+    }
+    // The last of two fields of one name counts.
+    CHECK(RECORDS.decodeBackendServer("servers/i-7", std::string(SERVER).insert(1, R"("slots":"many",)")));
+}
+
 TEST_CASE("a refusal has a retry-after time")
 {
     const gateway::Headers headers
