Pause before asking again where an answer names an earlier era than another instance has told

Cause: an answer of an era before the copy's led to the next call at once; a store that names no era to one instance alone would have been called without end. Found by reading the change. Change: that call follows after the pauses of a history that is gone; and a test that an earlier refusal which a server writes once more is no answer to the running request (REFUSED, TWICE): with the earlier request's identifier, another's, none, in one packet or two.

--- a/source/net/storeclient.cpp
+++ b/source/net/storeclient.cpp
@@ -167,8 +167,9 @@
             return;
         }
         if (answer && m_era.current() != gateway::eraOf(m_watched)) {
-            // Changes of another era do not follow those that are known.
-            watch();
+            // Changes of another era do not follow those that are known. Another instance may have told of an era that this answer does not name.
+            const bool isReturned = m_era.current() > gateway::eraOf(m_watched);
+            m_pause = m_loop.timers().after(isReturned ? absl::ZeroDuration() : m_goneBackoff.next(), [self = shared_from_this()] { self->watch(); });
             return;
         }
         if (answer && answer->status == HTTP_GONE) {
--- a/tests/net/backendpooltest.cpp
+++ b/tests/net/backendpooltest.cpp
@@ -5,6 +5,8 @@
 #include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace snipeferry;
 using namespace snipeferry::tests;
 
@@ -240,6 +242,36 @@
     CHECK(fixture.recorder.mayHaveRun == !isNamed);
 }
 
+// Guards against "not run, try again" for a request that runs, because a server wrote an earlier refusal once more (REFUSED, TWICE).
+TEST_CASE("an earlier refusal that a server writes once more is no answer to the running request")
+{
+    const std::string identifier = GENERATE("Id: r1\r\n", "Id: r0\r\n", "");
+    const std::string refusal = "HTTP/1.1 503 Busy\r\n" + std::string(identifier) + "Not-Executed: 1\r\nContent-Length: 4\r\n\r\nfull";
+    const bool isInOnePacket = GENERATE(false, true);
+    PoolFixture fixture([refusal, isInOnePacket](int request, const std::shared_ptr<ScriptedServer::Socket> &socket, const std::string & /*read*/) {
+        if (request == 1) {
+            ScriptedServer::send(socket, "HTTP/1.1 503 Busy\r\nId: r1\r\nNot-Executed: 1\r\nContent-Length: 4\r\n\r\nfull");
+            return;
+        }
+        if (isInOnePacket) {
+            ScriptedServer::send(socket, refusal + whole("r2", "second"));
+            return;
+        }
+        ScriptedServer::send(socket, refusal);
+        ScriptedServer::send(socket, whole("r2", "second"));
+    });
+    fixture.send("r1");
+    REQUIRE(fixture.recorder.statuses == std::vector<int>{503});
+    fixture.recorder.body.clear();
+    fixture.send("r2");
+    CHECK(fixture.server.connections == 1);
+    // It is told apart by its identifier; without one the connection is given up, and the request may have run.
+    const bool isNamed = !identifier.empty();
+    CHECK(std::count(fixture.recorder.statuses.begin(), fixture.recorder.statuses.end(), 503) == 1);
+    CHECK(fixture.recorder.body == (isNamed ? "second" : ""));
+    CHECK(fixture.recorder.mayHaveRun == !isNamed);
+}
+
 TEST_CASE("a copy behind an answer that ends by close reaches nobody")
 {
     PoolFixture fixture([](int /*request*/, const std::shared_ptr<ScriptedServer::Socket> &socket, const std::string & /*read*/) {
