--- a/tests/net/storeclienttest.cpp
+++ b/tests/net/storeclienttest.cpp
@@ -237,6 +237,25 @@
     CHECK(fixture.until([&] { return fixture.gateway.hasRecord(gateway::Topic::BackendServers, "servers/i-3"); }));
 }
 
+// Guards against a loop of calls, or an end of the process, because the era's header is missing, unreadable, doubled or falls.
+TEST_CASE("an era that cannot be used leads to no loop of full reads")
+{
+    const std::string odd = GENERATE("", "many", "3", "-1", "5\r\nStore-Era: 6");
+    StoreFixture fixture;
+    fixture.store.era = "4";
+    fixture.start();
+    REQUIRE(fixture.until([&] { return fixture.store.writes >= 1 && fixture.store.watches > 3; }));
+    const int reads = fixture.store.reads;
+    const int watches = fixture.store.watches;
+    fixture.store.era = odd;
+    fixture.until([&] { return fixture.store.watches > watches + 30; });
+    CHECK(fixture.store.reads == reads);
+    // An earlier era may only be an answer that was under way. The next sound one is followed.
+    fixture.store.era = "4";
+    fixture.store.restore();
+    CHECK(fixture.until([&] { return fixture.gateway.hasRecord(gateway::Topic::BackendServers, "servers/i-2"); }));
+}
+
 TEST_CASE("a lease that ended is opened again, and the announcement written again")
 {
     StoreFixture fixture;
--- a/tests/platform-adapter/adaptertest.cpp
+++ b/tests/platform-adapter/adaptertest.cpp
@@ -141,6 +141,18 @@
     CHECK(RECORDS.decodeBackendServer("servers/i-7", std::string(SERVER).insert(1, R"("slots":"many",)")));
 }
 
+// Guards against an era that ends the process or sends the copies astray, because its header is missing, doubled or no number.
+TEST_CASE("the store's era is one whole number, or the answer names none")
+{
+    CHECK_FALSE(STORE.decodeEra({})->has_value());
+    CHECK(STORE.decodeEra({{"store-era", "7"}})->value() == 7);
+    CHECK(STORE.decodeEra({{"Store-Era", "7"}, {"Store-Era", "7"}})->value() == 7);
+    CHECK_FALSE(STORE.decodeEra({{"Store-Era", "7"}, {"Store-Era", "8"}}));
+    for (const char *text : {"", "x", "-1", "1.5", "99999999999999999999999", "4194304000000"}) {
+        CHECK_FALSE(STORE.decodeEra({{"Store-Era", text}}));
+    }
+}
+
 TEST_CASE("a refusal has a retry-after time")
 {
     const gateway::Headers headers
