Log at which stage a caller left, what is taken back over a link, and a late event loop

Cause: none yet. The hypotheses on GONE could not be told apart by the log: nothing said whether a run began for a caller that had left, whether a forwarded request was taken back at the other instance, and whether the process was behind.

Change: caller_left states the stage; run_started and forwarded state whether the caller was gone already; forward_cancelled, forward_cancel_lost and event_loop_late are new. isCallerGone() asks the socket.

Conclusion: no decision changes.

--- a/include/snipeferry/gateway/ports.h
+++ b/include/snipeferry/gateway/ports.h
@@ -35,6 +35,9 @@
 
     /** @brief Bytes of the answer that the caller has not yet taken. */
     virtual std::size_t unsentBytes() const = 0;
+
+    /** @brief Whether the caller has closed its connection, also if that has not been reported yet. */
+    virtual bool isCallerGone() const = 0;
 };
 
 /** Sends requests to backend servers. */
--- a/include/snipeferry/gateway/requestflow.h
+++ b/include/snipeferry/gateway/requestflow.h
@@ -216,6 +216,8 @@
     bool saysOfVersion(const OpenRequest &open, RunEnd end) const;
     /** Cancels the current run at the backend server or the other instance; endRun() does the accounting. */
     void stopTransport(const OpenRequest &open);
+    /** Tells the other instance to cancel the current run. */
+    void sendCancel(const OpenRequest &open);
     void cancelRun(OpenRequest &open);
     /** Ends a failed run. Then repeats the request, resumes its stream, or fails it. */
     void retryOrFail(Number number, bool mayHaveRun, RunEnd end, const std::string &reason);
@@ -250,6 +252,8 @@
     /** Cancels a run that sends no data and retries the request, if the route permits another attempt. */
     void retrySilentRun(OpenRequest &open, absl::Time now);
     OpenRequest *findByRun(Number run);
+    /** Where a request is, for the log. */
+    static std::string stageOf(const OpenRequest &open);
     core::LogEvent makeLogEvent(const std::string &name, const OpenRequest &open) const;
 
     FlowSettings m_settings;
--- a/include/snipeferry/net/gatewayprocess.h
+++ b/include/snipeferry/net/gatewayprocess.h
@@ -37,6 +37,8 @@
 private:
     core::Expected<void> listen();
     void awaitSignals();
+    /** Logs it if the event loop is behind, so that requests and ends of connections are handled late. */
+    void checkLoopDelay();
     void reload();
     void startStop();
     void checkStopped();
@@ -61,6 +63,8 @@
     absl::Time m_stopAt = absl::InfiniteFuture();
     absl::Time m_stopEarliest = absl::InfiniteFuture();
     core::Subscription m_stopTimer;
+    absl::Time m_loopCheckDue = absl::InfiniteFuture();
+    core::Subscription m_loopCheckTimer;
 };
 
 } // namespace snipeferry::net
--- a/include/snipeferry/net/httpserver.h
+++ b/include/snipeferry/net/httpserver.h
@@ -77,6 +77,9 @@
     /** @brief Bytes of the answer that were not yet written to the connection. */
     virtual std::size_t unsentBytes() const = 0;
 
+    /** @brief Whether the client has closed its connection or its side of it, also if onClosed() has not been called yet. */
+    virtual bool isClientGone() const = 0;
+
     /** @brief Called once if the client closes its connection before the answer is complete. */
     virtual void onClosed(std::function<void()> callback) = 0;
 };
--- a/source/gateway/forwardreceiver.cpp
+++ b/source/gateway/forwardreceiver.cpp
@@ -168,6 +168,12 @@
     for (const auto &entry : m_forwardedRuns) {
         if (entry.second.origin == from && entry.second.originNumber == message.number) {
             const Number run = entry.first;
+            m_journal.log(core::LogEvent{"forward_cancelled", {}}
+                              .with("request", entry.second.request.value())
+                              .with("from", from.value())
+                              .with("server", entry.second.server.value())
+                              .with("progress", answerProgressName(entry.second.progress))
+                              .with("ran_ms", absl::StrCat(absl::ToInt64Milliseconds(m_timers.now() - entry.second.startedAt))));
             m_runs.cancel(run);
             end(run, RunEnd::Cancelled);
             return;
--- a/source/gateway/requestanswer.cpp
+++ b/source/gateway/requestanswer.cpp
@@ -321,7 +321,7 @@
         return;
     }
     if (message.sequence != open->receivedPieces) {
-        m_dependencies.links.send(open->instance, ForwardCancel{open->run});
+        sendCancel(*open);
         retryOrFail(open->number, true, RunEnd::Unreachable, "forward_piece_lost");
         return;
     }
--- a/source/gateway/requestflow.cpp
+++ b/source/gateway/requestflow.cpp
@@ -127,6 +127,17 @@
     m_openRequests.erase(it);
 }
 
+std::string RequestFlow::stageOf(const OpenRequest &open)
+{
+    if (open.run == 0) {
+        return open.sendCount == 0 ? "admission" : "between_runs";
+    }
+    if (open.hasBegunAnswer) {
+        return "streaming";
+    }
+    return open.server.isEmpty() ? "forwarded" : "running";
+}
+
 void RequestFlow::callerLeft(Number request)
 {
     const auto it = m_openRequests.find(request);
@@ -136,6 +147,7 @@
     const OpenRequest &open = *it->second;
     const absl::Time now = m_dependencies.timers.now();
     m_dependencies.journal.log(makeLogEvent("caller_left", open)
+                                   .with("stage", stageOf(open))
                                    .with("server", open.server.value())
                                    .with("instance", open.instance.value())
                                    .with("sends", absl::StrCat(open.sendCount))
--- a/source/gateway/requestplacement.cpp
+++ b/source/gateway/requestplacement.cpp
@@ -170,7 +170,8 @@
                                    .with("unread_tokens", absl::StrCat(choice.unreadTokens))
                                    .with("cold_ms", absl::StrCat(absl::ToInt64Milliseconds(m_dependencies.backends.coldLeft(choice.server))))
                                    .with("version", open.version.value())
-                                   .with("memory_source", choice.memorySource));
+                                   .with("memory_source", choice.memorySource)
+                                   .with("caller_gone", open.sink->isCallerGone() ? "true" : "false"));
     m_dependencies.journal.count("runs_started_total", open.service.value(), 1);
     m_dependencies.journal.count("prompt_tokens_total", "unread", static_cast<double>(choice.unreadTokens));
     m_dependencies.journal.count(
@@ -214,7 +215,8 @@
                                    .with("instance", choice.instance.value())
                                    .with("region", choice.region.value())
                                    .with("send", absl::StrCat(open.sendCount))
-                                   .with("estimate_ms", absl::StrCat(absl::ToInt64Milliseconds(choice.estimate))));
+                                   .with("estimate_ms", absl::StrCat(absl::ToInt64Milliseconds(choice.estimate)))
+                                   .with("caller_gone", open.sink->isCallerGone() ? "true" : "false"));
     m_dependencies.journal.count("requests_forwarded_total", choice.region.value(), 1);
     if (!m_dependencies.links.send(choice.instance, forward)) {
         retryOrFail(open.number, false, RunEnd::Unreachable, "no_link");
@@ -264,7 +266,14 @@
     if (!open.server.isEmpty()) {
         m_dependencies.runs.cancel(open.run);
     } else {
-        m_dependencies.links.send(open.instance, ForwardCancel{open.run});
+        sendCancel(open);
+    }
+}
+
+void RequestFlow::sendCancel(const OpenRequest &open)
+{
+    if (!m_dependencies.links.send(open.instance, ForwardCancel{open.run})) {
+        m_dependencies.journal.log(makeLogEvent("forward_cancel_lost", open).with("instance", open.instance.value()));
     }
 }
 
--- a/source/net/gatewayprocess.cpp
+++ b/source/net/gatewayprocess.cpp
@@ -17,6 +17,9 @@
 /** Time for the requests of connections that were open when the process stopped listening. */
 constexpr absl::Duration LAST_CONNECTIONS_TIME = absl::Milliseconds(100);
 constexpr absl::Duration STOP_CHECK_PERIOD = absl::Milliseconds(50);
+/** Interval at which the delay of the event loop is measured, and the delay from which it is logged. */
+constexpr absl::Duration LOOP_CHECK_PERIOD = absl::Milliseconds(100);
+constexpr absl::Duration LOGGED_LOOP_DELAY = absl::Milliseconds(250);
 constexpr double BYTES_PER_MB = 1e6;
 /** Fraction of the memory that the bodies of open requests may use. */
 constexpr double REQUEST_BODIES_FRACTION = 0.25;
@@ -70,6 +73,11 @@
         return m_exchange->unsentBytes();
     }
 
+    bool isCallerGone() const override
+    {
+        return m_exchange->isClientGone();
+    }
+
 private:
     std::shared_ptr<HttpExchange> m_exchange;
     const gateway::HeaderCodec &m_headers;
@@ -168,11 +176,26 @@
     announcement.value = m_adapter.records.encodeMember(self);
     m_store->start(announcement);
     awaitSignals();
+    m_loopCheckDue = m_loop.timers().now() + LOOP_CHECK_PERIOD;
+    m_loopCheckTimer = m_loop.timers().every(LOOP_CHECK_PERIOD, [this] { checkLoopDelay(); });
     m_loop.run();
     m_journal.flush();
     return {};
 }
 
+void GatewayProcess::checkLoopDelay()
+{
+    const absl::Time now = m_loop.timers().now();
+    const absl::Duration delay = now - m_loopCheckDue;
+    m_loopCheckDue = now + LOOP_CHECK_PERIOD;
+    if (delay >= LOGGED_LOOP_DELAY) {
+        m_journal.log(core::LogEvent{"event_loop_late", {}}
+                          .with("late_ms", absl::StrCat(absl::ToInt64Milliseconds(delay)))
+                          .with("open_requests", absl::StrCat(m_gateway->openCount()))
+                          .with("connections", absl::StrCat(m_callers.connectionCount())));
+    }
+}
+
 void GatewayProcess::awaitSignals()
 {
     m_signals.async_wait([this](boost::system::error_code error, int signal) {
--- a/source/net/httpconnection.cpp
+++ b/source/net/httpconnection.cpp
@@ -1,6 +1,7 @@
 #include "httpconnection.h"
 
 #include "httpbytes.h"
+#include "socketstate.h"
 
 #include <absl/strings/match.h>
 #include <boost/asio/ip/tcp.hpp>
@@ -146,6 +147,11 @@
     return m_unsent.size() + m_sending.size() - m_sent;
 }
 
+bool Connection::isClientGone() const
+{
+    return m_state == State::Closed || hasOtherEndClosed(const_cast<Tcp::socket &>(m_socket).native_handle());
+}
+
 void Connection::onClosed(std::function<void()> callback)
 {
     m_onClosed = std::move(callback);
--- a/source/net/httpconnection.h
+++ b/source/net/httpconnection.h
@@ -88,6 +88,8 @@
 
     std::size_t unsentBytes() const override;
 
+    bool isClientGone() const override;
+
     void onClosed(std::function<void()> callback) override;
 
 private:
--- a/tests/gateway/fakeports.h
+++ b/tests/gateway/fakeports.h
@@ -113,6 +113,8 @@
     std::optional<core::Error> error;
     /** Bytes that the caller has not taken, as the test sets it. */
     std::size_t unsentBytes = 0;
+    /** Whether the caller has closed its connection, which the gateway has not been told. */
+    bool isCallerGone = false;
 };
 
 class FakeSink : public gateway::AnswerSink
@@ -165,6 +167,11 @@
         return m_answer->unsentBytes;
     }
 
+    bool isCallerGone() const override
+    {
+        return m_answer->isCallerGone;
+    }
+
 private:
     std::shared_ptr<Answer> m_answer;
 };
