--- a/tests/net/linkqueuetest.cpp
+++ b/tests/net/linkqueuetest.cpp
@@ -174,3 +174,50 @@
     }
     CHECK(isRefused);
 }
+
+// Failure: the notice that a caller has left waits behind all bodies and answers that are queued for a slow link.
+TEST_CASE("the cancellation of a forwarded request overtakes what waits for the link")
+{
+    net::LinkQueue queue(true);
+    REQUIRE(queue.push(outgoing(gateway::ForwardRequest{7, {}, core::ServiceId("s"), "r", {}, {}, {}, {}, {}, true, false, 5, absl::Seconds(5)})));
+    REQUIRE(queue.pop().has_value());
+    for (std::uint64_t piece = 0; piece < 100; ++piece) {
+        REQUIRE(queue.push(outgoing(gateway::ForwardData{9, piece, noise(20000, static_cast<unsigned>(piece))})));
+    }
+    REQUIRE(queue.push(outgoing(gateway::ForwardCancel{7})));
+    const std::vector<FleetMessage> sent = drain(queue);
+    REQUIRE(sent.size() == 101);
+    CHECK(std::holds_alternative<gateway::ForwardCancel>(sent.front()));
+}
+
+// Failure: a request whose caller left while it waited for a slow link is sent and run all the same.
+TEST_CASE("a forwarded request that is cancelled before the link took it is not sent")
+{
+    net::LinkQueue queue(true);
+    gateway::ForwardRequest forward;
+    forward.request.http.body = noise(50000, 1);
+    for (std::uint64_t number = 1; number <= 100; ++number) {
+        forward.number = number;
+        REQUIRE(queue.push(outgoing(forward)));
+    }
+    for (std::uint64_t number = 2; number <= 100; ++number) {
+        REQUIRE(queue.push(outgoing(gateway::ForwardCancel{number})));
+    }
+    const std::vector<FleetMessage> sent = drain(queue);
+    REQUIRE(sent.size() == 1);
+    REQUIRE(std::holds_alternative<gateway::ForwardRequest>(sent.front()));
+    CHECK(std::get<gateway::ForwardRequest>(sent.front()).number == 1);
+    CHECK(queue.isEmpty());
+}
+
+// Failure: a full queue drops the notice that a caller has left, and the work goes on until its time limit.
+TEST_CASE("a queue that takes no more messages still takes cancellations")
+{
+    net::LinkQueue queue(true);
+    std::uint64_t piece = 0;
+    while (queue.push(outgoing(gateway::ForwardData{9, piece++, noise(200000, 3)}))) { }
+    CHECK(queue.push(outgoing(gateway::ForwardCancel{9})));
+    const std::vector<FleetMessage> sent = drain(queue);
+    REQUIRE_FALSE(sent.empty());
+    CHECK(std::holds_alternative<gateway::ForwardCancel>(sent.front()));
+}
--- /dev/null
+++ b/tests/net/peerlinkstest.cpp
@@ -0,0 +1,145 @@
+#include "snipeferry/net/peerlinks.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <catch2/catch.hpp>
+
+using namespace snipeferry;
+
+// Load: an instance that is behind with its work, and has not read what another one sent to it.
+namespace {
+
+namespace asio = boost::asio;
+
+class SilentJournal : public gateway::Journal
+{
+public:
+    void log(const core::LogEvent &event) override
+    {
+        lines.push_back(event.name);
+    }
+
+    void count(const std::string & /*name*/, const std::string & /*label*/, double /*amount*/) override
+    {
+    }
+
+    void observe(const std::string & /*name*/, const std::string & /*label*/, absl::Duration /*time*/) override
+    {
+    }
+
+    std::vector<std::string> lines;
+};
+
+std::string freeAddress()
+{
+    asio::io_context context;
+    const asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+/** One instance with a loop of its own, so that a test can let it be behind. */
+struct LinkedInstance
+{
+    explicit LinkedInstance(const std::string &name)
+    {
+        self.id = core::InstanceId(name);
+        self.incarnation = 1;
+        self.peerAddress = freeAddress();
+        self.capacity = 1;
+        net::LinkEvents events;
+        events.up = [this](const gateway::Member & /*peer*/) {
+            ++linkCount;
+        };
+        events.down = [this](const core::InstanceId & /*peer*/) {
+            --linkCount;
+        };
+        events.received = [this](const core::InstanceId & /*from*/, const gateway::FleetMessage &message) {
+            received.push_back(message);
+        };
+        links = std::make_unique<net::PeerLinks>(loop, self, std::move(events), journal);
+        REQUIRE(links->start());
+    }
+
+    ~LinkedInstance()
+    {
+        links->stop();
+    }
+
+    void turn(absl::Duration time)
+    {
+        loop.resume();
+        const core::Subscription limit = loop.timers().after(time, [this] { loop.stop(); });
+        loop.run();
+    }
+
+    net::EventLoop loop;
+    SilentJournal journal;
+    gateway::Member self;
+    int linkCount = 0;
+    std::vector<gateway::FleetMessage> received;
+    std::unique_ptr<net::PeerLinks> links;
+};
+
+gateway::ForwardRequest forwardedRequest(std::uint64_t number)
+{
+    gateway::ForwardRequest forward;
+    forward.number = number;
+    forward.timeLeft = absl::Seconds(5);
+    return forward;
+}
+
+void link(LinkedInstance &left, LinkedInstance &right)
+{
+    left.links->keep({right.self});
+    right.links->keep({left.self});
+    for (int round = 0; round < 200 && (left.linkCount == 0 || right.linkCount == 0); ++round) {
+        left.turn(absl::Milliseconds(5));
+        right.turn(absl::Milliseconds(5));
+    }
+    REQUIRE(left.linkCount == 1);
+    REQUIRE(right.linkCount == 1);
+}
+
+} // namespace
+
+// Failure: an instance that is behind begins forwarded requests whose callers left long ago, as the notice of it lies behind them unread.
+TEST_CASE("a forwarded request whose cancellation has arrived as well is not handed over")
+{
+    LinkedInstance origin("a");
+    LinkedInstance receiver("b");
+    link(origin, receiver);
+    for (std::uint64_t number = 1; number <= 3; ++number) {
+        REQUIRE(origin.links->send(receiver.self.id, forwardedRequest(number)));
+        origin.turn(absl::Milliseconds(5));
+    }
+    REQUIRE(origin.links->send(receiver.self.id, gateway::ForwardCancel{2}));
+    origin.turn(absl::Milliseconds(5));
+    receiver.turn(absl::Milliseconds(50));
+    std::vector<std::uint64_t> numbers;
+    for (const gateway::FleetMessage &message : receiver.received) {
+        if (const gateway::ForwardRequest *forward = std::get_if<gateway::ForwardRequest>(&message)) {
+            numbers.push_back(forward->number);
+        }
+    }
+    CHECK(numbers == std::vector<std::uint64_t>{1, 3});
+}
+
+// Failure: a request is kept back although nothing speaks against it, or runs for an instance whose link is gone.
+TEST_CASE("a forwarded request is handed over in the same turn of the loop, and one whose link has ended is not")
+{
+    LinkedInstance origin("a");
+    LinkedInstance receiver("b");
+    link(origin, receiver);
+    REQUIRE(origin.links->send(receiver.self.id, forwardedRequest(1)));
+    origin.turn(absl::Milliseconds(5));
+    receiver.turn(absl::Milliseconds(20));
+    REQUIRE(receiver.received.size() == 1);
+    CHECK(std::holds_alternative<gateway::ForwardRequest>(receiver.received.front()));
+
+    REQUIRE(origin.links->send(receiver.self.id, forwardedRequest(2)));
+    origin.turn(absl::Milliseconds(5));
+    origin.links->stop();
+    origin.turn(absl::Milliseconds(5));
+    receiver.turn(absl::Milliseconds(50));
+    CHECK(receiver.linkCount == 0);
+    CHECK(receiver.received.size() <= 2);
+}
