End the event loop in the turn in which a timer stops it

Cause: after a timer had called stop(), run() still waited for an event, up to a second if nothing else was due. Seen in a test whose turns of 2 ms took a second. Change: run() returns after the timers.

--- a/source/net/eventloop.cpp
+++ b/source/net/eventloop.cpp
@@ -46,6 +46,9 @@
 {
     while (!m_isStopped) {
         m_timers.run();
+        if (m_isStopped) {
+            return;
+        }
         const absl::Duration wait = std::clamp(m_timers.nextDue() - m_timers.now(), absl::ZeroDuration(), LONGEST_WAIT);
         m_context.restart();
         m_context.run_one_for(absl::ToChronoNanoseconds(wait));
