Look at the caller's connection before work is begun, and let its end overtake what waits

What callers see: nothing; backend servers worked for callers that had left, and those who waited were served later for it.

Cause: a run was started, repeated, resumed or forwarded without a look at the caller's connection. Its end was read in turn with all other events, not at all behind unread bytes, and the notice of it to another instance queued behind bodies and answers. Class of fault: the news that work is not wanted any more travels behind the work.

Ruled out: the stages after the end is known; each stopped its run once before (test of four stages, passed as it was).

Change: RequestFlow asks the sink before each start; HttpServer asks for all connections in work together each 100 ms, and the loop looks at its timers after 8 events instead of 64; cancellations leave first, are always taken, and remove a request that has not left; the receiver hands a forwarded request over behind what arrived with it.

--- a/include/snipeferry/gateway/requestflow.h
+++ b/include/snipeferry/gateway/requestflow.h
@@ -251,6 +251,8 @@
     void sweep();
     /** Cancels a run that sends no data and retries the request, if the route permits another attempt. */
     void retrySilentRun(OpenRequest &open, absl::Time now);
+    /** Closes a request whose caller has left without a report of that yet. Before each run is started, since nobody would take its answer. */
+    bool closeIfCallerGone(const OpenRequest &open);
     OpenRequest *findByRun(Number run);
     /** Where a request is, for the log. */
     static std::string stageOf(const OpenRequest &open);
--- a/include/snipeferry/net/linkqueue.h
+++ b/include/snipeferry/net/linkqueue.h
@@ -29,7 +29,8 @@
 /**
  * Messages that wait for room on the link to one instance.
  *
- * Requests, answers and transfers of tokens go first, in their order. Of reports, records and their changes only the newest state waits: it replaces or
+ * Cancellations of forwarded requests go first; one that is for a request which still waits here removes that instead. Requests, answers and transfers of
+ * tokens follow, in their order. Of reports, records and their changes only the newest state waits: it replaces or
  * absorbs an older one, so that a slow link carries each state once and what waits stays bounded. Long messages leave in pieces, and what is urgent goes
  * between them.
  */
@@ -39,7 +40,7 @@
     /** @param sendsPieces whether the other instance joins pieces; one of an earlier build does not */
     explicit LinkQueue(bool sendsPieces);
 
-    /** @return false if the message was dropped, because too many bytes wait that cannot be replaced */
+    /** @return false if the message was dropped, because too many bytes wait that cannot be replaced; cancellations are always taken */
     bool push(const std::shared_ptr<OutgoingMessage> &message);
 
     /** @brief Removes and returns the next frame; nothing if the queue is empty. */
@@ -69,9 +70,19 @@
     /** The state that both messages of one slot describe together. */
     static std::shared_ptr<OutgoingMessage> merge(const std::shared_ptr<OutgoingMessage> &waiting, const std::shared_ptr<OutgoingMessage> &added);
     std::string popPiece();
+    void pushCancel(const std::shared_ptr<OutgoingMessage> &message, std::uint64_t request);
+
+    /** A message that waits in its order. */
+    struct UrgentMessage
+    {
+        std::string bytes;
+        /** Number of a forwarded request; 0 for any other message. */
+        std::uint64_t forwardedRequest = 0;
+    };
 
     bool m_sendsPieces;
-    std::deque<std::string> m_urgent;
+    std::deque<std::string> m_cancels;
+    std::deque<UrgentMessage> m_urgent;
     std::size_t m_urgentBytes = 0;
     std::array<std::shared_ptr<OutgoingMessage>, SLOT_COUNT> m_slots;
     /** The rest of a long message of which pieces were sent. */
--- a/source/gateway/requestanswer.cpp
+++ b/source/gateway/requestanswer.cpp
@@ -42,11 +42,16 @@
     }
     const bool isServerFailure = head.status >= 500 || head.status == 429 || head.status == 408;
     const bool mayRetry = mayRepeat(*open) && open->possibleRuns + 1 < open->route.maxAttempts && !open->hasBegunAnswer;
-    if (isServerFailure && mayRetry && m_dependencies.repeats.tryTake(open->service)) {
+    const bool isCallerGone = isServerFailure && mayRetry && open->sink->isCallerGone();
+    if (isCallerGone || (isServerFailure && mayRetry && m_dependencies.repeats.tryTake(open->service))) {
         stopTransport(*open);
         endRun(*open, RunEnd::ServerError);
         ++open->possibleRuns;
         open->mayHaveRun = true;
+        if (isCallerGone) {
+            callerLeft(open->number);
+            return;
+        }
         m_dependencies.journal.count("requests_repeated_total", "server_error", 1);
         m_dependencies.journal.log(makeLogEvent("run_repeated", *open).with("server", open->server.value()).with("status", absl::StrCat(head.status)));
         // Prefer another backend server or instance. If there is none, permit all again, including the one that just failed.
--- a/source/gateway/requestflow.cpp
+++ b/source/gateway/requestflow.cpp
@@ -86,6 +86,9 @@
 
 void RequestFlow::admitOrWait(OpenRequest &open)
 {
+    if (closeIfCallerGone(open)) {
+        return;
+    }
     core::Expected<void> admitted = admit(open);
     const bool hasTooFewTokens = !admitted && admitted.error().kind == core::ErrorKind::RateExceeded;
     if (hasTooFewTokens && open.tokenWaits < MAX_TOKEN_WAITS && m_dependencies.allowances.isAwaitingGrants(open.customer)) {
@@ -154,13 +157,22 @@
                                    .with("events", absl::StrCat(open.events.eventCount()))
                                    .with("waited_ms", absl::StrCat(absl::ToInt64Milliseconds(now - open.arrivedAt)))
                                    .with("silent_ms", absl::StrCat(absl::ToInt64Milliseconds(now - std::max(open.lastDataAt, open.arrivedAt)))));
-    m_dependencies.journal.count("callers_left_total", it->second->route.name, 1);
-    if (it->second->hasReservedTokens && it->second->sendCount == 0) {
-        m_dependencies.allowances.refund(it->second->customer, it->second->cost);
+    m_dependencies.journal.count("callers_left_total", open.route.name, 1);
+    if (open.hasReservedTokens && open.run == 0 && !open.mayHaveRun) {
+        m_dependencies.allowances.refund(open.customer, open.cost);
     }
     close(request);
 }
 
+bool RequestFlow::closeIfCallerGone(const OpenRequest &open)
+{
+    if (!open.sink->isCallerGone()) {
+        return false;
+    }
+    callerLeft(open.number);
+    return true;
+}
+
 absl::Duration RequestFlow::silenceLimit(const OpenRequest &open) const
 {
     if (open.events.eventCount() == 0) {
--- a/source/gateway/requestplacement.cpp
+++ b/source/gateway/requestplacement.cpp
@@ -170,8 +170,7 @@
                                    .with("unread_tokens", absl::StrCat(choice.unreadTokens))
                                    .with("cold_ms", absl::StrCat(absl::ToInt64Milliseconds(m_dependencies.backends.coldLeft(choice.server))))
                                    .with("version", open.version.value())
-                                   .with("memory_source", choice.memorySource)
-                                   .with("caller_gone", open.sink->isCallerGone() ? "true" : "false"));
+                                   .with("memory_source", choice.memorySource));
     m_dependencies.journal.count("runs_started_total", open.service.value(), 1);
     m_dependencies.journal.count("prompt_tokens_total", "unread", static_cast<double>(choice.unreadTokens));
     m_dependencies.journal.count(
@@ -215,8 +214,7 @@
                                    .with("instance", choice.instance.value())
                                    .with("region", choice.region.value())
                                    .with("send", absl::StrCat(open.sendCount))
-                                   .with("estimate_ms", absl::StrCat(absl::ToInt64Milliseconds(choice.estimate)))
-                                   .with("caller_gone", open.sink->isCallerGone() ? "true" : "false"));
+                                   .with("estimate_ms", absl::StrCat(absl::ToInt64Milliseconds(choice.estimate))));
     m_dependencies.journal.count("requests_forwarded_total", choice.region.value(), 1);
     if (!m_dependencies.links.send(choice.instance, forward)) {
         retryOrFail(open.number, false, RunEnd::Unreachable, "no_link");
@@ -309,6 +307,9 @@
         ++open.possibleRuns;
         open.mayHaveRun = true;
     }
+    if (closeIfCallerGone(open)) {
+        return;
+    }
 
     // The caller has already received part of the stream: resume it elsewhere or abort it.
     if (open.hasBegunAnswer) {
--- a/source/net/eventloop.cpp
+++ b/source/net/eventloop.cpp
@@ -11,8 +11,8 @@
 
 /** Longest sleep; a stopped loop is noticed by the event that stopped it. */
 constexpr absl::Duration LONGEST_WAIT = absl::Seconds(1);
-/** Events handled before timers are looked at again. */
-constexpr int EVENTS_BETWEEN_TIMERS = 64;
+/** Events handled before timers are looked at again. On a small share of a core one event may take tens of milliseconds. */
+constexpr int EVENTS_BETWEEN_TIMERS = 8;
 
 } // namespace
 
--- a/source/net/httpconnection.cpp
+++ b/source/net/httpconnection.cpp
@@ -69,13 +69,23 @@
     return m_isOverBound;
 }
 
+bool Connection::isAnswering() const
+{
+    return m_state == State::Answering;
+}
+
+int Connection::descriptor() const
+{
+    return const_cast<Tcp::socket &>(m_socket).native_handle();
+}
+
 bool Connection::hasUnreadBytes() const
 {
     if (m_state != State::Idle) {
         return false;
     }
     char byte = 0;
-    return ::recv(const_cast<Tcp::socket &>(m_socket).native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    return ::recv(descriptor(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
 void Connection::closeIfIdle()
@@ -149,7 +159,7 @@
 
 bool Connection::isClientGone() const
 {
-    return m_state == State::Closed || hasOtherEndClosed(const_cast<Tcp::socket &>(m_socket).native_handle());
+    return m_state == State::Closed || hasOtherEndClosed(descriptor());
 }
 
 void Connection::onClosed(std::function<void()> callback)
--- a/source/net/httpconnection.h
+++ b/source/net/httpconnection.h
@@ -33,6 +33,8 @@
     void acceptWaiting();
     void take(boost::asio::ip::tcp::socket socket);
     bool makeRoom();
+    /** Finds clients that have left while their requests are in work, also behind unread bytes and before all that waits to be handled. */
+    void closeLeft();
 
     EventLoop &loop;
     HttpHandler handler;
@@ -44,6 +46,7 @@
     std::size_t bufferedBytes = 0;
     std::size_t refusedConnections = 0;
     std::set<std::shared_ptr<Connection>> connections;
+    core::Subscription closeCheckTimer;
 };
 
 /** One client's connection; requests on it are answered one after the other. */
@@ -73,6 +76,14 @@
 
     bool isOverBound() const;
 
+    /** Whether a request was handed over and its answer is not complete. */
+    bool isAnswering() const;
+
+    int descriptor() const;
+
+    /** Ends the connection and tells whoever works on its request. */
+    void clientGone();
+
     /** Closes the connection if it waits for a request of which nothing has arrived. */
     void closeIfIdle();
 
@@ -148,8 +159,6 @@
 
     void discard();
 
-    void clientGone();
-
     void close();
 
     std::weak_ptr<HttpServer::Impl> m_server;
--- a/source/net/httpserver.cpp
+++ b/source/net/httpserver.cpp
@@ -1,6 +1,7 @@
 #include "snipeferry/net/httpserver.h"
 
 #include "httpconnection.h"
+#include "socketstate.h"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
@@ -20,6 +21,8 @@
 
 /** Refused connections that are told why at once; further ones are closed. */
 constexpr std::size_t MAX_REFUSED_CONNECTIONS = 32;
+/** Interval of the search for clients that have left. Their work has to stop within half a second. */
+constexpr absl::Duration CLOSE_CHECK_PERIOD = absl::Milliseconds(100);
 
 /** Refusals without a body, for servers whose clients read the status only. */
 std::optional<Refusal> statusOnly(Refused reason)
@@ -109,6 +112,27 @@
     return true;
 }
 
+void HttpServer::Impl::closeLeft()
+{
+    std::vector<std::shared_ptr<Connection>> answering;
+    std::vector<int> sockets;
+    for (const std::shared_ptr<Connection> &connection : connections) {
+        if (connection->isAnswering()) {
+            answering.push_back(connection);
+            sockets.push_back(connection->descriptor());
+        }
+    }
+    if (sockets.empty()) {
+        return;
+    }
+    const std::vector<bool> closed = haveOtherEndsClosed(sockets);
+    for (std::size_t index = 0; index < answering.size(); ++index) {
+        if (closed[index]) {
+            answering[index]->clientGone();
+        }
+    }
+}
+
 HttpServer::HttpServer(EventLoop &loop, HttpHandler handler, HttpServerSettings settings)
     : m_impl(std::make_shared<Impl>(loop, std::move(handler), settings))
 {
@@ -117,6 +141,7 @@
 
 HttpServer::~HttpServer()
 {
+    m_impl->closeCheckTimer.cancel();
     stop();
 }
 
@@ -143,6 +168,7 @@
     if (error) {
         return tl::make_unexpected(core::makeError(core::ErrorKind::Internal, absl::StrCat("Cannot listen on ", address, ": ", error.message(), ".")));
     }
+    m_impl->closeCheckTimer = m_impl->loop.timers().every(CLOSE_CHECK_PERIOD, [impl = m_impl.get()] { impl->closeLeft(); });
     m_impl->accept();
     return m_impl->acceptor.local_endpoint().port();
 }
--- a/source/net/linkqueue.cpp
+++ b/source/net/linkqueue.cpp
@@ -119,15 +119,31 @@
         waiting = waiting == nullptr ? message : merge(waiting, message);
         return true;
     }
+    if (const gateway::ForwardCancel *cancel = std::get_if<gateway::ForwardCancel>(&message->message())) {
+        pushCancel(message, cancel->number);
+        return true;
+    }
     const std::string &bytes = message->bytes();
     if (m_urgentBytes + bytes.size() > MAX_URGENT_BYTES) {
         return false;
     }
+    const gateway::ForwardRequest *request = std::get_if<gateway::ForwardRequest>(&message->message());
     m_urgentBytes += bytes.size();
-    m_urgent.push_back(bytes);
+    m_urgent.push_back({bytes, request == nullptr ? 0 : request->number});
     return true;
 }
 
+void LinkQueue::pushCancel(const std::shared_ptr<OutgoingMessage> &message, std::uint64_t request)
+{
+    const auto waiting = std::find_if(m_urgent.begin(), m_urgent.end(), [request](const UrgentMessage &other) { return other.forwardedRequest == request; });
+    if (waiting == m_urgent.end()) {
+        m_cancels.push_back(message->bytes());
+        return;
+    }
+    m_urgentBytes -= waiting->bytes.size();
+    m_urgent.erase(waiting);
+}
+
 std::string LinkQueue::popPiece()
 {
     gateway::MessagePiece piece;
@@ -139,8 +155,13 @@
 
 std::optional<std::string> LinkQueue::pop()
 {
+    if (!m_cancels.empty()) {
+        std::string bytes = std::move(m_cancels.front());
+        m_cancels.pop_front();
+        return bytes;
+    }
     if (!m_urgent.empty()) {
-        std::string bytes = std::move(m_urgent.front());
+        std::string bytes = std::move(m_urgent.front().bytes);
         m_urgent.pop_front();
         m_urgentBytes -= bytes.size();
         return bytes;
@@ -167,7 +188,8 @@
 
 bool LinkQueue::isEmpty() const
 {
-    return m_urgent.empty() && m_unsentRest.empty() && std::all_of(m_slots.begin(), m_slots.end(), [](const auto &slot) { return slot == nullptr; });
+    return m_cancels.empty() && m_urgent.empty() && m_unsentRest.empty()
+        && std::all_of(m_slots.begin(), m_slots.end(), [](const auto &slot) { return slot == nullptr; });
 }
 
 std::map<std::string, std::size_t> LinkQueue::bytesByKind() const
--- a/source/net/peerlinks.cpp
+++ b/source/net/peerlinks.cpp
@@ -7,7 +7,9 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 
+#include <algorithm>
 #include <map>
+#include <utility>
 
 namespace snipeferry::net {
 
@@ -116,6 +118,8 @@
         absl::Time queuedSince = absl::InfiniteFuture();
     };
 
+    using HeldRequest = std::pair<core::InstanceId, gateway::FleetMessage>;
+
     /** A member to which a link has to exist. */
     struct Wanted
     {
@@ -154,6 +158,7 @@
         if (wanted != m_wanted.end()) {
             wanted->second.since = m_loop.timers().now();
         }
+        dropHeldRequests(id);
         if (!m_isStopped) {
             m_events.down(id);
         }
@@ -180,7 +185,9 @@
             known.heardAt = m_loop.timers().now();
             if (const gateway::MessagePiece *piece = std::get_if<gateway::MessagePiece>(&*message)) {
                 receivedPiece(link, known, *piece);
-            } else {
+            } else if (std::holds_alternative<gateway::ForwardRequest>(*message)) {
+                holdRequest(id, *message);
+            } else if (!dropHeldRequest(id, *message)) {
                 m_events.received(id, *message);
             }
             return;
@@ -205,6 +212,54 @@
         }
     }
 
+    /** Keeps a forwarded request until what has arrived with it is read, which may be its cancellation. */
+    void holdRequest(const core::InstanceId &from, const gateway::FleetMessage &message)
+    {
+        m_heldRequests.emplace_back(from, message);
+        if (m_heldRequests.size() == 1) {
+            m_heldTimer = m_loop.timers().after(absl::ZeroDuration(), [this] { deliverHeldRequests(); });
+        }
+    }
+
+    void deliverHeldRequests()
+    {
+        for (const HeldRequest &held : std::exchange(m_heldRequests, {})) {
+            m_events.received(held.first, held.second);
+        }
+    }
+
+    /** Drops the request that a cancellation is for; false for any other message, and if the request was handed over before. */
+    bool dropHeldRequest(const core::InstanceId &from, const gateway::FleetMessage &message)
+    {
+        const gateway::ForwardCancel *cancel = std::get_if<gateway::ForwardCancel>(&message);
+        if (cancel == nullptr) {
+            return false;
+        }
+        const auto held = std::find_if(m_heldRequests.begin(), m_heldRequests.end(), [&from, cancel](const HeldRequest &candidate) {
+            return candidate.first == from && std::get<gateway::ForwardRequest>(candidate.second).number == cancel->number;
+        });
+        if (held == m_heldRequests.end()) {
+            return false;
+        }
+        const gateway::ForwardRequest &request = std::get<gateway::ForwardRequest>(held->second);
+        m_journal.log(core::LogEvent{"forward_cancelled", {}}
+                          .with("request", request.request.id.value())
+                          .with("from", from.value())
+                          .with("server", "")
+                          .with("progress", gateway::answerProgressName(gateway::AnswerProgress::NotBegun))
+                          .with("ran_ms", "0"));
+        m_heldRequests.erase(held);
+        return true;
+    }
+
+    void dropHeldRequests(const core::InstanceId &from)
+    {
+        const auto isFrom = [&from](const HeldRequest &held) {
+            return held.first == from;
+        };
+        m_heldRequests.erase(std::remove_if(m_heldRequests.begin(), m_heldRequests.end(), isFrom), m_heldRequests.end());
+    }
+
     /** Hands waiting messages to the connection as long as it has room; a timer goes on with the rest. */
     void sendQueued(const core::InstanceId &to, Link &link)
     {
@@ -318,6 +373,9 @@
     std::map<core::InstanceId, Link> m_links;
     std::map<LinkId, core::InstanceId> m_names;
     std::map<LinkId, Opening> m_opening;
+    /** Forwarded requests with the instance that sent each. */
+    std::vector<HeldRequest> m_heldRequests;
+    core::Subscription m_heldTimer;
     bool m_isAwaitingRoom = false;
     core::Subscription m_checkTimer;
     core::Subscription m_queueTimer;
--- a/source/net/socketstate.cpp
+++ b/source/net/socketstate.cpp
@@ -7,18 +7,43 @@
 
 namespace snipeferry::net {
 
-bool hasOtherEndClosed(int socket)
+namespace {
+
+bool isClosed(const pollfd &state)
 {
-    pollfd state{socket, POLLIN | POLLRDHUP, 0};
-    if (::poll(&state, 1, 0) <= 0) {
+    if (state.revents == 0) {
         return false;
     }
     if ((state.revents & (POLLRDHUP | POLLHUP | POLLERR | POLLNVAL)) != 0) {
         return true;
     }
     char byte = 0;
-    const ssize_t got = ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const ssize_t got = ::recv(state.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     return got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR);
 }
 
+} // namespace
+
+bool hasOtherEndClosed(int socket)
+{
+    return haveOtherEndsClosed({socket}).front();
+}
+
+std::vector<bool> haveOtherEndsClosed(const std::vector<int> &sockets)
+{
+    std::vector<pollfd> states;
+    states.reserve(sockets.size());
+    for (const int socket : sockets) {
+        states.push_back({socket, POLLIN | POLLRDHUP, 0});
+    }
+    std::vector<bool> closed(sockets.size(), false);
+    if (::poll(states.data(), states.size(), 0) <= 0) {
+        return closed;
+    }
+    for (std::size_t index = 0; index < states.size(); ++index) {
+        closed[index] = isClosed(states[index]);
+    }
+    return closed;
+}
+
 } // namespace snipeferry::net
--- a/source/net/socketstate.h
+++ b/source/net/socketstate.h
@@ -1,8 +1,13 @@
 #pragma once
 
+#include <vector>
+
 namespace snipeferry::net {
 
 /** @brief Whether the other end of a TCP connection has closed it, reset it or shut down its sending side, also with unread bytes before that. */
 bool hasOtherEndClosed(int socket);
 
+/** @brief The same for many connections with one system call. @return for each socket whether its other end has closed */
+std::vector<bool> haveOtherEndsClosed(const std::vector<int> &sockets);
+
 } // namespace snipeferry::net
--- a/tests/gateway/leavingcallerstest.cpp
+++ b/tests/gateway/leavingcallerstest.cpp
@@ -67,6 +67,8 @@
     GatewayFixture fixture;
     fixture.start();
     fixture.deploy(limitedDeployment());
+    // A started instance has no tokens at first.
+    fixture.timers.advance(absl::Seconds(2));
     fixture.confirm();
     for (int request = 0; request < 100; ++request) {
         askAndLeave(fixture, "/keyed/1", {{"key", "bar-key"}});
