Log the fingerprint of a request whose run has failed

Cause: none yet. The log of a crash said parts=0; nothing named the request. Change: requestFingerprint() names host, path, customer and body; run_failed and forward_failed state it, and it goes with a forwarded request. An error kind for a refusal of it, not used yet. Conclusion: no decision changes.

--- a/include/snipeferry/core/error.h
+++ b/include/snipeferry/core/error.h
@@ -40,6 +40,7 @@
     ConfigurationMissing,
     Overloaded,
     PromptQuarantined,
+    RequestQuarantined,
     Internal,
 };
 
--- a/include/snipeferry/gateway/forwardreceiver.h
+++ b/include/snipeferry/gateway/forwardreceiver.h
@@ -90,6 +90,8 @@
         absl::Time linkLostAt = absl::InfiniteFuture();
         bool isStream = false;
         std::vector<PromptPart> promptParts;
+        /** Identifier of the request as a whole. */
+        std::string fingerprint;
         AnswerProgress progress = AnswerProgress::NotBegun;
         /** Last bytes of the answer, by which the end of a stream's last event is recognized. */
         std::string tail;
--- a/include/snipeferry/gateway/message.h
+++ b/include/snipeferry/gateway/message.h
@@ -65,8 +65,11 @@
     std::vector<PromptPart> promptParts;
     /** Identifier of the last event that the caller has received; empty for none. */
     std::string lastEventId;
+    /** Identifier of the request as a whole, by requestFingerprint(); empty before the customer is known, and from instances of earlier builds. */
+    std::string fingerprint;
 
-    SNIPEFERRY_VALUE(CallerRequest, id, host, http, keyDigest, timeLimit, hasTokenCounts, promptTokens, outputTokens, promptParts, lastEventId)
+    SNIPEFERRY_EXTENDED_VALUE(
+        CallerRequest, fingerprint, id, host, http, keyDigest, timeLimit, hasTokenCounts, promptTokens, outputTokens, promptParts, lastEventId)
 };
 
 /** Headers that the gateway adds to the caller's request when it sends it to a backend server. */
--- a/source/core/error.cpp
+++ b/source/core/error.cpp
@@ -38,6 +38,7 @@
     {ErrorKind::ConfigurationMissing, "configuration_missing", 503, RanState::NotRun, true},
     {ErrorKind::Overloaded, "overloaded", 503, RanState::NotRun, true},
     {ErrorKind::PromptQuarantined, "prompt_quarantined", 503, RanState::NotRun, false},
+    {ErrorKind::RequestQuarantined, "request_quarantined", 503, RanState::NotRun, false},
     {ErrorKind::Internal, "internal", 500, RanState::Unknown, false},
 }};
 
--- a/source/gateway/forwardreceiver.cpp
+++ b/source/gateway/forwardreceiver.cpp
@@ -109,6 +109,7 @@
     forwardedRun.expectedTime = choice->nominalEstimate;
     forwardedRun.isStream = message.isStream;
     forwardedRun.promptParts = message.request.promptParts;
+    forwardedRun.fingerprint = message.request.fingerprint;
     forwardedRun.sent.isKept = !message.isRepeatable;
     forwardedRun.startedAt = now;
     forwardedRun.deadline = now + message.timeLeft;
@@ -236,7 +237,8 @@
                       .with("reason", reason)
                       .with("may_have_run", "true")
                       .with("progress", answerProgressName(forwardedRun.progress))
-                      .with("shared_parts", describeSharedParts(forwardedRun.promptParts)));
+                      .with("shared_parts", describeSharedParts(forwardedRun.promptParts))
+                      .with("fingerprint", forwardedRun.fingerprint));
     m_links.send(forwardedRun.origin, ForwardFailed{forwardedRun.originNumber, true, reason});
 }
 
@@ -368,7 +370,8 @@
                       .with("reason", reason)
                       .with("may_have_run", mayHaveRun ? "true" : "false")
                       .with("progress", answerProgressName(forwardedRun.progress))
-                      .with("shared_parts", describeSharedParts(forwardedRun.promptParts)));
+                      .with("shared_parts", describeSharedParts(forwardedRun.promptParts))
+                      .with("fingerprint", forwardedRun.fingerprint));
     m_links.send(forwardedRun.origin, ForwardFailed{forwardedRun.originNumber, mayHaveRun, reason});
 }
 
--- a/source/gateway/requestadmission.cpp
+++ b/source/gateway/requestadmission.cpp
@@ -1,4 +1,5 @@
 #include "snipeferry/gateway/requestflow.h"
+#include "snipeferry/gateway/runcontent.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -86,6 +87,7 @@
     if (!identifiedCustomer) {
         return identifiedCustomer;
     }
+    open.request.fingerprint = requestFingerprint(open.request, open.customer);
     core::Expected<void> drainCheck = checkDrain(open);
     if (!drainCheck) {
         return drainCheck;
--- a/source/gateway/requestplacement.cpp
+++ b/source/gateway/requestplacement.cpp
@@ -294,7 +294,8 @@
                                    .with("reason", reason)
                                    .with("may_have_run", mayHaveRun ? "true" : "false")
                                    .with("progress", answerProgressName(open.progress))
-                                   .with("shared_parts", describeSharedParts(open.request.promptParts)));
+                                   .with("shared_parts", describeSharedParts(open.request.promptParts))
+                                   .with("fingerprint", open.request.fingerprint));
     m_dependencies.journal.count("runs_failed_total", reason, 1);
     m_dependencies.journal.count("runs_failed_by_progress_total", answerProgressName(open.progress), 1);
     if (!open.server.isEmpty()) {
