--- a/tests/gateway/enginefleet.cpp
+++ b/tests/gateway/enginefleet.cpp
@@ -171,14 +171,21 @@
     for (const std::string &part : sharedParts) {
         parts.push_back(absl::StrCat(part, ":", PART_TOKENS));
     }
-    ++m_requestCount;
-    parts.push_back(absl::StrCat("own", m_requestCount, ":", PART_TOKENS));
-    gateway::HttpRequest request{"POST", target, extra, "body"};
-    request.headers.push_back({"id", absl::StrCat("r", m_requestCount)});
+    parts.push_back(absl::StrCat("own", m_requestCount + 1, ":", PART_TOKENS));
+    // No two requests are alike.
+    gateway::HttpRequest request{"POST", target, extra, absl::StrCat("body", m_requestCount + 1)};
     request.headers.push_back({"parts", absl::StrJoin(parts, ",")});
     request.headers.push_back({"tokens", absl::StrCat(PART_TOKENS * parts.size())});
+    const std::shared_ptr<Answer> answer = askWhole(instance, std::move(request));
+    m_requests.back().sharedParts = sharedParts;
+    return answer;
+}
+
+std::shared_ptr<Answer> EngineFleet::askWhole(std::size_t instance, gateway::HttpRequest request)
+{
+    request.headers.push_back({"id", absl::StrCat("r", ++m_requestCount)});
     std::shared_ptr<Answer> answer = std::make_shared<Answer>();
-    m_requests.push_back({m_clock.now(), sharedParts, answer});
+    m_requests.push_back({m_clock.now(), {}, answer, request.body});
     m_lastAsked = instance;
     deliver(*m_instances.at(instance),
         [this, request, answer](gateway::Gateway &gateway) { m_lastNumber = gateway.requests().arrived(request, std::make_shared<FakeSink>(answer)); });
--- a/tests/gateway/enginefleet.h
+++ b/tests/gateway/enginefleet.h
@@ -30,6 +30,7 @@
     core::InstanceId instance;
     std::string request;
     std::vector<std::string> sharedParts;
+    std::string body;
 };
 
 /** A caller's request to the fleet. */
@@ -38,6 +39,7 @@
     absl::Time at;
     std::vector<std::string> sharedParts;
     std::shared_ptr<Answer> answer;
+    std::string body;
 
     /** Whether the answer has begun or is complete, with success. */
     bool isServed() const
@@ -65,6 +67,8 @@
     /** Sends a request with these shared parts and a part of its own to an instance. */
     std::shared_ptr<Answer> ask(
         std::size_t instance, const std::vector<std::string> &sharedParts, const std::string &target = "/stream/x", const gateway::Headers &extra = {});
+    /** Sends a request as it stands, with an identifier of its own, to an instance. */
+    std::shared_ptr<Answer> askWhole(std::size_t instance, gateway::HttpRequest request);
     /** Sends a request to a random instance that is up. */
     std::shared_ptr<Answer> ask(const std::vector<std::string> &sharedParts, const std::string &target = "/stream/x", const gateway::Headers &extra = {});
     /** Sends a request to a random instance of a region that is up. */
@@ -76,6 +80,8 @@
 
     /** Makes each engine crash when it begins to write an answer on a part. */
     void setCrashing(const std::string &part, bool isCrashing = true);
+    /** Makes each engine crash when it begins to run a request with a body, before it answers. */
+    void setCrashingBody(const std::string &body);
     /** Makes an engine crash when it begins to write any answer, or none. */
     void setFaulty(std::size_t engine, bool isFaulty);
     /** Ends an engine's process; it is back after some seconds, under another identifier unless keepsEngineIds is set. */
@@ -119,10 +125,12 @@
     absl::Time now() const;
     int randomInt(int below);
 
-    /** Times at which engines crashed of a part. */
+    /** Times at which engines crashed of a part or a body. */
     const std::vector<absl::Time> &crashes(const std::string &part) const;
     /** Number of arrivals that hold a part, later than a time. */
     int arrivals(const std::string &part, absl::Time after) const;
+    /** Number of arrivals with a body, later than a time. */
+    int arrivalsOfBody(const std::string &body, absl::Time after) const;
     const std::vector<EngineArrival> &allArrivals() const;
     /** Largest number of requests that an engine got in any span of this length, beginning with a time. */
     int mostArrivals(std::size_t engine, absl::Time from, absl::Duration span) const;
@@ -180,6 +188,7 @@
     std::set<std::pair<std::size_t, std::size_t>> m_links;
     std::map<std::size_t, std::size_t> m_groups;
     std::set<std::string> m_crashingParts;
+    std::set<std::string> m_crashingBodies;
     std::map<std::string, std::vector<absl::Time>> m_crashes;
     std::vector<EngineArrival> m_arrivals;
     std::vector<FleetRequest> m_requests;
--- a/tests/gateway/enginefleetengines.cpp
+++ b/tests/gateway/enginefleetengines.cpp
@@ -76,6 +76,11 @@
     }
 }
 
+void EngineFleet::setCrashingBody(const std::string &body)
+{
+    m_crashingBodies.insert(body);
+}
+
 void EngineFleet::setFaulty(std::size_t engine, bool isFaulty)
 {
     m_engines.at(engine)->isFaulty = isFaulty;
@@ -120,8 +125,8 @@
     }
     Engine &engine = **it;
     const std::vector<std::string> sharedParts = sharedPartsOf(request);
-    m_arrivals.push_back({m_clock.now(), server.id, instance.member.id, FakeHeaders::value(request.headers, "id"), sharedParts});
-    engine.runs.push_back({&instance, run, sharedParts, false});
+    m_arrivals.push_back({m_clock.now(), server.id, instance.member.id, FakeHeaders::value(request.headers, "id"), sharedParts, request.body});
+    engine.runs.push_back({&instance, run, sharedParts, request.body, false});
     const std::size_t index = static_cast<std::size_t>(it - m_engines.begin());
     at(PREFILL_TIME + absl::Milliseconds(randomInt(PREFILL_SPREAD_MS)), [this, index, boot = engine.boot, run] { beginAnswer(index, boot, run); });
 }
@@ -150,6 +155,11 @@
     if (found == nullptr) {
         return;
     }
+    if (m_crashingBodies.count(found->body) > 0) {
+        m_crashes[found->body].push_back(m_clock.now());
+        crash(engine);
+        return;
+    }
     found->hasHead = true;
     Instance &instance = *found->instance;
     const std::vector<std::string> sharedParts = found->sharedParts;
--- a/tests/gateway/enginefleetmeasures.cpp
+++ b/tests/gateway/enginefleetmeasures.cpp
@@ -79,6 +79,12 @@
     }));
 }
 
+int EngineFleet::arrivalsOfBody(const std::string &body, absl::Time after) const
+{
+    return static_cast<int>(std::count_if(
+        m_arrivals.begin(), m_arrivals.end(), [&body, after](const EngineArrival &arrival) { return arrival.body == body && arrival.at > after; }));
+}
+
 const std::vector<EngineArrival> &EngineFleet::allArrivals() const
 {
     return m_arrivals;
@@ -111,7 +117,7 @@
     int sent = 0;
     int served = 0;
     for (const FleetRequest &request : m_requests) {
-        if (request.at < from || request.at >= to || isCrashing(request.sharedParts)) {
+        if (request.at < from || request.at >= to || isCrashing(request.sharedParts) || m_crashingBodies.count(request.body) > 0) {
             continue;
         }
         ++sent;
--- a/tests/gateway/enginefleetparts.h
+++ b/tests/gateway/enginefleetparts.h
@@ -15,6 +15,7 @@
     Instance *instance = nullptr;
     gateway::Number number = 0;
     std::vector<std::string> sharedParts;
+    std::string body;
     bool hasHead = false;
 };
 
--- a/tests/gateway/fleetbounds.h
+++ b/tests/gateway/fleetbounds.h
@@ -12,6 +12,9 @@
 constexpr std::size_t COUNTED_CRASHES = 5;
 constexpr int MAX_LATER_ARRIVALS = 3;
 
+/** Crashes of one request from which the bound on its runs holds. */
+constexpr std::size_t COUNTED_REQUEST_CRASHES = 3;
+
 /** Span in which requests to a backend server with a limit are counted, and how many more than the limit's it may get. */
 constexpr absl::Duration LIMIT_SPAN = absl::Seconds(4);
 constexpr double LIMIT_FACTOR = 1.5;
@@ -38,6 +41,13 @@
     return fleet.crashes(part).size() < COUNTED_CRASHES ? 0 : fleet.arrivals(part, decisiveCrash(fleet, part) + CONTACT_TIME);
 }
 
+/** Arrivals of a request beyond the time from which they are bounded. */
+inline int boundedCopies(const EngineFleet &fleet, const std::string &body)
+{
+    const std::vector<absl::Time> &crashes = fleet.crashes(body);
+    return crashes.size() < COUNTED_REQUEST_CRASHES ? 0 : fleet.arrivalsOfBody(body, crashes[COUNTED_REQUEST_CRASHES - 1] + CONTACT_TIME);
+}
+
 /** Requests that a backend server with a limit may get in a span. */
 inline int allowed(double perSecond)
 {
