Cut an answer at each byte of its head and body

Report of other operators: a head that was cut reached clients as a 200 with an empty body. It cannot happen here: cut at each byte, by close and reset, on new and kept connections, after an interim head, with a length, chunks and neither, the run fails as one that may have run; within the body only an answer without a length that was closed is whole.

Not tried: GET and HEAD, and the same through a forward, whose receiver takes its answer from the same pool.

--- a/tests/net/backendpooltest.cpp
+++ b/tests/net/backendpooltest.cpp
@@ -366,3 +366,89 @@
     CHECK(fixture.recorder.body.size() == (16U << 20U));
     CHECK(fixture.recorder.ends == 1);
 }
+
+namespace {
+
+/** How a server ends its connection. */
+void endConnection(const std::shared_ptr<ScriptedServer::Socket> &socket, bool isReset)
+{
+    boost::system::error_code ignored;
+    if (isReset) {
+        socket->set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    }
+    socket->close(ignored);
+}
+
+struct CutAnswer
+{
+    std::string head;
+    std::string body;
+    /** Whether the end of the connection is the end of the answer. */
+    bool endsWithConnection = false;
+};
+
+std::vector<CutAnswer> cutAnswers(const std::string &id)
+{
+    const std::string start = absl::StrCat("HTTP/1.1 200 OK\r\nId: ", id, "\r\nServer-Seal: x\r\n");
+    const std::string stream = absl::StrCat(start, "Content-Type: text/event-stream\r\n");
+    return {{start + "Content-Length: 4\r\n\r\n", "body", false}, {start + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n0\r\n\r\n", false},
+        {start + "\r\n", "body", true}, {stream + "Transfer-Encoding: chunked\r\n\r\n", "b\r\ndata: abc\n\n\r\n0\r\n\r\n", false},
+        {stream + "\r\n", "data: abc\n\n", true}};
+}
+
+} // namespace
+
+// Failure: an answer whose head a backend server did not finish reaches the caller as a 200 with an empty body, framed as whole (MIXED, ORDER).
+TEST_CASE("an answer that is cut within its head is no answer, at whichever byte, connection and framing")
+{
+    const auto kind = GENERATE(as<std::size_t>(), 0, 1, 2, 3, 4);
+    const bool isReset = GENERATE(false, true);
+    const bool isKeptConnection = GENERATE(false, true);
+    const bool hasInterimHead = GENERATE(false, true);
+    const std::string id = isKeptConnection ? "r2" : "r1";
+    const CutAnswer answer = cutAnswers(id)[kind];
+    const std::string interim = hasInterimHead ? "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" : "";
+    const std::string bytes = interim + answer.head;
+    for (std::size_t cut = 0; cut < bytes.size(); ++cut) {
+        PoolFixture fixture([&](int request, const std::shared_ptr<ScriptedServer::Socket> &socket, const std::string & /*read*/) {
+            if (isKeptConnection && request == 1) {
+                ScriptedServer::send(socket, whole("r1", "first"));
+                return;
+            }
+            ScriptedServer::send(socket, bytes.substr(0, cut));
+            endConnection(socket, isReset);
+        });
+        if (isKeptConnection) {
+            fixture.send("r1");
+        }
+        const int before = fixture.recorder.ends;
+        fixture.send(id);
+        INFO("kind " << kind << ", cut at byte " << cut << " of " << bytes.size());
+        CHECK(fixture.recorder.failures == 1);
+        CHECK(fixture.recorder.mayHaveRun);
+        CHECK(fixture.recorder.ends == before);
+        CHECK(fixture.recorder.statuses.size() == static_cast<std::size_t>(before));
+    }
+}
+
+// Failure: a cut behind the head passes for the end of an answer that has a length or chunks, or a reset for that of one without.
+TEST_CASE("an answer that is cut within its body is whole only if it ends with its connection, and that was closed")
+{
+    const auto kind = GENERATE(as<std::size_t>(), 0, 1, 2, 3, 4);
+    const bool isReset = GENERATE(false, true);
+    const CutAnswer answer = cutAnswers("r1")[kind];
+    for (std::size_t cut = 0; cut < answer.body.size(); ++cut) {
+        PoolFixture fixture([&](int /*request*/, const std::shared_ptr<ScriptedServer::Socket> &socket, const std::string & /*read*/) {
+            ScriptedServer::send(socket, answer.head + answer.body.substr(0, cut));
+            endConnection(socket, isReset);
+        });
+        fixture.send("r1");
+        INFO("kind " << kind << ", cut at byte " << cut << " of the body");
+        const bool isEnd = answer.endsWithConnection && !isReset;
+        CHECK(fixture.recorder.ends == (isEnd ? 1 : 0));
+        CHECK(fixture.recorder.failures == (isEnd ? 0 : 1));
+        if (isEnd) {
+            CHECK(fixture.recorder.lastEnd == gateway::AnswerEnd::ConnectionClosed);
+        }
+    }
+}
