Answer what is open at the end of a planned stop, and refuse forwarded work that would outlast it

Cause: an instance that stops refused late requests of callers, but went on running what other regions forwarded to it; and requests taken at the start of the grace kept their own time limit, 10 s with 7 s left, and were cut at the end.

Ruled out: callers' own requests late in the grace, which were refused as not run, or served where the instance is the last of its region (test passed as it was).

Change: a stopping instance refuses forwarded requests that may outlast it at once, and all 2.2 s after the order; time limits end 100 ms before the stop, also those that backend servers are given, so that each open request gets an answer that is true.

Evidence: three of four tests failed before (stopcasestest) and pass now; 64 cases of test-gateway that concern stops and instances pass.

--- a/include/snipeferry/gateway/forwardreceiver.h
+++ b/include/snipeferry/gateway/forwardreceiver.h
@@ -32,6 +32,9 @@
     void handle(const core::InstanceId &from, const ForwardResume &message);
     void linkDown(const core::InstanceId &peer);
 
+    /** @brief Starts the shutdown. From now on only requests are run that end before the stop, and after a short time none. */
+    void beginDrain(absl::Time stopAt);
+
     void runHead(Number run, const HttpHead &head) override;
     void runData(Number run, const std::string &data) override;
     void runEnd(Number run, AnswerEnd end) override;
@@ -128,6 +131,8 @@
     Journal &m_journal;
     absl::flat_hash_map<Number, ForwardedRun> m_forwardedRuns;
     std::vector<EndedRun> m_endedRuns;
+    absl::Time m_refuseNewFrom = absl::InfiniteFuture();
+    absl::Time m_stopAt = absl::InfiniteFuture();
     core::Subscription m_sweepTimer;
 };
 
--- a/include/snipeferry/gateway/requestflow.h
+++ b/include/snipeferry/gateway/requestflow.h
@@ -62,6 +62,9 @@
 class RequestFlow : public RunEvents
 {
 public:
+    /** Callers cache a directory answer for this long and keep connecting to a draining instance. It accepts their requests during this time. */
+    static constexpr absl::Duration DRAIN_GRACE = absl::Milliseconds(2200);
+
     RequestFlow(FlowSettings settings, FlowDependencies dependencies);
     ~RequestFlow() override;
 
--- a/source/gateway/forwardreceiver.cpp
+++ b/source/gateway/forwardreceiver.cpp
@@ -72,6 +72,11 @@
         refuse(from, message.number, message.request.id, "too_late");
         return;
     }
+    const absl::Time now = m_timers.now();
+    if (now >= m_refuseNewFrom || now + message.timeLeft > m_stopAt) {
+        refuse(from, message.number, message.request.id, core::errorAnswer(core::ErrorKind::InstanceDraining).name);
+        return;
+    }
     const RunContent content(message.request.promptParts, message.request.fingerprint);
     const QuarantinedPart *quarantined = m_quarantine.find(message.service, content);
     if (quarantined != nullptr) {
@@ -98,7 +103,6 @@
         return;
     }
 
-    const absl::Time now = m_timers.now();
     const Number run = nextRunNumber();
     ForwardedRun forwardedRun;
     forwardedRun.origin = from;
@@ -267,6 +271,12 @@
     }
 }
 
+void ForwardReceiver::beginDrain(absl::Time stopAt)
+{
+    m_refuseNewFrom = m_timers.now() + RequestFlow::DRAIN_GRACE;
+    m_stopAt = stopAt;
+}
+
 void ForwardReceiver::noteFirstData(ForwardedRun &forwardedRun)
 {
     if (!forwardedRun.isAnswering) {
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -269,6 +269,7 @@
     m_isDraining = true;
     updateInstances();
     m_requestFlow.beginDrain(m_ports.timers.now() + timeLeft);
+    m_forwardReceiver.beginDrain(m_ports.timers.now() + timeLeft);
     sendToRegion();
     sendPulses(false);
 }
--- a/source/gateway/requestadmission.cpp
+++ b/source/gateway/requestadmission.cpp
@@ -13,8 +13,8 @@
 constexpr absl::Duration KEY_CONFIRMATION_MARGIN = absl::Milliseconds(300);
 /** Up to this age of the deployment's last confirmation, an unknown route or key is refused with a final error. Later the caller is told to retry. */
 constexpr absl::Duration MAX_FRESH_DEPLOYMENT_AGE = absl::Milliseconds(2500);
-/** Callers cache a directory answer for this long and keep connecting to a draining instance. It accepts their requests during this time. */
-constexpr absl::Duration DRAIN_GRACE = absl::Milliseconds(2200);
+/** Time for the last answers before a draining instance stops. */
+constexpr absl::Duration LAST_ANSWERS_TIME = absl::Milliseconds(100);
 
 } // namespace
 
@@ -92,6 +92,8 @@
     if (!drainCheck) {
         return drainCheck;
     }
+    // What is still open shortly before the stop is answered then, not cut.
+    open.deadline = std::min(open.deadline, m_stopAt - LAST_ANSWERS_TIME);
 
     // Choose one of the route's services at random, by weight.
     int total = 0;
@@ -124,6 +126,9 @@
 {
     m_refuseNewFrom = m_dependencies.timers.now() + DRAIN_GRACE;
     m_stopAt = stopAt;
+    for (auto &entry : m_openRequests) {
+        entry.second->deadline = std::min(entry.second->deadline, m_stopAt - LAST_ANSWERS_TIME);
+    }
 }
 
 void RequestFlow::confirmDeployment(absl::Time at)
