Follow what backend servers say of further work in their answers

What callers see: nothing in calm; fewer refusals of servers that leave or pause.

Class of fault: a backend server says something in a head that no one reads.

Ruled out: waiting for the announcement (the bound holds without the store); ejection, which gives way when nothing else is left.

Change: ServerNotices holds by identifier and start that a server leaves, and until when it wants nothing from this instance.

--- a/include/snipeferry/gateway/backendtable.h
+++ b/include/snipeferry/gateway/backendtable.h
@@ -6,6 +6,7 @@
 #include "snipeferry/gateway/model.h"
 #include "snipeferry/gateway/promptmemory.h"
 #include "snipeferry/gateway/serverlimits.h"
+#include "snipeferry/gateway/servernotices.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -188,6 +189,9 @@
     /** @brief The limits that backend servers of this region name. */
     ServerLimits &limits();
 
+    /** @brief What backend servers have said in their answers about further work. */
+    const ServerNotices &notices() const;
+
     /** @brief Who sends to the cold backend servers of this region. */
     ColdPacing &coldPacing();
 
@@ -198,6 +202,8 @@
     struct ServerState
     {
         BackendServer server;
+        /** When a later start than the first known one was announced; runs before that say nothing of it. */
+        absl::Time restartKnownAt = absl::InfinitePast();
         absl::Time coldUntil = absl::InfinitePast();
         /** While the backend server is cold, it may receive its next run from this time on. */
         absl::Time nextColdRunAt = absl::InfinitePast();
@@ -264,6 +270,8 @@
     /** Expected time to the first event, or to the whole answer of a service that is not a model engine. */
     absl::Duration estimate(const ServerState &state, const ServiceState &service, int level, std::int64_t unreadTokens) const;
     ServerState *findState(const core::BackendServerId &id);
+    /** Records what an answer says about further work for the backend server. */
+    void noteFurtherWork(const core::BackendServerId &id, const RunReport &report, bool isSuccess, absl::Time runStartedAt, Journal &journal);
     /** Adds up the reports of the other instances, if one has arrived since the last time. Done before each use and not for each report. */
     void refreshPeerWork();
 
@@ -273,6 +281,7 @@
     core::InstanceId m_self;
     core::TimerService &m_timers;
     ServerLimits m_limits;
+    ServerNotices m_notices;
     ColdPacing m_coldPacing;
     std::mt19937_64 m_random;
     absl::flat_hash_map<core::BackendServerId, ServerState> m_servers;
--- a/include/snipeferry/gateway/message.h
+++ b/include/snipeferry/gateway/message.h
@@ -106,8 +106,15 @@
     std::optional<double> requestLimit;
     /** The answer names a limit that cannot be read. */
     bool isLimitUnreadable = false;
-
-    SNIPEFERRY_VALUE(RunReport, request, isNotRun, isWrongServer, hasReceipt, running, waiting, requestLimit, isLimitUnreadable)
+    /** The backend server is leaving and wants no more work. */
+    bool isLeaving = false;
+    /** Seconds for which a backend server that turned the request away wants no work from this instance; empty if it names none. */
+    std::optional<double> pauseSeconds;
+    /** The answer names such a time that cannot be read. */
+    bool isPauseUnreadable = false;
+
+    SNIPEFERRY_VALUE(
+        RunReport, request, isNotRun, isWrongServer, hasReceipt, running, waiting, requestLimit, isLimitUnreadable, isLeaving, pauseSeconds, isPauseUnreadable)
 };
 
 /** Strategy that decodes and encodes the HTTP headers that the callers and backend servers of one deployment use. */
--- a/source/gateway/backendchoice.cpp
+++ b/source/gateway/backendchoice.cpp
@@ -124,7 +124,8 @@
         const bool matchesVersion = (query.version.isEmpty() || version == query.version)
             && std::find(query.excludedVersions.begin(), query.excludedVersions.end(), version) == query.excludedVersions.end();
         const bool isExcluded = std::find(query.excluded.begin(), query.excluded.end(), id) != query.excluded.end();
-        if (acceptsRequests(candidate) && matchesVersion && !isExcluded && mayDispatchToCold(candidate, now) && m_limits.mayDispatch(id, lead)) {
+        if (acceptsRequests(candidate) && matchesVersion && !isExcluded && m_notices.pauseLeft(id) == absl::ZeroDuration() && mayDispatchToCold(candidate, now)
+            && m_limits.mayDispatch(id, lead)) {
             eligible.push_back(id);
         }
     }
@@ -269,10 +270,13 @@
 core::Error BackendTable::noServerError(const ServiceState &service, double limitLead)
 {
     absl::Duration shortest = absl::InfiniteDuration();
+    bool isPaused = false;
     for (const core::BackendServerId &id : service.servers) {
-        const absl::Duration time = m_limits.timeUntilDispatch(id, limitLead);
+        const absl::Duration pause = m_notices.pauseLeft(id);
+        const absl::Duration time = std::max(m_limits.timeUntilDispatch(id, limitLead), pause);
         if (acceptsRequests(m_servers.at(id)) && time > absl::ZeroDuration()) {
             shortest = std::min(shortest, time);
+            isPaused = isPaused || pause > absl::ZeroDuration();
         }
     }
     if (shortest == absl::InfiniteDuration()) {
@@ -280,7 +284,8 @@
     }
     // Callers that are refused together must not come back together.
     const absl::Duration spread = LIMITED_RETRY_SPREAD * std::uniform_real_distribution<double>(0, 1)(m_random);
-    return core::makeError(core::ErrorKind::Overloaded, "The backend servers have named limits that are used up.", shortest + spread);
+    const char *message = isPaused ? "The backend servers want no work for a time." : "The backend servers have named limits that are used up.";
+    return core::makeError(core::ErrorKind::Overloaded, message, shortest + spread);
 }
 
 } // namespace snipeferry::gateway
--- a/source/gateway/backendtable.cpp
+++ b/source/gateway/backendtable.cpp
@@ -38,6 +38,7 @@
     : m_self(std::move(self)),
       m_timers(timers),
       m_limits(m_self, timers),
+      m_notices(m_self, timers),
       m_coldPacing(m_self, timers),
       m_random(std::hash<std::string>{}(m_self.value())),
       m_promptCache(timers)
@@ -57,6 +58,10 @@
         entry.consecutiveFailures = 0;
         entry.failureShare = 0;
         entry.ejectedUntil = absl::InfinitePast();
+        entry.restartKnownAt = now;
+    }
+    if (isMoved || (isRestarted && server.startedAtMs > entry.server.startedAtMs)) {
+        m_notices.restarted(server.id);
     }
     if (isMoved) {
         std::vector<core::BackendServerId> &old = m_services[entry.server.service].servers;
@@ -69,6 +74,8 @@
         entry.coldUntil = std::max(entry.coldUntil, now + server.coldLeft);
     }
     entry.server = server;
+    // An announcement may be older than what the backend server has said since.
+    entry.server.isDraining = server.isDraining || m_notices.isLeaving(server);
 }
 
 void BackendTable::announceRemote(const BackendServer &server)
@@ -248,7 +255,8 @@
     const absl::Time now = m_timers.now();
     for (const core::BackendServerId &id : it->second.servers) {
         const ServerState &state = m_servers.at(id);
-        if (!acceptsRequests(state) || state.ejectedUntil > now || state.coldUntil > now || !m_limits.mayDispatch(id, limitLeadOf(0))) {
+        if (!acceptsRequests(state) || state.ejectedUntil > now || state.coldUntil > now || m_notices.pauseLeft(id) > absl::ZeroDuration()
+            || !m_limits.mayDispatch(id, limitLeadOf(0))) {
             continue;
         }
         least.resize(URGENCY_LEVELS, absl::InfiniteDuration());
@@ -366,6 +374,10 @@
     if (report.requestLimit.has_value()) {
         journal.count("limits_named_total", "", 1);
     }
+    if (report.isPauseUnreadable) {
+        journal.log(core::LogEvent{"pause_unreadable", {}}.with("server", id.value()));
+    }
+    noteFurtherWork(id, report, isSuccess, runStartedAt, journal);
     const BackendServer *server = find(id);
     if (server != nullptr && m_limits.note(*server, report, isSuccess, runStartedAt)) {
         journal.log(core::LogEvent{report.requestLimit.has_value() ? "limit_named" : "limit_ended", {}}
@@ -374,6 +386,27 @@
     }
 }
 
+void BackendTable::noteFurtherWork(const core::BackendServerId &id, const RunReport &report, bool isSuccess, absl::Time runStartedAt, Journal &journal)
+{
+    ServerState *state = findState(id);
+    if (state == nullptr || runStartedAt < state->restartKnownAt) {
+        return;
+    }
+    const ServerNotices::Change change = m_notices.note(state->server, report, isSuccess, runStartedAt);
+    if (change.isLeaving) {
+        state->server.isDraining = true;
+        journal.log(core::LogEvent{"server_leaving", {}}.with("server", id.value()));
+    }
+    if (change.pause > absl::ZeroDuration()) {
+        journal.log(core::LogEvent{"server_paused", {}}.with("server", id.value()).with("pause_ms", absl::StrCat(absl::ToInt64Milliseconds(change.pause))));
+    }
+}
+
+const ServerNotices &BackendTable::notices() const
+{
+    return m_notices;
+}
+
 void BackendTable::reportLoad(const core::BackendServerId &id, int running, int waiting)
 {
     refreshPeerWork();
--- a/tests/gateway/fakecodecs.h
+++ b/tests/gateway/fakecodecs.h
@@ -60,6 +60,11 @@
         if (absl::SimpleAtod(value(head.headers, "limit"), &limit)) {
             report.requestLimit = limit;
         }
+        report.isLeaving = !value(head.headers, "leaving").empty();
+        double pause = 0;
+        if (absl::SimpleAtod(value(head.headers, "pause"), &pause)) {
+            report.pauseSeconds = pause;
+        }
         return report;
     }
 
--- a/tests/platform-adapter/adaptertest.cpp
+++ b/tests/platform-adapter/adaptertest.cpp
@@ -5,6 +5,7 @@
 
 #include <absl/strings/escaping.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -273,3 +274,27 @@
     CHECK(records.decodeQuarantine(record.value).value() == quarantine);
     CHECK_FALSE(records.decodeQuarantine("no record").has_value());
 }
+
+// Failure: a runner says in its answers that it leaves, or for how long it wants no work, and nobody reads it (DRAIN, BUDGET).
+TEST_CASE("what a runner says of further work is read from its answers")
+{
+    CHECK_FALSE(HEADERS.decodeAnswer({200, {}}).isLeaving);
+    CHECK(HEADERS.decodeAnswer({200, {{"server-leaving", " 1 "}}}).isLeaving);
+    CHECK(HEADERS.decodeAnswer({503, {{"Server-Leaving", "1"}}}).isLeaving);
+    CHECK_FALSE(HEADERS.decodeAnswer({200, {{"Server-Leaving", "0"}}}).isLeaving);
+
+    for (const char *text : {"0", "0.25", "3", "1000000"}) {
+        const gateway::RunReport report = HEADERS.decodeAnswer({503, {{"retry-after", text}}});
+        REQUIRE(report.pauseSeconds.has_value());
+        CHECK(absl::StrFormat("%g", *report.pauseSeconds) == absl::StrFormat("%g", std::stod(text)));
+        CHECK_FALSE(report.isPauseUnreadable);
+        CHECK_FALSE(HEADERS.decodeAnswer({200, {{"Retry-After", text}}}).pauseSeconds.has_value());
+    }
+    for (const char *text : {"", "-1", "nan", "inf", "soon", "Sat, 05 Dec 2026 09:00:00 GMT", "1,2"}) {
+        const gateway::RunReport report = HEADERS.decodeAnswer({503, {{"Retry-After", text}}});
+        INFO(text);
+        CHECK_FALSE(report.pauseSeconds.has_value());
+        CHECK(report.isPauseUnreadable);
+    }
+    CHECK(HEADERS.decodeAnswer({503, {{"Retry-After", "1"}, {"Retry-After", "1"}}}).isPauseUnreadable);
+}
