Search for clients that have left only while a request is in work

Cause: four servers of each process woke ten times a second for nothing. Change: the search is armed by a request whose answer is not complete at the end of its handler, and goes on as long as one is. The event loop's delay is checked each 250 ms.

--- a/source/net/gatewayprocess.cpp
+++ b/source/net/gatewayprocess.cpp
@@ -18,7 +18,7 @@
 constexpr absl::Duration LAST_CONNECTIONS_TIME = absl::Milliseconds(100);
 constexpr absl::Duration STOP_CHECK_PERIOD = absl::Milliseconds(50);
 /** Interval at which the delay of the event loop is measured, and the delay from which it is logged. */
-constexpr absl::Duration LOOP_CHECK_PERIOD = absl::Milliseconds(100);
+constexpr absl::Duration LOOP_CHECK_PERIOD = absl::Milliseconds(250);
 constexpr absl::Duration LOGGED_LOOP_DELAY = absl::Milliseconds(250);
 constexpr double BYTES_PER_MB = 1e6;
 /** Fraction of the memory that the bodies of open requests may use. */
--- a/source/net/httpconnection.cpp
+++ b/source/net/httpconnection.cpp
@@ -377,6 +377,9 @@
     m_state = State::Answering;
     awaitReadable();
     server->handler(std::move(request), shared_from_this());
+    if (m_state == State::Answering) {
+        server->watchClients();
+    }
 }
 
 void Connection::write()
--- a/source/net/httpconnection.h
+++ b/source/net/httpconnection.h
@@ -33,6 +33,8 @@
     void acceptWaiting();
     void take(boost::asio::ip::tcp::socket socket);
     bool makeRoom();
+    /** Looks for clients that have left, again and again as long as a request is in work. */
+    void watchClients();
     /** Finds clients that have left while their requests are in work, also behind unread bytes and before all that waits to be handled. */
     void closeLeft();
 
@@ -46,6 +48,7 @@
     std::size_t bufferedBytes = 0;
     std::size_t refusedConnections = 0;
     std::set<std::shared_ptr<Connection>> connections;
+    bool isWatchingClients = false;
     core::Subscription closeCheckTimer;
 };
 
--- a/source/net/httpserver.cpp
+++ b/source/net/httpserver.cpp
@@ -112,8 +112,17 @@
     return true;
 }
 
+void HttpServer::Impl::watchClients()
+{
+    if (!isWatchingClients) {
+        isWatchingClients = true;
+        closeCheckTimer = loop.timers().after(CLOSE_CHECK_PERIOD, [this] { closeLeft(); });
+    }
+}
+
 void HttpServer::Impl::closeLeft()
 {
+    isWatchingClients = false;
     std::vector<std::shared_ptr<Connection>> answering;
     std::vector<int> sockets;
     for (const std::shared_ptr<Connection> &connection : connections) {
@@ -125,6 +134,7 @@
     if (sockets.empty()) {
         return;
     }
+    watchClients();
     const std::vector<bool> closed = haveOtherEndsClosed(sockets);
     for (std::size_t index = 0; index < answering.size(); ++index) {
         if (closed[index]) {
@@ -168,7 +178,6 @@
     if (error) {
         return tl::make_unexpected(core::makeError(core::ErrorKind::Internal, absl::StrCat("Cannot listen on ", address, ": ", error.message(), ".")));
     }
-    m_impl->closeCheckTimer = m_impl->loop.timers().every(CLOSE_CHECK_PERIOD, [impl = m_impl.get()] { impl->closeLeft(); });
     m_impl->accept();
     return m_impl->acceptor.local_endpoint().port();
 }
