--- a/include/snipeferry/gateway/promptquarantine.h
+++ b/include/snipeferry/gateway/promptquarantine.h
@@ -18,7 +18,8 @@
 namespace snipeferry::gateway {
 
 /**
- * Decides which prompt parts crash the backend servers that begin to write an answer on them, and keeps their requests from all others.
+ * Decides which prompt parts crash the backend servers that begin to write an answer on them, and which whole requests crash those that run them, and keeps
+ * these requests from all others.
  *
  * All instances decide from the same evidence, which they tell each other. A part is blamed for the crashes since a run with it last ended well, and not
  * for those that another quarantined part explains. Crashes that are close in time count as one: many servers may end at once for other reasons.
@@ -42,10 +43,10 @@
     /** @brief Records that the announcement of a backend server has ended or states a later start. */
     void addEndOfProcess(const core::BackendServerId &server);
 
-    /** @brief The first quarantined part of a prompt; nullptr if its requests may run. */
+    /** @brief The first quarantined part of a request, or the request itself; nullptr if it may run. */
     const QuarantinedPart *find(const core::ServiceId &service, const RunContent &content);
 
-    /** @brief Whether a run with these parts that ended in a crash must not be repeated, because one of them was blamed for another crash already. */
+    /** @brief Whether a run that ended in a crash must not be repeated, because something of it was blamed for another crash already. */
     bool isSuspect(const core::ServiceId &service, const RunContent &content) const;
 
     /**
--- a/source/gateway/requestflow.cpp
+++ b/source/gateway/requestflow.cpp
@@ -25,6 +25,8 @@
 /** How long a request waits for tokens that were requested from other instances of the region: one round trip and the time to send them. */
 constexpr absl::Duration TOKEN_WAIT = absl::Milliseconds(15);
 constexpr int MAX_TOKEN_WAITS = 3;
+/** Label of requests whose callers left before their route was looked up. */
+constexpr const char *NO_ROUTE = "none";
 
 } // namespace
 
@@ -157,7 +159,7 @@
                                    .with("events", absl::StrCat(open.events.eventCount()))
                                    .with("waited_ms", absl::StrCat(absl::ToInt64Milliseconds(now - open.arrivedAt)))
                                    .with("silent_ms", absl::StrCat(absl::ToInt64Milliseconds(now - std::max(open.lastDataAt, open.arrivedAt)))));
-    m_dependencies.journal.count("callers_left_total", open.route.name, 1);
+    m_dependencies.journal.count("callers_left_total", open.route.name.empty() ? NO_ROUTE : open.route.name, 1);
     if (open.hasReservedTokens && open.run == 0 && !open.mayHaveRun) {
         m_dependencies.allowances.refund(open.customer, open.cost);
     }
--- a/source/net/linkqueue.cpp
+++ b/source/net/linkqueue.cpp
@@ -197,6 +197,9 @@
     static const std::array<const char *, SLOT_COUNT> NAMES
         = {"report", "operator_changes", "summary", "server_changes", "member_changes", "operator_records", "server_records", "member_records"};
     std::map<std::string, std::size_t> bytes;
+    for (const std::string &cancel : m_cancels) {
+        bytes["cancels"] += cancel.size();
+    }
     if (m_urgentBytes > 0) {
         bytes["urgent"] = m_urgentBytes;
     }
