--- a/tests/gateway/leavingcallerstest.cpp
+++ b/tests/gateway/leavingcallerstest.cpp
@@ -82,7 +82,7 @@
 // Failure: between two attempts nobody looks whether the caller still waits, and a second backend server is given its request.
 TEST_CASE("a request whose caller left during its run is not sent to a second backend server")
 {
-    const auto fail = GENERATE(0, 1, 2, 3);
+    const int fail = GENERATE(0, 1, 2, 3);
     GatewayFixture fixture;
     fixture.start();
     const std::shared_ptr<Answer> answer = fixture.ask("/any/1");
@@ -145,7 +145,7 @@
 // Failure: a caller that leaves at some stage of its request is noticed, but its work goes on.
 TEST_CASE("the work of a caller that leaves is stopped once and logged once at each stage of its request")
 {
-    const auto stage = GENERATE(0, 1, 2, 3);
+    const int stage = GENERATE(0, 1, 2, 3);
     GatewayFixture fixture;
     fixture.start();
     fixture.linkRemote("gw-s", "south");
--- a/tests/gateway/requestquarantinetest.cpp
+++ b/tests/gateway/requestquarantinetest.cpp
@@ -64,7 +64,7 @@
 // Failure: a request is sent to one backend server after the other and crashes each, as no instance holds the crashes against it (BUDGET).
 TEST_CASE("a request under which three backend servers have crashed reaches three more at most, from all instances together")
 {
-    const auto target = GENERATE(as<std::string>(), "/any/x", "/once/x", "/stream/x", "/resume/x");
+    const std::string target = GENERATE(as<std::string>(), "/any/x", "/once/x", "/stream/x", "/resume/x");
     const std::uint64_t seed = GENERATE(1, 2, 3);
     EngineFleet fleet(seed);
     fleet.setCrashingBody(CULPRIT);
@@ -194,7 +194,7 @@
 // Failure: a request that many send is refused because servers crash for other reasons while it is in work.
 TEST_CASE("a path without a body that hundreds ask is never refused while backend servers crash for other reasons")
 {
-    const auto way = GENERATE(0, 1, 2, 3);
+    const int way = GENERATE(0, 1, 2, 3);
     CAPTURE(way);
     EngineFleet fleet(static_cast<std::uint64_t>(way) + 30);
     fleet.keepsEngineIds = way == 2;
@@ -292,7 +292,7 @@
 // Failure: what the fleet knew is forgotten by a restart, a freeze, a cut or an outage of the store.
 TEST_CASE("a quarantined request stays so through restarts, freezes, cuts from the store and the loss of all instances")
 {
-    const auto trouble = GENERATE(0, 1, 2, 3, 4);
+    const int trouble = GENERATE(0, 1, 2, 3, 4);
     CAPTURE(trouble);
     EngineFleet fleet(static_cast<std::uint64_t>(trouble) + 70);
     fleet.setCrashingBody(CULPRIT);
--- a/tests/gateway/servernoticestest.cpp
+++ b/tests/gateway/servernoticestest.cpp
@@ -75,7 +75,7 @@
 // Failure: the notice is read only in answers of one kind.
 TEST_CASE("a backend server may say that it leaves in an error, a refusal, a stream's head and the answer to a forwarded request")
 {
-    const auto way = GENERATE(0, 1, 2, 3);
+    const int way = GENERATE(0, 1, 2, 3);
     CAPTURE(way);
     GatewayFixture fixture;
     fixture.start();
--- a/tests/gateway/stopcasestest.cpp
+++ b/tests/gateway/stopcasestest.cpp
@@ -55,7 +55,7 @@
 // Failure: of the requests that are taken at the start of a planned stop those with a long limit are cut at its end without an answer (LOST).
 TEST_CASE("a request that is open shortly before the end of a planned stop gets an answer that is true")
 {
-    const auto target = GENERATE(as<std::string>(), "/once/1", "/any/1", "/stream/1");
+    const std::string target = GENERATE(as<std::string>(), "/once/1", "/any/1", "/stream/1");
     StoppingFixture fixture(true);
     fixture.pass(absl::Seconds(1));
     const std::shared_ptr<Answer> answer = fixture.ask(target);
--- a/tests/net/backendpooltest.cpp
+++ b/tests/net/backendpooltest.cpp
@@ -402,8 +402,8 @@
 // Failure: an answer whose head a backend server did not finish reaches the caller as a 200 with an empty body, framed as whole (MIXED, ORDER).
 TEST_CASE("an answer that is cut within its head is no answer, at whichever byte, connection and framing")
 {
-    const auto kind = GENERATE(as<std::size_t>(), 0, 1, 2, 3, 4);
-    const auto method = GENERATE(as<std::string>(), "POST", "GET", "HEAD");
+    const std::size_t kind = GENERATE(as<std::size_t>(), 0, 1, 2, 3, 4);
+    const std::string method = GENERATE(as<std::string>(), "POST", "GET", "HEAD");
     const bool isReset = GENERATE(false, true);
     const bool isKeptConnection = GENERATE(false, true);
     const bool hasInterimHead = GENERATE(false, true);
@@ -437,7 +437,7 @@
 // Failure: a cut behind the head passes for the end of an answer that has a length or chunks, or a reset for that of one without.
 TEST_CASE("an answer that is cut within its body is whole only if it ends with its connection, and that was closed")
 {
-    const auto kind = GENERATE(as<std::size_t>(), 0, 1, 2, 3, 4);
+    const std::size_t kind = GENERATE(as<std::size_t>(), 0, 1, 2, 3, 4);
     const bool isReset = GENERATE(false, true);
     const CutAnswer answer = cutAnswers("r1")[kind];
     for (std::size_t cut = 0; cut < answer.body.size(); ++cut) {
