--- a/tests/gateway/enginefleet.cpp
+++ b/tests/gateway/enginefleet.cpp
@@ -176,7 +176,7 @@
     gateway::HttpRequest request{"POST", target, extra, absl::StrCat("body", m_requestCount + 1)};
     request.headers.push_back({"parts", absl::StrJoin(parts, ",")});
     request.headers.push_back({"tokens", absl::StrCat(PART_TOKENS * parts.size())});
-    const std::shared_ptr<Answer> answer = askWhole(instance, std::move(request));
+    std::shared_ptr<Answer> answer = askWhole(instance, std::move(request));
     m_requests.back().sharedParts = sharedParts;
     return answer;
 }
