--- a/tests/net/leavingclientstest.cpp
+++ b/tests/net/leavingclientstest.cpp
@@ -157,8 +157,10 @@
     const std::unique_ptr<Tcp::socket> leaver = fixture.ask();
     fixture.turn(absl::Milliseconds(50));
     REQUIRE(fixture.requests == 1);
+    constexpr int WAITING = 300;
     std::vector<std::unique_ptr<Tcp::socket>> waiting;
-    for (int request = 0; request < 300; ++request) {
+    waiting.reserve(WAITING);
+    for (int request = 0; request < WAITING; ++request) {
         waiting.push_back(fixture.connect());
     }
     fixture.turn(absl::Milliseconds(50));
