--- a/review/support/stage.cpp
+++ b/review/support/stage.cpp
@@ -104,8 +104,7 @@
 /** As deploy/gateway.yaml.template fills it in, with the bounds of the small installations. */
 std::string Stage::settingsText(const Gateway &gateway) const
 {
-    std::string text
-        = absl::StrCat("instance: ", gateway.name, "\ndata_centre: ", gateway.region, "-1\nregion: ", gateway.region, "\ndata_centres:\n");
+    std::string text = absl::StrCat("instance: ", gateway.name, "\ndata_centre: ", gateway.region, "-1\nregion: ", gateway.region, "\ndata_centres:\n");
     std::set<std::string> regions;
     for (const Gateway &other : m_gateways) {
         if (regions.insert(other.region).second) {
@@ -202,14 +201,19 @@
 }
 
 void Stage::send(const Gateway &gateway, soak::RequestSeen request)
+{
+    m_connections.emplace_back();
+    send(gateway, std::move(request), m_connections.back());
+}
+
+void Stage::send(const Gateway &gateway, soak::RequestSeen request, soak::KeptConnections &connections)
 {
     request.gateway = gateway.name;
     request.sentAt = m_loop.timers().now();
     m_requests.push_back(request);
     soak::RequestSeen &kept = m_requests.back();
-    m_connections.emplace_back();
     note(absl::StrCat("sent     ", request.attempt, " to ", gateway.name, " ", request.path));
-    std::make_shared<soak::Caller>(m_loop, m_connections.back(), request, absl::InfiniteDuration(), [this, &kept](const soak::RequestSeen &seen) {
+    std::make_shared<soak::Caller>(m_loop, connections, request, absl::InfiniteDuration(), [this, &kept](const soak::RequestSeen &seen) {
         kept = seen;
         note(absl::StrCat("answered ", seen.attempt, " status ", seen.status, seen.isComplete ? " complete" : " incomplete", " receipt '", seen.receipt,
             "' body '", seen.answer.substr(0, 40), "' ", seen.answer.size(), " bytes"));
@@ -253,8 +257,7 @@
 
 int Stage::end(Verdict verdict, const std::string &reason)
 {
-    static const std::map<Verdict, std::string> NAMES
-        = {{Verdict::Held, "held"}, {Verdict::Broken, "BROKEN"}, {Verdict::CouldNotRun, "could not run"}};
+    static const std::map<Verdict, std::string> NAMES = {{Verdict::Held, "held"}, {Verdict::Broken, "BROKEN"}, {Verdict::CouldNotRun, "could not run"}};
     note(absl::StrCat("verdict  ", NAMES.at(verdict), ": ", reason));
     std::cout << NAMES.at(verdict) << ": " << reason << std::endl;
     return static_cast<int>(verdict);
--- a/review/support/stage.h
+++ b/review/support/stage.h
@@ -76,6 +76,9 @@
     /** @brief Sends a request on a connection of its own; what becomes of it stands in requests(). */
     void send(const Gateway &gateway, soak::RequestSeen request);
 
+    /** @brief Sends a request on a kept connection, or on a new one that is kept. */
+    void send(const Gateway &gateway, soak::RequestSeen request, soak::KeptConnections &connections);
+
     const std::list<soak::RequestSeen> &requests() const;
     const soak::RequestSeen *request(const std::string &attempt) const;
     const std::vector<standins::RunSeen *> &runs() const;
