--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,279 +1,231 @@
+#include "snipeferry/net/httpserver.h"
 #include "stage.h"
 
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
 
 #include <algorithm>
 #include <csignal>
 
 /**
- * One engine sends, where a chunk of its answer is due, bytes that are no chunk, without end. Orders run at a sound runner meanwhile, on kept connections.
- * The platform ends a process that uses more memory than its machine has.
+ * Orders that north passes on to east, whose runner is full: the last one waits there and is given up unrun when its time is over. North's one process
+ * is killed and started again meanwhile. An order that it passes on after that must run once at most.
  */
 namespace {
 
 using namespace snipeferry;
-namespace asio = boost::asio;
-using Tcp = asio::ip::tcp;
 
-constexpr int CHANNELS = 6;
-constexpr int STREAMS = 2;
-constexpr int EVENTS = 6;
-/** Memory of a machine and speed of its link, as the sheet says; the link is used to nine tenths. */
-constexpr std::int64_t MEMORY_KB = 260'000'000 / 1024;
-constexpr double LINK_BYTES_PER_SECOND = 0.9 * 1e9 / 8;
-constexpr absl::Duration ORDER_TIME = absl::Milliseconds(120);
-constexpr int BOOKINGS = 3;
-/** A client that is refused comes again after this. */
-constexpr absl::Duration REFUSED_WAIT = absl::Milliseconds(300);
-constexpr absl::Duration WRITE_PERIOD = absl::Milliseconds(5);
-/** Of cut orders that the rule bears. */
-constexpr int BORNE_CUTS = 3;
+constexpr int SLOTS = 6;
+constexpr absl::Duration WORK_TIME = absl::Milliseconds(1700);
+constexpr absl::Duration TIME_LIMIT = absl::Milliseconds(4000);
+/** Of the client whose order waits: it ends before a slot is free. */
+constexpr absl::Duration SHORT_TIME_LIMIT = absl::Milliseconds(1500);
+constexpr absl::Duration DOWN_TIME = absl::Milliseconds(200);
+constexpr int EVENTS = 3;
 
-/** An engine that begins an answer and goes on with bytes that end no chunk, until its client closes. All its connections share the link. */
-class EndlessEngine
+std::string headerOf(const gateway::HttpRequest &request, const char *name)
+{
+    for (const gateway::Header &header : request.headers) {
+        if (absl::EqualsIgnoreCase(header.name, name)) {
+            return header.value;
+        }
+    }
+    return {};
+}
+
+/** A runner as the pages describe it: some slots, a queue, and the time limit, at which it gives up what waits (503, not run) or runs (504). */
+class LimitedRunner
 {
 public:
-    explicit EndlessEngine(review::Stage &stage)
+    LimitedRunner(review::Stage &stage, std::string id, const std::string &zone)
         : m_stage(stage),
-          m_acceptor(stage.loop().context(), Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
-          m_filler(65536, 'a')
+          m_id(std::move(id)),
+          m_server(stage.loop(), [this](const gateway::HttpRequest &request, const std::shared_ptr<net::HttpExchange> &exchange) { take(request, exchange); })
     {
-        accept();
-        m_timer = stage.loop().timers().every(WRITE_PERIOD, [this] { writeMore(); });
+        const core::Expected<int> port = m_server.listen("127.0.0.1:0");
+        const nlohmann::json entry = {{"service", standins::UsersManifest::BOOKING}, {"address", absl::StrCat("127.0.0.1:", port.value_or(0))}, {"zone", zone},
+            {"version", "v1"}, {"slots", SLOTS}, {"state", "ready"}, {"coldLeftMs", 0}, {"callSeq", 0}};
+        stage.store().put("servers/" + m_id, entry.dump());
     }
 
-    std::string address() const
+    int seenCount() const
     {
-        return absl::StrCat("127.0.0.1:", m_acceptor.local_endpoint().port());
+        return m_seen;
     }
 
-private:
-    struct Channel
+    int runCount(const std::string &attempt) const
     {
-        explicit Channel(Tcp::socket accepted)
-            : socket(std::move(accepted))
-        {
-        }
-
-        Tcp::socket socket;
-        std::string request;
-        std::string text;
-        bool hasBegun = false;
-        bool isWriting = false;
-        bool isClosed = false;
-    };
-
-    void accept()
-    {
-        m_acceptor.async_accept([this](boost::system::error_code error, Tcp::socket socket) {
-            if (error) {
-                return;
-            }
-            m_channels.push_back(std::make_shared<Channel>(std::move(socket)));
-            read(m_channels.back());
-            accept();
-        });
+        const auto runs = m_runs.find(attempt);
+        return runs == m_runs.end() ? 0 : runs->second;
     }
 
-    void read(const std::shared_ptr<Channel> &channel)
-    {
-        const std::shared_ptr<std::array<char, 4096>> bytes = std::make_shared<std::array<char, 4096>>();
-        channel->socket.async_read_some(asio::buffer(*bytes), [this, channel, bytes](boost::system::error_code error, std::size_t got) {
-            if (error) {
-                channel->isClosed = true;
-                m_stage.note("the gateway has closed the engine's channel");
-                return;
-            }
-            channel->request.append(bytes->data(), got);
-            const std::size_t id = channel->request.find("Attempt-Id: ");
-            if (!channel->hasBegun && id != std::string::npos && channel->request.find("\r\n\r\n") != std::string::npos) {
-                const std::string attempt = channel->request.substr(id + 12, channel->request.find("\r\n", id) - id - 12);
-                m_stage.note(absl::StrCat("run      ", attempt, " at the faulty engine"));
-                channel->text = absl::StrCat("HTTP/1.1 200 OK\r\nAttempt-Id: ", attempt, "\r\nServer-Seal: engine.", attempt,
-                    "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n40;");
-                channel->hasBegun = true;
-            }
-            read(channel);
-        });
-    }
-
-    void writeMore()
+private:
+    struct Work
     {
-        m_credit = std::min(m_credit + LINK_BYTES_PER_SECOND * absl::ToDoubleSeconds(WRITE_PERIOD), LINK_BYTES_PER_SECOND / 50);
-        for (const std::shared_ptr<Channel> &channel : m_channels) {
-            write(channel);
-        }
-    }
+        std::string attempt;
+        std::shared_ptr<net::HttpExchange> exchange;
+        core::Subscription limit;
+        core::Subscription end;
+    };
+    using WorkPointer = std::shared_ptr<Work>;
 
-    void write(const std::shared_ptr<Channel> &channel)
+    void take(const gateway::HttpRequest &request, const std::shared_ptr<net::HttpExchange> &exchange)
     {
-        if (!channel->hasBegun || channel->isWriting || channel->isClosed || m_credit <= 0) {
+        const std::string attempt = headerOf(request, "Attempt-Id");
+        if (headerOf(request, "Expect-Instance") != m_id) {
+            exchange->answer({421, {{"Attempt-Id", attempt}, {"Not-Executed", "1"}}}, {});
             return;
         }
-        if (channel->text.empty()) {
-            channel->text = m_filler;
+        ++m_seen;
+        const WorkPointer work = std::make_shared<Work>();
+        work->attempt = attempt;
+        work->exchange = exchange;
+        std::int64_t limitMs = 0;
+        if (absl::SimpleAtoi(headerOf(request, "Deadline-Ms"), &limitMs)) {
+            work->limit = m_stage.loop().timers().after(absl::Milliseconds(limitMs), [this, weak = std::weak_ptr<Work>(work)] { overLimit(weak.lock()); });
         }
-        m_credit -= static_cast<double>(channel->text.size());
-        channel->isWriting = true;
-        asio::async_write(channel->socket, asio::buffer(channel->text), [this, channel](boost::system::error_code error, std::size_t /*bytes*/) {
-            channel->isWriting = false;
-            channel->text.clear();
-            channel->isClosed = channel->isClosed || error;
-            write(channel);
-        });
+        exchange->onClosed([this, weak = std::weak_ptr<Work>(work)] { drop(weak.lock()); });
+        m_stage.note(absl::StrCat("queued   ", attempt, " at ", m_id));
+        m_waiting.push_back(work);
+        startNext();
     }
 
-    review::Stage &m_stage;
-    Tcp::acceptor m_acceptor;
-    std::string m_filler;
-    std::vector<std::shared_ptr<Channel>> m_channels;
-    double m_credit = 0;
-    core::Subscription m_timer;
-};
-
-std::int64_t residentKb(pid_t process)
-{
-    std::ifstream file(absl::StrCat("/proc/", process, "/status"));
-    std::string word;
-    while (file >> word) {
-        if (word == "VmRSS:") {
-            std::int64_t kb = 0;
-            file >> kb;
-            return kb;
+    void startNext()
+    {
+        while (!m_waiting.empty() && m_running.size() < SLOTS) {
+            const WorkPointer work = m_waiting.front();
+            m_waiting.erase(m_waiting.begin());
+            m_running.push_back(work);
+            ++m_runs[work->attempt];
+            m_stage.note(absl::StrCat("run      ", work->attempt, " at ", m_id, ", run ", m_runs[work->attempt], " of it"));
+            work->end = m_stage.loop().timers().after(WORK_TIME, [this, weak = std::weak_ptr<Work>(work)] { answer(weak.lock(), 200); });
         }
     }
-    return 0;
-}
 
-/** Sends one order after the other on each kept connection. */
-class Orders
-{
-public:
-    Orders(review::Stage &stage, const review::Gateway &gateway)
-        : m_stage(stage),
-          m_gateway(gateway),
-          m_connections(CHANNELS),
-          m_last(CHANNELS)
+    void overLimit(const WorkPointer &work)
     {
+        if (work == nullptr) {
+            return;
+        }
+        const bool isWaiting = std::find(m_waiting.begin(), m_waiting.end(), work) != m_waiting.end();
+        answer(work, isWaiting ? 503 : 504);
     }
 
-    void sendNext()
+    void answer(const WorkPointer &work, int status)
     {
-        for (std::size_t channel = 0; channel < m_connections.size(); ++channel) {
-            const soak::RequestSeen *last = m_last[channel].empty() ? nullptr : m_stage.request(m_last[channel]);
-            if (last != nullptr && (last->endedAt == absl::InfiniteFuture() || !last->isComplete)) {
-                continue;
-            }
-            if (last != nullptr && last->status != 200 && m_stage.loop().timers().now() - last->endedAt < REFUSED_WAIT) {
-                continue;
-            }
-            soak::RequestSeen order;
-            order.attempt = absl::StrCat("order-", ++m_count);
-            order.path = standins::UsersManifest::RESERVE + order.attempt;
-            order.body = "reserve";
-            order.key = "k-bar";
-            order.timeLimit = absl::Seconds(4);
-            m_isKept[order.attempt] = !m_connections[channel].empty();
-            m_last[channel] = order.attempt;
-            m_stage.send(m_gateway, order, m_connections[channel]);
+        if (work == nullptr) {
+            return;
         }
+        gateway::HttpHead head{status, {{"Attempt-Id", work->attempt}}};
+        head.headers.push_back(status == 503 ? gateway::Header{"Not-Executed", "1"} : gateway::Header{"Server-Seal", absl::StrCat(m_id, ".", work->attempt)});
+        m_stage.note(absl::StrCat("answer   ", status, " to ", work->attempt, " at ", m_id));
+        work->exchange->answer(head, status == 200 ? standins::wholeBodyOf(work->attempt) : std::string());
+        drop(work);
     }
 
-    /** Orders that ran, came on a kept connection and ended with it, without an answer. */
-    int cutCount() const
+    void drop(const WorkPointer &work)
     {
-        int cut = 0;
-        for (const soak::RequestSeen &request : m_stage.requests()) {
-            const auto kept = m_isKept.find(request.attempt);
-            const bool hasRun = std::any_of(m_stage.runs().begin(), m_stage.runs().end(),
-                [&](const standins::RunSeen *run) { return soak::headerOf(*run, "Attempt-Id") == request.attempt; });
-            const bool isCut = request.endedAt != absl::InfiniteFuture() && !request.isComplete && !request.isOutOfTime;
-            cut += kept != m_isKept.end() && kept->second && hasRun && isCut ? 1 : 0;
-        }
-        return cut;
+        m_waiting.erase(std::remove(m_waiting.begin(), m_waiting.end(), work), m_waiting.end());
+        m_running.erase(std::remove(m_running.begin(), m_running.end(), work), m_running.end());
+        startNext();
     }
 
-private:
     review::Stage &m_stage;
-    const review::Gateway &m_gateway;
-    std::vector<soak::KeptConnections> m_connections;
-    std::vector<std::string> m_last;
-    std::map<std::string, bool> m_isKept;
-    int m_count = 0;
+    std::string m_id;
+    net::HttpServer m_server;
+    std::vector<WorkPointer> m_waiting;
+    std::vector<WorkPointer> m_running;
+    std::map<std::string, int> m_runs;
+    int m_seen = 0;
 };
 
+soak::RequestSeen order(const std::string &attempt, absl::Duration timeLimit)
+{
+    soak::RequestSeen request;
+    request.attempt = attempt;
+    request.path = standins::UsersManifest::RESERVE + attempt;
+    request.body = "order of " + attempt;
+    request.key = "k-bar";
+    request.timeLimit = timeLimit;
+    return request;
+}
+
+soak::RequestSeen question(const std::string &attempt)
+{
+    soak::RequestSeen request;
+    request.attempt = attempt;
+    request.path = standins::UsersManifest::ANSWER + attempt;
+    request.body = "question";
+    request.key = "k-bar";
+    request.events = EVENTS;
+    request.tokens = 100 + EVENTS;
+    request.timeLimit = absl::Milliseconds(3000);
+    return request;
+}
+
 } // namespace
 
 int main()
 {
     review::Stage stage;
     review::Gateway &north = stage.addGateway("north");
-    for (int number = 1; number <= BOOKINGS; ++number) {
-        standins::RunnerSettings booking;
-        booking.id = absl::StrCat("i-booking-", number);
-        booking.service = standins::UsersManifest::BOOKING;
-        booking.zone = "north-1";
-        booking.slots = CHANNELS;
-        booking.workTime = ORDER_TIME;
-        stage.addRunner(booking);
-    }
+    review::Gateway &east = stage.addGateway("east");
+    review::Gateway &secondEast = stage.addGateway("east");
+    LimitedRunner booking(stage, "i-east-booking", "east-1");
     standins::RunnerSettings engine;
-    engine.id = "i-engine";
+    engine.id = "i-north-engine";
     engine.service = standins::UsersManifest::ENGINE;
     engine.zone = "north-1";
-    standins::UsersRunner &soundEngine = stage.addRunner(engine);
-    EndlessEngine faultyEngine(stage);
-    if (stage.hasTrouble()) {
-        soundEngine.announce(faultyEngine.address());
-    }
+    stage.addRunner(engine);
     standins::UsersManifest manifest;
     manifest.tenants = {{"bar", {"k-bar"}, 0}};
     stage.store().put("op/config", manifest.json());
     stage.startGateway(north);
-    if (!stage.runUntil([&] { return stage.isReady(north); }, absl::Seconds(20))) {
-        return stage.end(review::Verdict::CouldNotRun, "the gateway did not get ready");
+    stage.startGateway(east);
+    stage.startGateway(secondEast);
+    const auto areReady = [&] {
+        return stage.isReady(north) && stage.isReady(east) && stage.isReady(secondEast);
+    };
+    if (!stage.runUntil(areReady, absl::Seconds(20))) {
+        return stage.end(review::Verdict::CouldNotRun, "the gateways did not get ready");
     }
-    stage.run(absl::Seconds(6));
+    stage.run(absl::Seconds(4));
 
-    Orders orders(stage, north);
-    std::int64_t peakKb = 0;
-    bool isKilled = false;
-    const absl::Time startedAt = stage.loop().timers().now();
-    const auto isOver = [&] {
-        const absl::Duration elapsed = stage.loop().timers().now() - startedAt;
-        if (!isKilled && elapsed < absl::Seconds(7)) {
-            orders.sendNext();
-        }
-        if (stage.request("stream-1") == nullptr && elapsed > absl::Seconds(2)) {
-            for (int number = 1; number <= STREAMS; ++number) {
-                soak::RequestSeen stream;
-                stream.attempt = absl::StrCat("stream-", number);
-                stream.path = standins::UsersManifest::ANSWER + stream.attempt;
-                stream.body = "question";
-                stream.key = "k-bar";
-                stream.events = EVENTS;
-                stream.tokens = 106;
-                stream.timeLimit = absl::Seconds(3);
-                stage.send(north, stream);
-            }
+    // Six orders run, and one waits.
+    for (int number = 1; number <= SLOTS; ++number) {
+        stage.send(north, order(absl::StrCat("before-", number), TIME_LIMIT));
+        stage.run(absl::Milliseconds(10));
+    }
+    stage.send(north, order("before-7", SHORT_TIME_LIMIT));
+    if (!stage.runUntil([&] { return booking.seenCount() == SLOTS + 1; }, absl::Seconds(1))) {
+        return stage.end(review::Verdict::CouldNotRun, "the first orders did not reach the runner");
+    }
+    if (stage.hasTrouble()) {
+        stage.killGateway(north, SIGKILL);
+        stage.run(DOWN_TIME);
+        stage.startGateway(north);
+        if (!stage.runUntil([&] { return stage.isReady(north); }, absl::Seconds(5))) {
+            return stage.end(review::Verdict::CouldNotRun, "the restarted gateway did not get ready");
         }
-        const std::int64_t usedKb = isKilled ? 0 : residentKb(north.process);
-        peakKb = std::max(peakKb, usedKb);
-        if (usedKb > MEMORY_KB) {
-            stage.note(absl::StrCat("memory   ", usedKb, " KB: the platform ends the process"));
-            stage.killGateway(north, SIGKILL);
-            isKilled = true;
+    }
+    // Six questions that north's own engine answers, and an order.
+    for (int number = 1; number <= SLOTS; ++number) {
+        stage.send(north, question(absl::StrCat("question-", number)));
+        stage.run(absl::Milliseconds(10));
+    }
+    stage.send(north, order("after-7", TIME_LIMIT));
+    stage.runUntil([&] { return stage.isAllAnswered(); }, absl::Seconds(10));
+    stage.run(absl::Seconds(1));
+
+    std::string twice;
+    for (const soak::RequestSeen &request : stage.requests()) {
+        if (booking.runCount(request.attempt) > 1) {
+            absl::StrAppend(&twice, " ", request.attempt, " ran ", booking.runCount(request.attempt), " times");
         }
-        return elapsed > absl::Seconds(9) && stage.isAllAnswered();
-    };
-    stage.runUntil(isOver, absl::Seconds(20));
-    const int cut = orders.cutCount();
-    stage.note(absl::StrCat("memory   most ", peakKb, " KB of ", MEMORY_KB, " KB"));
-    if (isKilled && cut > BORNE_CUTS) {
-        return stage.end(review::Verdict::Broken,
-            absl::StrCat("LOST: the process used ", peakKb, " KB of ", MEMORY_KB, " KB and was ended; ", cut, " orders at sound runners were cut"));
     }
-    return stage.end(review::Verdict::Held, absl::StrCat("most ", peakKb, " KB of ", MEMORY_KB, " KB, ", cut, " orders cut"));
+    if (!twice.empty()) {
+        return stage.end(review::Verdict::Broken, "TWICE: orders that may run once at most:" + twice);
+    }
+    return stage.end(review::Verdict::Held, "each order ran once at most");
 }
--- /dev/null
+++ b/review/3/case.cpp
@@ -0,0 +1,279 @@
+#include "stage.h"
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <csignal>
+
+/**
+ * One engine sends, where a chunk of its answer is due, bytes that are no chunk, without end. Orders run at a sound runner meanwhile, on kept connections.
+ * The platform ends a process that uses more memory than its machine has.
+ */
+namespace {
+
+using namespace snipeferry;
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+constexpr int CHANNELS = 6;
+constexpr int STREAMS = 2;
+constexpr int EVENTS = 6;
+/** Memory of a machine and speed of its link, as the sheet says; the link is used to nine tenths. */
+constexpr std::int64_t MEMORY_KB = 260'000'000 / 1024;
+constexpr double LINK_BYTES_PER_SECOND = 0.9 * 1e9 / 8;
+constexpr absl::Duration ORDER_TIME = absl::Milliseconds(120);
+constexpr int BOOKINGS = 3;
+/** A client that is refused comes again after this. */
+constexpr absl::Duration REFUSED_WAIT = absl::Milliseconds(300);
+constexpr absl::Duration WRITE_PERIOD = absl::Milliseconds(5);
+/** Of cut orders that the rule bears. */
+constexpr int BORNE_CUTS = 3;
+
+/** An engine that begins an answer and goes on with bytes that end no chunk, until its client closes. All its connections share the link. */
+class EndlessEngine
+{
+public:
+    explicit EndlessEngine(review::Stage &stage)
+        : m_stage(stage),
+          m_acceptor(stage.loop().context(), Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
+          m_filler(65536, 'a')
+    {
+        accept();
+        m_timer = stage.loop().timers().every(WRITE_PERIOD, [this] { writeMore(); });
+    }
+
+    std::string address() const
+    {
+        return absl::StrCat("127.0.0.1:", m_acceptor.local_endpoint().port());
+    }
+
+private:
+    struct Channel
+    {
+        explicit Channel(Tcp::socket accepted)
+            : socket(std::move(accepted))
+        {
+        }
+
+        Tcp::socket socket;
+        std::string request;
+        std::string text;
+        bool hasBegun = false;
+        bool isWriting = false;
+        bool isClosed = false;
+    };
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](boost::system::error_code error, Tcp::socket socket) {
+            if (error) {
+                return;
+            }
+            m_channels.push_back(std::make_shared<Channel>(std::move(socket)));
+            read(m_channels.back());
+            accept();
+        });
+    }
+
+    void read(const std::shared_ptr<Channel> &channel)
+    {
+        const std::shared_ptr<std::array<char, 4096>> bytes = std::make_shared<std::array<char, 4096>>();
+        channel->socket.async_read_some(asio::buffer(*bytes), [this, channel, bytes](boost::system::error_code error, std::size_t got) {
+            if (error) {
+                channel->isClosed = true;
+                m_stage.note("the gateway has closed the engine's channel");
+                return;
+            }
+            channel->request.append(bytes->data(), got);
+            const std::size_t id = channel->request.find("Attempt-Id: ");
+            if (!channel->hasBegun && id != std::string::npos && channel->request.find("\r\n\r\n") != std::string::npos) {
+                const std::string attempt = channel->request.substr(id + 12, channel->request.find("\r\n", id) - id - 12);
+                m_stage.note(absl::StrCat("run      ", attempt, " at the faulty engine"));
+                channel->text = absl::StrCat("HTTP/1.1 200 OK\r\nAttempt-Id: ", attempt, "\r\nServer-Seal: engine.", attempt,
+                    "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n40;");
+                channel->hasBegun = true;
+            }
+            read(channel);
+        });
+    }
+
+    void writeMore()
+    {
+        m_credit = std::min(m_credit + LINK_BYTES_PER_SECOND * absl::ToDoubleSeconds(WRITE_PERIOD), LINK_BYTES_PER_SECOND / 50);
+        for (const std::shared_ptr<Channel> &channel : m_channels) {
+            write(channel);
+        }
+    }
+
+    void write(const std::shared_ptr<Channel> &channel)
+    {
+        if (!channel->hasBegun || channel->isWriting || channel->isClosed || m_credit <= 0) {
+            return;
+        }
+        if (channel->text.empty()) {
+            channel->text = m_filler;
+        }
+        m_credit -= static_cast<double>(channel->text.size());
+        channel->isWriting = true;
+        asio::async_write(channel->socket, asio::buffer(channel->text), [this, channel](boost::system::error_code error, std::size_t /*bytes*/) {
+            channel->isWriting = false;
+            channel->text.clear();
+            channel->isClosed = channel->isClosed || error;
+            write(channel);
+        });
+    }
+
+    review::Stage &m_stage;
+    Tcp::acceptor m_acceptor;
+    std::string m_filler;
+    std::vector<std::shared_ptr<Channel>> m_channels;
+    double m_credit = 0;
+    core::Subscription m_timer;
+};
+
+std::int64_t residentKb(pid_t process)
+{
+    std::ifstream file(absl::StrCat("/proc/", process, "/status"));
+    std::string word;
+    while (file >> word) {
+        if (word == "VmRSS:") {
+            std::int64_t kb = 0;
+            file >> kb;
+            return kb;
+        }
+    }
+    return 0;
+}
+
+/** Sends one order after the other on each kept connection. */
+class Orders
+{
+public:
+    Orders(review::Stage &stage, const review::Gateway &gateway)
+        : m_stage(stage),
+          m_gateway(gateway),
+          m_connections(CHANNELS),
+          m_last(CHANNELS)
+    {
+    }
+
+    void sendNext()
+    {
+        for (std::size_t channel = 0; channel < m_connections.size(); ++channel) {
+            const soak::RequestSeen *last = m_last[channel].empty() ? nullptr : m_stage.request(m_last[channel]);
+            if (last != nullptr && (last->endedAt == absl::InfiniteFuture() || !last->isComplete)) {
+                continue;
+            }
+            if (last != nullptr && last->status != 200 && m_stage.loop().timers().now() - last->endedAt < REFUSED_WAIT) {
+                continue;
+            }
+            soak::RequestSeen order;
+            order.attempt = absl::StrCat("order-", ++m_count);
+            order.path = standins::UsersManifest::RESERVE + order.attempt;
+            order.body = "reserve";
+            order.key = "k-bar";
+            order.timeLimit = absl::Seconds(4);
+            m_isKept[order.attempt] = !m_connections[channel].empty();
+            m_last[channel] = order.attempt;
+            m_stage.send(m_gateway, order, m_connections[channel]);
+        }
+    }
+
+    /** Orders that ran, came on a kept connection and ended with it, without an answer. */
+    int cutCount() const
+    {
+        int cut = 0;
+        for (const soak::RequestSeen &request : m_stage.requests()) {
+            const auto kept = m_isKept.find(request.attempt);
+            const bool hasRun = std::any_of(m_stage.runs().begin(), m_stage.runs().end(),
+                [&](const standins::RunSeen *run) { return soak::headerOf(*run, "Attempt-Id") == request.attempt; });
+            const bool isCut = request.endedAt != absl::InfiniteFuture() && !request.isComplete && !request.isOutOfTime;
+            cut += kept != m_isKept.end() && kept->second && hasRun && isCut ? 1 : 0;
+        }
+        return cut;
+    }
+
+private:
+    review::Stage &m_stage;
+    const review::Gateway &m_gateway;
+    std::vector<soak::KeptConnections> m_connections;
+    std::vector<std::string> m_last;
+    std::map<std::string, bool> m_isKept;
+    int m_count = 0;
+};
+
+} // namespace
+
+int main()
+{
+    review::Stage stage;
+    review::Gateway &north = stage.addGateway("north");
+    for (int number = 1; number <= BOOKINGS; ++number) {
+        standins::RunnerSettings booking;
+        booking.id = absl::StrCat("i-booking-", number);
+        booking.service = standins::UsersManifest::BOOKING;
+        booking.zone = "north-1";
+        booking.slots = CHANNELS;
+        booking.workTime = ORDER_TIME;
+        stage.addRunner(booking);
+    }
+    standins::RunnerSettings engine;
+    engine.id = "i-engine";
+    engine.service = standins::UsersManifest::ENGINE;
+    engine.zone = "north-1";
+    standins::UsersRunner &soundEngine = stage.addRunner(engine);
+    EndlessEngine faultyEngine(stage);
+    if (stage.hasTrouble()) {
+        soundEngine.announce(faultyEngine.address());
+    }
+    standins::UsersManifest manifest;
+    manifest.tenants = {{"bar", {"k-bar"}, 0}};
+    stage.store().put("op/config", manifest.json());
+    stage.startGateway(north);
+    if (!stage.runUntil([&] { return stage.isReady(north); }, absl::Seconds(20))) {
+        return stage.end(review::Verdict::CouldNotRun, "the gateway did not get ready");
+    }
+    stage.run(absl::Seconds(6));
+
+    Orders orders(stage, north);
+    std::int64_t peakKb = 0;
+    bool isKilled = false;
+    const absl::Time startedAt = stage.loop().timers().now();
+    const auto isOver = [&] {
+        const absl::Duration elapsed = stage.loop().timers().now() - startedAt;
+        if (!isKilled && elapsed < absl::Seconds(7)) {
+            orders.sendNext();
+        }
+        if (stage.request("stream-1") == nullptr && elapsed > absl::Seconds(2)) {
+            for (int number = 1; number <= STREAMS; ++number) {
+                soak::RequestSeen stream;
+                stream.attempt = absl::StrCat("stream-", number);
+                stream.path = standins::UsersManifest::ANSWER + stream.attempt;
+                stream.body = "question";
+                stream.key = "k-bar";
+                stream.events = EVENTS;
+                stream.tokens = 106;
+                stream.timeLimit = absl::Seconds(3);
+                stage.send(north, stream);
+            }
+        }
+        const std::int64_t usedKb = isKilled ? 0 : residentKb(north.process);
+        peakKb = std::max(peakKb, usedKb);
+        if (usedKb > MEMORY_KB) {
+            stage.note(absl::StrCat("memory   ", usedKb, " KB: the platform ends the process"));
+            stage.killGateway(north, SIGKILL);
+            isKilled = true;
+        }
+        return elapsed > absl::Seconds(9) && stage.isAllAnswered();
+    };
+    stage.runUntil(isOver, absl::Seconds(20));
+    const int cut = orders.cutCount();
+    stage.note(absl::StrCat("memory   most ", peakKb, " KB of ", MEMORY_KB, " KB"));
+    if (isKilled && cut > BORNE_CUTS) {
+        return stage.end(review::Verdict::Broken,
+            absl::StrCat("LOST: the process used ", peakKb, " KB of ", MEMORY_KB, " KB and was ended; ", cut, " orders at sound runners were cut"));
+    }
+    return stage.end(review::Verdict::Held, absl::StrCat("most ", peakKb, " KB of ", MEMORY_KB, " KB, ", cut, " orders cut"));
+}
