--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,4 +1,4 @@
-#include "stage.h"
+#include "orders.h"
 
 #include <absl/strings/str_cat.h>
 #include <boost/asio/ip/tcp.hpp>
@@ -25,8 +25,6 @@
 constexpr double LINK_BYTES_PER_SECOND = 0.9 * 1e9 / 8;
 constexpr absl::Duration ORDER_TIME = absl::Milliseconds(120);
 constexpr int BOOKINGS = 3;
-/** A client that is refused comes again after this. */
-constexpr absl::Duration REFUSED_WAIT = absl::Milliseconds(300);
 constexpr absl::Duration WRITE_PERIOD = absl::Milliseconds(5);
 /** Of cut orders that the rule bears. */
 constexpr int BORNE_CUTS = 3;
@@ -147,63 +145,6 @@
     return 0;
 }
 
-/** Sends one order after the other on each kept connection. */
-class Orders
-{
-public:
-    Orders(review::Stage &stage, const review::Gateway &gateway)
-        : m_stage(stage),
-          m_gateway(gateway),
-          m_connections(CHANNELS),
-          m_last(CHANNELS)
-    {
-    }
-
-    void sendNext()
-    {
-        for (std::size_t channel = 0; channel < m_connections.size(); ++channel) {
-            const soak::RequestSeen *last = m_last[channel].empty() ? nullptr : m_stage.request(m_last[channel]);
-            if (last != nullptr && (last->endedAt == absl::InfiniteFuture() || !last->isComplete)) {
-                continue;
-            }
-            if (last != nullptr && last->status != 200 && m_stage.loop().timers().now() - last->endedAt < REFUSED_WAIT) {
-                continue;
-            }
-            soak::RequestSeen order;
-            order.attempt = absl::StrCat("order-", ++m_count);
-            order.path = standins::UsersManifest::RESERVE + order.attempt;
-            order.body = "reserve";
-            order.key = "k-bar";
-            order.timeLimit = absl::Seconds(4);
-            m_isKept[order.attempt] = !m_connections[channel].empty();
-            m_last[channel] = order.attempt;
-            m_stage.send(m_gateway, order, m_connections[channel]);
-        }
-    }
-
-    /** Orders that ran, came on a kept connection and ended with it, without an answer. */
-    int cutCount() const
-    {
-        int cut = 0;
-        for (const soak::RequestSeen &request : m_stage.requests()) {
-            const auto kept = m_isKept.find(request.attempt);
-            const bool hasRun = std::any_of(m_stage.runs().begin(), m_stage.runs().end(),
-                [&](const standins::RunSeen *run) { return soak::headerOf(*run, "Attempt-Id") == request.attempt; });
-            const bool isCut = request.endedAt != absl::InfiniteFuture() && !request.isComplete && !request.isOutOfTime;
-            cut += kept != m_isKept.end() && kept->second && hasRun && isCut ? 1 : 0;
-        }
-        return cut;
-    }
-
-private:
-    review::Stage &m_stage;
-    const review::Gateway &m_gateway;
-    std::vector<soak::KeptConnections> m_connections;
-    std::vector<std::string> m_last;
-    std::map<std::string, bool> m_isKept;
-    int m_count = 0;
-};
-
 } // namespace
 
 int main()
@@ -237,7 +178,7 @@
     }
     stage.run(absl::Seconds(6));
 
-    Orders orders(stage, north);
+    review::Orders orders(stage, north, CHANNELS);
     std::int64_t peakKb = 0;
     bool isKilled = false;
     const absl::Time startedAt = stage.loop().timers().now();
