--- a/review/support/stage.cpp
+++ b/review/support/stage.cpp
@@ -135,6 +135,7 @@
         gateway.process = -1;
     }
     posix_spawn_file_actions_destroy(&actions);
+    std::ofstream(m_folder + "/pids", std::ios::app) << gateway.process << std::endl;
     note(absl::StrCat("start    ", gateway.name));
 }
 
