--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -21,7 +21,7 @@
 constexpr int STREAMS = 2;
 constexpr int EVENTS = 6;
 /** Memory of a machine and speed of its link, as the sheet says; the link is used to nine tenths. */
-constexpr std::int64_t MEMORY_KB = 260'000'000 / 1024;
+constexpr std::int64_t MEMORY_KB = 260 * 1024;
 constexpr double LINK_BYTES_PER_SECOND = 0.9 * 1e9 / 8;
 constexpr absl::Duration ORDER_TIME = absl::Milliseconds(120);
 constexpr int BOOKINGS = 3;
