MIXED: name the process that forwarded a request, not only its instance

Cause: run numbers begin at 1 in each process and were the only name of a forwarded request. The instance that runs a request that may run once keeps it 6 s after the link was lost, under the origin's identifier and that number, and sent its answer to whichever process of the origin was linked.

Ruled out: messages of the earlier link (they are dropped with it), a mixed-up connection of the client.

Change: greeting and announcement state a random number of the process beside its start time. Both together name the process; they are compared for equality only. ForwardReceiver names a request by instance, process and number, sends to that process only, and ends what an earlier process had forwarded when the next one greets. Run numbers belong to a gateway object now, so that a test can hold two processes whose numbers meet; the engine fleet of the tests, which relied on one numbering, gives each process a range.

Conclusion: a number that is unique in one process is no name beyond it. A restarted instance's rollout evidence is still told by fewer answers: suspected, not tried.

--- a/include/snipeferry/gateway/fleetview.h
+++ b/include/snipeferry/gateway/fleetview.h
@@ -52,6 +52,9 @@
     void linkUp(const Member &peer);
     void linkDown(const core::InstanceId &id);
 
+    /** @brief The process at the other end of the link to an instance; empty without a link. */
+    ProcessId linkedProcess(const core::InstanceId &id) const;
+
     /**
      * @brief Processes a pulse.
      * @return the earliest time, on this instance's clock, at which the sender can have sent the pulse; InfinitePast if that is unknown
@@ -141,6 +144,8 @@
         bool isAnnounced = false;
         absl::Time announcedAt = absl::InfinitePast();
         bool isLinked = false;
+        /** The process that the link's greeting came from. The announcement may be of an earlier or a later one. */
+        ProcessId linkedProcess;
         /** Whether the last pulse said that the instance accepts callers. */
         bool isReady = false;
         /** Time of the last pulse, or of the link's start. */
--- a/include/snipeferry/gateway/forwardreceiver.h
+++ b/include/snipeferry/gateway/forwardreceiver.h
@@ -6,6 +6,7 @@
 #include "snipeferry/gateway/ports.h"
 #include "snipeferry/gateway/promptquarantine.h"
 #include "snipeferry/gateway/rolloutguard.h"
+#include "snipeferry/gateway/runnumbers.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -24,12 +25,14 @@
 {
 public:
     ForwardReceiver(core::TimerService &timers, BackendTable &backends, FleetView &fleet, RolloutGuard &rollouts, PromptQuarantine &quarantine,
-        const HeaderCodec &headers, RunTransport &runs, FleetLinks &links, Journal &journal);
+        const HeaderCodec &headers, RunNumbers &runNumbers, RunTransport &runs, FleetLinks &links, Journal &journal);
 
     void handle(const core::InstanceId &from, const ForwardRequest &message);
     void handle(const core::InstanceId &from, const ForwardCancel &message);
     void handle(const core::InstanceId &from, const ForwardFlow &message);
     void handle(const core::InstanceId &from, const ForwardResume &message);
+    /** @brief Ends what earlier processes of an instance have forwarded: nobody waits for it, and the numbers of its runs are given out again. */
+    void linkUp(const core::InstanceId &peer);
     void linkDown(const core::InstanceId &peer);
 
     /** @brief Starts the shutdown. From now on only requests are run that end before the stop, and after a short time none. */
@@ -54,21 +57,28 @@
         std::size_t bytes = 0;
     };
 
+    /** The name of a forwarded request at its origin, whose numbers are unique in one process only. */
+    struct Origin
+    {
+        /** Instance that forwarded the request. */
+        core::InstanceId instance;
+        ProcessId process;
+        Number number = 0;
+
+        SNIPEFERRY_COMPARED_BY(Origin, instance, process, number)
+    };
+
     /** A run that has ended. Its last messages may be lost with a link whose loss is noticed later. */
     struct EndedRun
     {
-        core::InstanceId origin;
-        Number originNumber = 0;
+        Origin origin;
         absl::Time endedAt;
         SentAnswer sent;
     };
 
     struct ForwardedRun
     {
-        /** Instance that forwarded the request. */
-        core::InstanceId origin;
-        /** The origin's number for the request. */
-        Number originNumber = 0;
+        Origin origin;
         core::RequestId request;
         core::BackendServerId server;
         core::ServiceId service;
@@ -104,9 +114,17 @@
         SentAnswer sent;
     };
 
-    void refuse(const core::InstanceId &to, Number number, const core::RequestId &request, const std::string &reason);
+    /** The origin of a request that an instance names by its number. */
+    Origin originOf(const core::InstanceId &instance, Number number) const;
+    /** Number of the run of a forwarded request; 0 if there is none. */
+    Number findRun(const Origin &origin) const;
+    /** Sends a message to the process that forwarded a request; false without a link to it. */
+    bool sendTo(const Origin &origin, const FleetMessage &message);
+    void refuse(const Origin &origin, const core::RequestId &request, const std::string &reason);
     /** Sends the part of an answer that the origin has not received. */
-    void resend(const core::InstanceId &origin, const ForwardResume &request, const SentAnswer &sent);
+    void resend(const Origin &origin, const ForwardResume &request, const SentAnswer &sent);
+    /** Ends a run for which nobody waits any more. */
+    void drop(Number run, const std::string &reason);
     /** Ends a run whose answer cannot be passed on, and tells the origin. */
     void breakOff(Number run, RunEnd end, const std::string &reason);
     /** Removes a run and updates the statistics of its backend server and rollout. */
@@ -126,6 +144,7 @@
     RolloutGuard &m_rollouts;
     PromptQuarantine &m_quarantine;
     const HeaderCodec &m_headers;
+    RunNumbers &m_runNumbers;
     RunTransport &m_runs;
     FleetLinks &m_links;
     Journal &m_journal;
--- a/include/snipeferry/gateway/gateway.h
+++ b/include/snipeferry/gateway/gateway.h
@@ -20,6 +20,8 @@
 {
     Member self;
     FlowSettings flow;
+    /** Number of the first run of this process. */
+    Number firstRunNumber = 1;
     RepeatBudgetSettings repeats;
     AllowanceSettings allowances;
     RolloutSettings rollouts;
@@ -277,6 +279,7 @@
     RolloutGuard m_rollouts;
     PromptQuarantine m_quarantine;
     std::mt19937_64 m_random;
+    RunNumbers m_runNumbers;
     RequestFlow m_requestFlow;
     ForwardReceiver m_forwardReceiver;
     std::shared_ptr<const RouteTable> m_routes;
--- a/include/snipeferry/gateway/model.h
+++ b/include/snipeferry/gateway/model.h
@@ -160,6 +160,16 @@
     SNIPEFERRY_VALUE(RolloutOrder, service, target, timeLimit)
 };
 
+/** Tells the processes of one instance apart. Not ordered: the clock of a later process may be behind. */
+struct ProcessId
+{
+    core::Incarnation incarnation = 0;
+    /** Random number of the process; 0 from earlier builds, which state none. */
+    std::uint64_t bootId = 0;
+
+    SNIPEFERRY_VALUE(ProcessId, incarnation, bootId)
+};
+
 /** Another instance of the fleet. */
 struct Member
 {
@@ -173,10 +183,18 @@
     std::string peerAddress;
     /** Share of a processor core that the instance has. 0 if it does not state it: it runs an earlier build, which knows no relays. */
     double capacity = 0;
+    /** Random number of the process; 0 from earlier builds. */
+    std::uint64_t bootId = 0;
+
+    /** @brief The instance's process that the record describes. */
+    ProcessId process() const
+    {
+        return {incarnation, bootId};
+    }
 
     auto tied() const
     {
-        return std::tie(id, incarnation, dataCentre, region, callerAddress, peerAddress, capacity);
+        return std::tie(id, incarnation, dataCentre, region, callerAddress, peerAddress, capacity, bootId);
     }
     friend bool operator==(const Member &left, const Member &right)
     {
@@ -195,6 +213,9 @@
         if (member.capacity > 0) {
             json["capacity"] = member.capacity;
         }
+        if (member.bootId > 0) {
+            json["bootId"] = member.bootId;
+        }
     }
     template<typename BasicJson>
     friend void from_json(const BasicJson &json, Member &member)
@@ -206,6 +227,7 @@
         json.at("callerAddress").get_to(member.callerAddress);
         json.at("peerAddress").get_to(member.peerAddress);
         member.capacity = json.value("capacity", 0.0);
+        member.bootId = json.value("bootId", std::uint64_t{0});
     }
 };
 
--- a/include/snipeferry/gateway/requestflow.h
+++ b/include/snipeferry/gateway/requestflow.h
@@ -11,6 +11,7 @@
 #include "snipeferry/gateway/repeatbudget.h"
 #include "snipeferry/gateway/rolloutguard.h"
 #include "snipeferry/gateway/routetable.h"
+#include "snipeferry/gateway/runnumbers.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -47,6 +48,7 @@
     RolloutGuard &rollouts;
     PromptQuarantine &quarantine;
     const HeaderCodec &headers;
+    RunNumbers &runNumbers;
     RunTransport &runs;
     FleetLinks &links;
     Journal &journal;
@@ -283,7 +285,4 @@
     core::Subscription m_sweepTimer;
 };
 
-/** @brief Returns a run number that is unique in this process. */
-Number nextRunNumber();
-
 } // namespace snipeferry::gateway
--- a/source/gateway/fleetview.cpp
+++ b/source/gateway/fleetview.cpp
@@ -72,6 +72,7 @@
     Peer &peer = m_peers[member.id];
     peer.member = member;
     peer.isLinked = true;
+    peer.linkedProcess = member.process();
     peer.lastHeardAt = m_timers.now();
     peer.lastSentAt = 0;
 }
@@ -83,6 +84,7 @@
         return;
     }
     it->second.isLinked = false;
+    it->second.linkedProcess = ProcessId();
     it->second.isReady = false;
     it->second.rooms.clear();
     if (!it->second.isAnnounced) {
@@ -90,6 +92,12 @@
     }
 }
 
+ProcessId FleetView::linkedProcess(const core::InstanceId &id) const
+{
+    const auto it = m_peers.find(id);
+    return it == m_peers.end() ? ProcessId() : it->second.linkedProcess;
+}
+
 absl::Time FleetView::receive(const core::InstanceId &from, const Pulse &pulse)
 {
     const auto it = m_peers.find(from);
--- a/source/gateway/forwardreceiver.cpp
+++ b/source/gateway/forwardreceiver.cpp
@@ -36,13 +36,14 @@
 } // namespace
 
 ForwardReceiver::ForwardReceiver(core::TimerService &timers, BackendTable &backends, FleetView &fleet, RolloutGuard &rollouts, PromptQuarantine &quarantine,
-    const HeaderCodec &headers, RunTransport &runs, FleetLinks &links, Journal &journal)
+    const HeaderCodec &headers, RunNumbers &runNumbers, RunTransport &runs, FleetLinks &links, Journal &journal)
     : m_timers(timers),
       m_backends(backends),
       m_fleet(fleet),
       m_rollouts(rollouts),
       m_quarantine(quarantine),
       m_headers(headers),
+      m_runNumbers(runNumbers),
       m_runs(runs),
       m_links(links),
       m_journal(journal),
@@ -55,34 +56,50 @@
     return m_forwardedRuns.size();
 }
 
-void ForwardReceiver::refuse(const core::InstanceId &to, Number number, const core::RequestId &request, const std::string &reason)
+ForwardReceiver::Origin ForwardReceiver::originOf(const core::InstanceId &instance, Number number) const
 {
-    m_journal.log(core::LogEvent{"forward_refused", {}}.with("request", request.value()).with("from", to.value()).with("reason", reason));
-    m_links.send(to, ForwardFailed{number, false, reason});
+    return {instance, m_fleet.linkedProcess(instance), number};
+}
+
+Number ForwardReceiver::findRun(const Origin &origin) const
+{
+    const auto it = std::find_if(m_forwardedRuns.begin(), m_forwardedRuns.end(), [&origin](const auto &entry) { return entry.second.origin == origin; });
+    return it == m_forwardedRuns.end() ? 0 : it->first;
+}
+
+bool ForwardReceiver::sendTo(const Origin &origin, const FleetMessage &message)
+{
+    return m_fleet.linkedProcess(origin.instance) == origin.process && m_links.send(origin.instance, message);
+}
+
+void ForwardReceiver::refuse(const Origin &origin, const core::RequestId &request, const std::string &reason)
+{
+    m_journal.log(core::LogEvent{"forward_refused", {}}.with("request", request.value()).with("from", origin.instance.value()).with("reason", reason));
+    sendTo(origin, ForwardFailed{origin.number, false, reason});
 }
 
 void ForwardReceiver::handle(const core::InstanceId &from, const ForwardRequest &message)
 {
+    const Origin origin = originOf(from, message.number);
     // The region that would run the request checks itself that it is permitted.
     if (!isHomeRegion(message.homeRegions, m_fleet.self().region)) {
-        refuse(from, message.number, message.request.id, "region_not_allowed");
+        refuse(origin, message.request.id, "region_not_allowed");
         return;
     }
     if (message.timeLeft <= RETURN_TIME) {
-        refuse(from, message.number, message.request.id, "too_late");
+        refuse(origin, message.request.id, "too_late");
         return;
     }
     const absl::Time now = m_timers.now();
     if (now >= m_refuseNewFrom || now + message.timeLeft > m_stopAt) {
-        refuse(from, message.number, message.request.id, core::errorAnswer(core::ErrorKind::InstanceDraining).name);
+        refuse(origin, message.request.id, core::errorAnswer(core::ErrorKind::InstanceDraining).name);
         return;
     }
     const RunContent content(message.request.promptParts, message.request.fingerprint);
     const QuarantinedPart *quarantined = m_quarantine.find(message.service, content);
     if (quarantined != nullptr) {
         const bool isRequest = isRequestFingerprint(quarantined->key.part);
-        refuse(from, message.number, message.request.id,
-            core::errorAnswer(isRequest ? core::ErrorKind::RequestQuarantined : core::ErrorKind::PromptQuarantined).name);
+        refuse(origin, message.request.id, core::errorAnswer(isRequest ? core::ErrorKind::RequestQuarantined : core::ErrorKind::PromptQuarantined).name);
         return;
     }
     ServerQuery query;
@@ -99,14 +116,13 @@
     query.promptParts = message.request.promptParts;
     const core::Expected<ServerChoice> choice = m_backends.choose(query);
     if (!choice) {
-        refuse(from, message.number, message.request.id, core::errorAnswer(choice.error().kind).name);
+        refuse(origin, message.request.id, core::errorAnswer(choice.error().kind).name);
         return;
     }
 
-    const Number run = nextRunNumber();
+    const Number run = m_runNumbers.next();
     ForwardedRun forwardedRun;
-    forwardedRun.origin = from;
-    forwardedRun.originNumber = message.number;
+    forwardedRun.origin = origin;
     forwardedRun.request = message.request.id;
     forwardedRun.server = choice->server;
     forwardedRun.service = message.service;
@@ -175,63 +191,65 @@
 
 void ForwardReceiver::handle(const core::InstanceId &from, const ForwardCancel &message)
 {
-    for (const auto &entry : m_forwardedRuns) {
-        if (entry.second.origin == from && entry.second.originNumber == message.number) {
-            const Number run = entry.first;
-            m_journal.log(core::LogEvent{"forward_cancelled", {}}
-                              .with("request", entry.second.request.value())
-                              .with("from", from.value())
-                              .with("server", entry.second.server.value())
-                              .with("progress", answerProgressName(entry.second.progress))
-                              .with("ran_ms", absl::StrCat(absl::ToInt64Milliseconds(m_timers.now() - entry.second.startedAt))));
-            m_runs.cancel(run);
-            end(run, RunEnd::Cancelled);
-            return;
-        }
+    const Number run = findRun(originOf(from, message.number));
+    if (run != 0) {
+        drop(run, "cancelled");
     }
 }
 
+void ForwardReceiver::drop(Number run, const std::string &reason)
+{
+    const ForwardedRun &forwardedRun = m_forwardedRuns.at(run);
+    m_journal.log(core::LogEvent{"forward_cancelled", {}}
+                      .with("request", forwardedRun.request.value())
+                      .with("from", forwardedRun.origin.instance.value())
+                      .with("server", forwardedRun.server.value())
+                      .with("reason", reason)
+                      .with("progress", answerProgressName(forwardedRun.progress))
+                      .with("ran_ms", absl::StrCat(absl::ToInt64Milliseconds(m_timers.now() - forwardedRun.startedAt))));
+    m_runs.cancel(run);
+    end(run, RunEnd::Cancelled);
+}
+
 void ForwardReceiver::handle(const core::InstanceId &from, const ForwardFlow &message)
 {
-    for (const auto &entry : m_forwardedRuns) {
-        if (entry.second.origin == from && entry.second.originNumber == message.number) {
-            m_runs.setPaused(entry.first, message.isPaused);
-            return;
-        }
+    const Number run = findRun(originOf(from, message.number));
+    if (run != 0) {
+        m_runs.setPaused(run, message.isPaused);
     }
 }
 
 void ForwardReceiver::handle(const core::InstanceId &from, const ForwardResume &message)
 {
-    for (auto &entry : m_forwardedRuns) {
-        ForwardedRun &forwardedRun = entry.second;
-        if (forwardedRun.origin == from && forwardedRun.originNumber == message.number) {
-            forwardedRun.linkLostAt = absl::InfiniteFuture();
-            if (forwardedRun.sent.isKept) {
-                resend(from, message, forwardedRun.sent);
-            } else {
-                breakOff(entry.first, RunEnd::Cancelled, "answer_not_kept");
-            }
-            return;
+    const Origin origin = originOf(from, message.number);
+    const Number run = findRun(origin);
+    if (run != 0) {
+        ForwardedRun &forwardedRun = m_forwardedRuns.at(run);
+        forwardedRun.linkLostAt = absl::InfiniteFuture();
+        if (forwardedRun.sent.isKept) {
+            resend(origin, message, forwardedRun.sent);
+        } else {
+            breakOff(run, RunEnd::Cancelled, "answer_not_kept");
         }
+        return;
     }
     for (const EndedRun &ended : m_endedRuns) {
-        if (ended.origin == from && ended.originNumber == message.number) {
-            resend(from, message, ended.sent);
-            m_links.send(from, ForwardEnd{message.number, ended.sent.pieces.size()});
+        if (ended.origin == origin) {
+            resend(origin, message, ended.sent);
+            sendTo(origin, ForwardEnd{message.number, ended.sent.pieces.size()});
             return;
         }
     }
-    m_links.send(from, ForwardFailed{message.number, true, "unknown_after_link_loss"});
+    sendTo(origin, ForwardFailed{message.number, true, "unknown_after_link_loss"});
 }
 
-void ForwardReceiver::resend(const core::InstanceId &origin, const ForwardResume &request, const SentAnswer &sent)
+void ForwardReceiver::resend(const Origin &origin, const ForwardResume &request, const SentAnswer &sent)
 {
     if (sent.hasHead && !request.hasHead) {
-        m_links.send(origin, ForwardHead{request.number, sent.head});
+        sendTo(origin, ForwardHead{request.number, sent.head});
     }
     for (std::uint64_t piece = request.receivedPieces; piece < sent.pieces.size(); ++piece) {
-        m_links.send(origin, ForwardData{request.number, piece, sent.pieces[piece]});
+        sendTo(origin, ForwardData{request.number, piece, sent.pieces[piece]});
     }
 }
 
@@ -248,7 +266,26 @@
                       .with("progress", answerProgressName(forwardedRun.progress))
                       .with("shared_parts", describeSharedParts(forwardedRun.promptParts))
                       .with("fingerprint", forwardedRun.fingerprint));
-    m_links.send(forwardedRun.origin, ForwardFailed{forwardedRun.originNumber, true, reason});
+    sendTo(forwardedRun.origin, ForwardFailed{forwardedRun.origin.number, true, reason});
+}
+
+void ForwardReceiver::linkUp(const core::InstanceId &peer)
+{
+    const ProcessId process = m_fleet.linkedProcess(peer);
+    const auto isOfEarlierProcess = [&peer, &process](const Origin &origin) {
+        return origin.instance == peer && origin.process != process;
+    };
+    m_endedRuns.erase(
+        std::remove_if(m_endedRuns.begin(), m_endedRuns.end(), [&](const EndedRun &ended) { return isOfEarlierProcess(ended.origin); }), m_endedRuns.end());
+    std::vector<Number> orphanedRuns;
+    for (const auto &entry : m_forwardedRuns) {
+        if (isOfEarlierProcess(entry.second.origin)) {
+            orphanedRuns.push_back(entry.first);
+        }
+    }
+    for (const Number run : orphanedRuns) {
+        drop(run, "origin_restarted");
+    }
 }
 
 void ForwardReceiver::linkDown(const core::InstanceId &peer)
@@ -256,7 +293,7 @@
     // The origin repeats what it may elsewhere. Other runs go on for a while, because the origin may only be silent.
     std::vector<Number> orphanedRuns;
     for (auto &entry : m_forwardedRuns) {
-        if (entry.second.origin != peer) {
+        if (entry.second.origin.instance != peer) {
             continue;
         }
         if (entry.second.sent.isKept) {
@@ -299,14 +336,14 @@
         const ForwardedRun forwardedRun = it->second;
         m_runs.cancel(run);
         end(run, RunEnd::Refused);
-        refuse(forwardedRun.origin, forwardedRun.originNumber, forwardedRun.request, "refused_by_server");
+        refuse(forwardedRun.origin, forwardedRun.request, "refused_by_server");
         return;
     }
     it->second.progress = AnswerProgress::Begun;
     it->second.status = head.status;
     it->second.sent.hasHead = true;
     it->second.sent.head = head;
-    m_links.send(it->second.origin, ForwardHead{it->second.originNumber, head});
+    sendTo(it->second.origin, ForwardHead{it->second.origin.number, head});
 }
 
 void ForwardReceiver::runData(Number run, const std::string &data)
@@ -330,7 +367,7 @@
         sent.isKept = false;
         sent.pieces = {};
     }
-    const bool isSent = m_links.send(forwardedRun.origin, ForwardData{forwardedRun.originNumber, forwardedRun.sentPieces++, data});
+    const bool isSent = sendTo(forwardedRun.origin, ForwardData{forwardedRun.origin.number, forwardedRun.sentPieces++, data});
     if (!isSent && !(sent.isKept && forwardedRun.linkLostAt != absl::InfiniteFuture())) {
         breakOff(run, RunEnd::Cancelled, "link_full");
     }
@@ -356,9 +393,9 @@
         m_quarantine.addEndedRun(*server, it->second.content, it->second.startedAt, answerEnd);
     }
     noteFirstData(it->second);
-    m_links.send(it->second.origin, ForwardEnd{it->second.originNumber, it->second.sentPieces});
+    sendTo(it->second.origin, ForwardEnd{it->second.origin.number, it->second.sentPieces});
     if (it->second.sent.isKept) {
-        m_endedRuns.push_back({it->second.origin, it->second.originNumber, m_timers.now(), std::move(it->second.sent)});
+        m_endedRuns.push_back({it->second.origin, m_timers.now(), std::move(it->second.sent)});
     }
     end(run, it->second.status >= MIN_SERVER_ERROR_STATUS ? RunEnd::ServerError : RunEnd::Success);
 }
@@ -388,7 +425,7 @@
                       .with("progress", answerProgressName(forwardedRun.progress))
                       .with("shared_parts", describeSharedParts(forwardedRun.promptParts))
                       .with("fingerprint", forwardedRun.fingerprint));
-    m_links.send(forwardedRun.origin, ForwardFailed{forwardedRun.originNumber, mayHaveRun, reason});
+    sendTo(forwardedRun.origin, ForwardFailed{forwardedRun.origin.number, mayHaveRun, reason});
 }
 
 void ForwardReceiver::sweep()
@@ -409,7 +446,7 @@
         const ForwardedRun forwardedRun = m_forwardedRuns.at(run);
         m_runs.cancel(run);
         end(run, RunEnd::Cancelled);
-        m_links.send(forwardedRun.origin, ForwardFailed{forwardedRun.originNumber, true, "too_late"});
+        sendTo(forwardedRun.origin, ForwardFailed{forwardedRun.origin.number, true, "too_late"});
     }
 }
 
--- a/source/gateway/gatewayfleet.cpp
+++ b/source/gateway/gatewayfleet.cpp
@@ -32,7 +32,10 @@
 {
     m_fleet.linkUp(peer);
     updateInstances();
-    m_ports.journal.log(core::LogEvent{"peer_linked", {}}.with("instance", peer.id.value()));
+    m_ports.journal.log(core::LogEvent{
+        "peer_linked", {}}.with("instance", peer.id.value())
+                            .with("incarnation", absl::StrCat(peer.incarnation))
+                            .with("boot", absl::StrCat(absl::Hex(peer.bootId))));
     m_ports.links.send(peer.id, addressPulse(buildPulse(m_fleet.isInOwnRegion(peer.id)), peer.id));
     const PromptEvidence evidence = m_quarantine.summary();
     if (!evidence.isEmpty()) {
@@ -42,6 +45,7 @@
     if (!limits.empty() && m_fleet.isInOwnRegion(peer.id)) {
         m_ports.links.send(peer.id, ServerLimitsNotice{limits});
     }
+    m_forwardReceiver.linkUp(peer.id);
     m_requestFlow.linkUp(peer.id);
 }
 
--- a/source/gateway/requestflow.cpp
+++ b/source/gateway/requestflow.cpp
@@ -30,12 +30,6 @@
 
 } // namespace
 
-Number nextRunNumber()
-{
-    static Number last = 0;
-    return ++last;
-}
-
 RequestFlow::RequestFlow(FlowSettings settings, FlowDependencies dependencies)
     : m_settings(settings),
       m_dependencies(dependencies),
--- a/source/gateway/requestplacement.cpp
+++ b/source/gateway/requestplacement.cpp
@@ -143,7 +143,7 @@
 void RequestFlow::startLocally(OpenRequest &open, const ServerChoice &choice)
 {
     const absl::Time now = m_dependencies.timers.now();
-    open.run = nextRunNumber();
+    open.run = m_dependencies.runNumbers.next();
     open.server = choice.server;
     open.instance = core::InstanceId();
     open.unreadTokens = choice.unreadTokens;
@@ -184,7 +184,7 @@
 void RequestFlow::startForwarded(OpenRequest &open, const RemoteChoice &choice, const VersionChoice &versions)
 {
     const absl::Time now = m_dependencies.timers.now();
-    open.run = nextRunNumber();
+    open.run = m_dependencies.runNumbers.next();
     open.server = core::BackendServerId();
     open.instance = choice.instance;
     open.runStartedAt = now;
--- a/source/net/gatewayprocess.cpp
+++ b/source/net/gatewayprocess.cpp
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <random>
 
 namespace snipeferry::net {
 
@@ -91,9 +92,17 @@
     return settings;
 }
 
-gateway::Member withIncarnation(gateway::Member member, core::TimerService &timers)
+std::uint64_t randomNumber()
+{
+    std::random_device device;
+    return std::uniform_int_distribution<std::uint64_t>(1)(device);
+}
+
+/** Names this process. The time alone does not: clocks are set back, and two starts may fall into one millisecond. */
+gateway::Member nameProcess(gateway::Member member, core::TimerService &timers)
 {
     member.incarnation = static_cast<core::Incarnation>(absl::ToUnixMillis(timers.wallNow()));
+    member.bootId = randomNumber();
     return member;
 }
 
@@ -116,7 +125,7 @@
           }),
       m_signals(m_loop.context(), SIGTERM, SIGINT, SIGHUP)
 {
-    m_settings.gateway.self = withIncarnation(m_settings.gateway.self, m_loop.timers());
+    m_settings.gateway.self = nameProcess(m_settings.gateway.self, m_loop.timers());
     m_settings.gateway.flow.seed = m_settings.gateway.self.incarnation;
     const gateway::Member &self = m_settings.gateway.self;
     LinkEvents events;
@@ -166,6 +175,7 @@
     m_journal.log(core::LogEvent{
         "started", {}}.with("instance", self.id.value())
                       .with("incarnation", absl::StrCat(self.incarnation))
+                      .with("boot", absl::StrCat(absl::Hex(self.bootId)))
                       .with("data_centre", self.dataCentre.value())
                       .with("callers", self.callerAddress)
                       .with("peers", self.peerAddress)
--- a/source/net/peerlinks.cpp
+++ b/source/net/peerlinks.cpp
@@ -246,6 +246,7 @@
                           .with("request", request.request.id.value())
                           .with("from", from.value())
                           .with("server", "")
+                          .with("reason", "cancelled")
                           .with("progress", gateway::answerProgressName(gateway::AnswerProgress::NotBegun))
                           .with("ran_ms", "0"));
         m_heldRequests.erase(held);
--- a/tests/gateway/enginefleet.cpp
+++ b/tests/gateway/enginefleet.cpp
@@ -285,6 +285,8 @@
         settings.regions[engine->server.dataCentre] = core::RegionId(regionName(engine->region));
     }
     settings.flow.seed = m_random();
+    // The engines tell the runs of all instances apart by their numbers.
+    settings.firstRunNumber = (static_cast<gateway::Number>(++m_startCount) << 32U) + 1;
     instance.gateway = std::make_unique<gateway::Gateway>(
         settings, gateway::GatewayPorts{instance.clock, m_headers, m_records, instance.runs, instance.links, instance.journal});
     instance.gateway->recordToStore().subscribe([this, &instance](const gateway::RecordToStore &task) {
--- a/tests/gateway/enginefleet.h
+++ b/tests/gateway/enginefleet.h
@@ -179,6 +179,8 @@
     FakeHeaders m_headers;
     FakeRecords m_records;
     std::mt19937_64 m_random;
+    /** Processes that were started. */
+    int m_startCount = 0;
     std::vector<std::unique_ptr<Instance>> m_instances;
     std::vector<std::unique_ptr<Engine>> m_engines;
     std::multimap<absl::Time, std::function<void()>> m_events;
