LOST: bound what waits for the rest of a chunk's head or a trailer

Cause: the library's parser asks for more until a whole chunk head or trailer is there, its limits bind heads and bodies only, and the read buffers had no bound.

Ruled out: a bound that is reached too late (none was logged), reading that goes on behind a close.

Past a bound the run ends as a broken answer that may have run, and run_failed says which bound, server and request.

Conclusion: the growth is bounded at both ends of the gateway.

--- a/include/snipeferry/gateway/ports.h
+++ b/include/snipeferry/gateway/ports.h
@@ -65,6 +65,10 @@
 /** The connection ended before the head of the answer, or within its body. */
 constexpr const char *REASON_NO_ANSWER = "no_answer";
 constexpr const char *REASON_ANSWER_BROKEN_OFF = "answer_broken_off";
+/** Bytes that are no whole part of an answer were more than a bound: in the head, in the head of a chunk or a trailer, or on all connections together. */
+constexpr const char *REASON_HEAD_TOO_LARGE = "head_too_large";
+constexpr const char *REASON_CHUNK_HEAD_TOO_LARGE = "chunk_head_too_large";
+constexpr const char *REASON_READ_MEMORY_FULL = "read_memory_full";
 /** The connection has gone silent, which says nothing about the backend server. */
 constexpr const char *REASON_CONNECTION_SILENT = "connection_silent";
 
--- a/include/snipeferry/net/backendpool.h
+++ b/include/snipeferry/net/backendpool.h
@@ -2,6 +2,7 @@
 
 #include "snipeferry/gateway/ports.h"
 #include "snipeferry/net/eventloop.h"
+#include "snipeferry/net/readmemory.h"
 
 #include <functional>
 #include <memory>
@@ -19,6 +20,8 @@
     /** Longest idle time of a connection that takes a request which must not be repeated. */
     absl::Duration maxIdleUnrepeatable = absl::Seconds(1);
     int maxConnectionsPerServer = 100;
+    /** Shared by all connections of the process; null: no bound. */
+    std::shared_ptr<ReadMemory> readMemory;
     /** Without it each run has a connection of its own, which is closed behind its answer. */
     bool reusesConnections = true;
     /** Whether each answer names its request. On a connection that served another request before, an answer that names none is then no answer. */
--- a/include/snipeferry/net/gatewayprocess.h
+++ b/include/snipeferry/net/gatewayprocess.h
@@ -51,6 +51,7 @@
     Adapter m_adapter;
     EventLoop m_loop;
     StdoutJournal m_journal;
+    std::shared_ptr<ReadMemory> m_readMemory;
     BackendPool m_pool;
     std::unique_ptr<PeerLinks> m_links;
     std::unique_ptr<gateway::Gateway> m_gateway;
--- a/include/snipeferry/net/httpserver.h
+++ b/include/snipeferry/net/httpserver.h
@@ -4,6 +4,7 @@
 #include "snipeferry/gateway/message.h"
 #include "snipeferry/gateway/model.h"
 #include "snipeferry/net/eventloop.h"
+#include "snipeferry/net/readmemory.h"
 
 #include <functional>
 #include <limits>
@@ -47,6 +48,8 @@
     /** Open connections; beyond them the one that has been idle for longest gives way, or the new one is refused. */
     std::size_t maxConnections = NO_BOUND;
     std::size_t maxTargetBytes = NO_BOUND;
+    /** Bytes of unfinished heads and trailers, shared by all connections of the process; null: no bound. */
+    std::shared_ptr<ReadMemory> readMemory;
     /** Bodies of all open requests together, until their answers are complete. */
     std::size_t maxBufferedBytes = NO_BOUND;
     /** Bytes of an answer that wait for a slow client; beyond them it is cut off. */
--- a/source/net/backendpool.cpp
+++ b/source/net/backendpool.cpp
@@ -1,6 +1,7 @@
 #include "snipeferry/net/backendpool.h"
 
 #include "httpbytes.h"
+#include "messagereader.h"
 #include "socketoptions.h"
 
 #include <absl/strings/match.h>
@@ -8,7 +9,6 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
@@ -21,12 +21,13 @@
 namespace {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = beast::http;
+namespace http = boost::beast::http;
 using Tcp = asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
 
 constexpr std::uint32_t MAX_ANSWER_HEADER_BYTES = 65536;
+/** Longest head of a chunk, and longest trailer. */
+constexpr std::size_t MAX_PART_BYTES = 16384;
 constexpr std::uint64_t MAX_ANSWER_BODY_BYTES = 256U << 20U;
 constexpr absl::Duration IDLE_CHECK_PERIOD = absl::Milliseconds(500);
 /** Part of a server's idle timeout for which a connection is used again. */
@@ -66,9 +67,15 @@
     core::Subscription idleTimer;
 };
 
-/** The reason for a failure of a connection that was ended, unless the connection has only gone silent. */
-const char *lossReason(ErrorCode error, const char *reasonIfEnded)
+/** Why an answer could not be read on; reasonIfEnded if the server has ended the connection. */
+const char *failureReason(ErrorCode error, ReadBound bound, const char *reasonIfEnded)
 {
+    if (error == http::error::header_limit) {
+        return gateway::REASON_HEAD_TOO_LARGE;
+    }
+    if (error == http::error::buffer_overflow) {
+        return bound == ReadBound::Part ? gateway::REASON_CHUNK_HEAD_TOO_LARGE : gateway::REASON_READ_MEMORY_FULL;
+    }
     const bool isSilent = error == asio::error::timed_out || error == asio::error::host_unreachable || error == asio::error::network_unreachable;
     return isSilent ? gateway::REASON_CONNECTION_SILENT : reasonIfEnded;
 }
@@ -81,7 +88,8 @@
         : m_pool(pool),
           m_loop(pool->loop),
           m_server(std::move(server)),
-          m_socket(pool->loop.context())
+          m_socket(pool->loop.context()),
+          m_reader(m_socket, pool->settings.readMemory)
     {
         ++pool->open[m_server];
     }
@@ -145,6 +153,7 @@
         }
         m_isClosed = true;
         m_timer.cancel();
+        m_reader.stop();
         ErrorCode ignored;
         m_socket.close(ignored);
         const std::shared_ptr<BackendPool::Impl> pool = m_pool.lock();
@@ -191,16 +200,16 @@
 
     void readHead()
     {
-        m_parser.emplace();
-        m_parser->header_limit(MAX_ANSWER_HEADER_BYTES);
-        m_parser->body_limit(MAX_ANSWER_BODY_BYTES);
-        m_parser->skip(m_isHead);
-        http::async_read_header(m_socket, m_buffer, *m_parser, [self = shared_from_this()](ErrorCode error, std::size_t /*bytes*/) {
+        MessageReader<false>::Parser &parser = m_reader.begin(MAX_PART_BYTES);
+        parser.header_limit(MAX_ANSWER_HEADER_BYTES);
+        parser.body_limit(MAX_ANSWER_BODY_BYTES);
+        parser.skip(m_isHead);
+        m_reader.readHead([self = shared_from_this()](ErrorCode error) {
             if (self->m_isClosed) {
                 return;
             }
             if (error) {
-                self->fail(true, lossReason(error, gateway::REASON_NO_ANSWER));
+                self->fail(true, failureReason(error, self->m_reader.bound(), gateway::REASON_NO_ANSWER));
                 return;
             }
             self->headRead();
@@ -214,7 +223,7 @@
             close();
             return;
         }
-        const auto &message = m_parser->get();
+        const http::response<http::string_body> &message = m_reader.parser().get();
         // An interim answer announces nothing.
         if (message.result_int() >= 100 && message.result_int() < 200) {
             if (++m_interims > MAX_INTERIM_ANSWERS) {
@@ -267,7 +276,7 @@
         if (!passBody()) {
             return;
         }
-        if (m_parser->is_done()) {
+        if (m_reader.parser().is_done()) {
             answerRead();
             return;
         }
@@ -275,14 +284,14 @@
             m_isReadingHeld = true;
             return;
         }
-        http::async_read_some(m_socket, m_buffer, *m_parser, [self = shared_from_this()](ErrorCode error, std::size_t /*bytes*/) {
+        m_reader.readSome([self = shared_from_this()](ErrorCode error) {
             if (self->m_isClosed) {
                 return;
             }
             if (error) {
                 // What came before the break is still the server's.
                 if (self->passBody()) {
-                    self->fail(true, lossReason(error, gateway::REASON_ANSWER_BROKEN_OFF));
+                    self->fail(true, failureReason(error, self->m_reader.bound(), gateway::REASON_ANSWER_BROKEN_OFF));
                 }
                 return;
             }
@@ -293,7 +302,7 @@
     /** Hands new bytes of the body over; false if the run ended by that. */
     bool passBody()
     {
-        std::string &body = m_parser->get().body();
+        std::string &body = m_reader.parser().get().body();
         if (body.empty()) {
             return true;
         }
@@ -326,10 +335,11 @@
         const std::shared_ptr<BackendPool::Impl> pool = m_pool.lock();
         const gateway::Number run = m_run;
         // Bytes behind the answer belong to no request, and a request that was not read whole would be read on later.
-        const gateway::AnswerEnd end = m_parser->need_eof() ? gateway::AnswerEnd::ConnectionClosed : gateway::AnswerEnd::Framed;
-        const bool isSpent = !m_parser->keep_alive() || m_parser->need_eof() || pool == nullptr || !pool->settings.reusesConnections;
-        const bool isReusable = !isSpent && m_isWritten && m_buffer.size() == 0;
-        m_parser.reset();
+        const MessageReader<false>::Parser &parser = m_reader.parser();
+        const gateway::AnswerEnd end = parser.need_eof() ? gateway::AnswerEnd::ConnectionClosed : gateway::AnswerEnd::Framed;
+        const bool isSpent = !parser.keep_alive() || parser.need_eof() || pool == nullptr || !pool->settings.reusesConnections;
+        const bool isReusable = !isSpent && m_isWritten && m_reader.bufferedBytes() == 0;
+        m_reader.endMessage();
         if (pool == nullptr) {
             close();
             return;
@@ -338,7 +348,7 @@
         m_run = 0;
         m_hasServedOthers = true;
         if (isReusable) {
-            m_buffer = beast::flat_buffer();
+            m_reader.clear();
             m_idleSince = m_loop.timers().now();
             pool->idle[m_server].push_back(shared_from_this());
             watchIdle();
@@ -378,8 +388,7 @@
     EventLoop &m_loop;
     core::BackendServerId m_server;
     Tcp::socket m_socket;
-    beast::flat_buffer m_buffer;
-    std::optional<http::response_parser<http::string_body>> m_parser;
+    MessageReader<false> m_reader;
     gateway::Number m_run = 0;
     core::RequestId m_request;
     std::string m_bytes;
--- a/source/net/gatewayprocess.cpp
+++ b/source/net/gatewayprocess.cpp
@@ -24,6 +24,8 @@
 constexpr double BYTES_PER_MB = 1e6;
 /** Fraction of the memory that the bodies of open requests may use. */
 constexpr double REQUEST_BODIES_FRACTION = 0.25;
+/** Fraction of the memory for unfinished heads, heads of chunks and trailers on all connections. */
+constexpr double READ_MEMORY_FRACTION = 1.0 / 16;
 constexpr int HTTP_OK = 200;
 constexpr int HTTP_NOT_FOUND = 404;
 constexpr int HTTP_UNAVAILABLE = 503;
@@ -85,9 +87,23 @@
     core::RequestId m_request;
 };
 
-HttpServerSettings callerServerSettings(const MachineSettings &machine)
+BackendPoolSettings withReadMemory(BackendPoolSettings settings, const std::shared_ptr<ReadMemory> &readMemory)
+{
+    settings.readMemory = readMemory;
+    return settings;
+}
+
+/** For each kind of server: what is read of a message that is not complete counts for all connections together. */
+HttpServerSettings serverSettings(const std::shared_ptr<ReadMemory> &readMemory)
 {
     HttpServerSettings settings;
+    settings.readMemory = readMemory;
+    return settings;
+}
+
+HttpServerSettings callerServerSettings(const MachineSettings &machine, const std::shared_ptr<ReadMemory> &readMemory)
+{
+    HttpServerSettings settings = serverSettings(readMemory);
     settings.maxBufferedBytes = static_cast<std::size_t>(machine.memoryMb * BYTES_PER_MB * REQUEST_BODIES_FRACTION);
     return settings;
 }
@@ -113,16 +129,24 @@
       m_settingsFile(std::move(settingsFile)),
       m_adapter(adapter),
       m_journal(m_loop, m_settings.journal, STDOUT_FILENO),
-      m_pool(m_loop, m_settings.backends, [this](const gateway::HttpHead &head) { return m_adapter.headers.decodeAnswer(head).request; }),
+      m_readMemory(std::make_shared<ReadMemory>(static_cast<std::size_t>(m_settings.machine.memoryMb * BYTES_PER_MB * READ_MEMORY_FRACTION))),
+      m_pool(m_loop, withReadMemory(m_settings.backends, m_readMemory),
+          [this](const gateway::HttpHead &head) { return m_adapter.headers.decodeAnswer(head).request; }),
       m_callers(
           m_loop, [this](gateway::HttpRequest request, const std::shared_ptr<HttpExchange> &exchange) { answerCaller(std::move(request), exchange); },
-          callerServerSettings(m_settings.machine)),
-      m_directory(m_loop, [this](const gateway::HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) { answerDirectory(request, *exchange); }),
-      m_readiness(m_loop, [this](const gateway::HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) { answerReadiness(request, *exchange); }),
-      m_metrics(m_loop,
+          callerServerSettings(m_settings.machine, m_readMemory)),
+      m_directory(
+          m_loop, [this](const gateway::HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) { answerDirectory(request, *exchange); },
+          serverSettings(m_readMemory)),
+      m_readiness(
+          m_loop, [this](const gateway::HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) { answerReadiness(request, *exchange); },
+          serverSettings(m_readMemory)),
+      m_metrics(
+          m_loop,
           [this](const gateway::HttpRequest & /*request*/, const std::shared_ptr<HttpExchange> &exchange) {
               exchange->answer({HTTP_OK, {{"Content-Type", "text/plain; version=0.0.4"}}}, m_journal.metricsPage(m_gateway->readings()));
-          }),
+          },
+          serverSettings(m_readMemory)),
       m_signals(m_loop.context(), SIGTERM, SIGINT, SIGHUP)
 {
     m_settings.gateway.self = nameProcess(m_settings.gateway.self, m_loop.timers());
--- a/source/net/httpconnection.cpp
+++ b/source/net/httpconnection.cpp
@@ -15,8 +15,7 @@
 namespace {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = beast::http;
+namespace http = boost::beast::http;
 using Tcp = asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
 
@@ -183,12 +182,12 @@
 {
     m_state = State::Idle;
     m_idleSince = m_loop.timers().now();
-    m_parser.reset();
-    if (m_buffer.size() > 0) {
+    m_reader.endMessage();
+    if (m_reader.bufferedBytes() > 0) {
         read();
         return;
     }
-    m_buffer = beast::flat_buffer();
+    m_reader.clear();
     m_timer = m_loop.timers().after(limits().idleTimeout, [self = shared_from_this()] { self->close(); });
     awaitReadable();
 }
@@ -238,11 +237,12 @@
 {
     m_state = State::Reading;
     const gateway::CallerLimits bounds = limits();
-    m_parser.emplace();
-    m_parser->header_limit(static_cast<std::uint32_t>(bounds.maxHeaderBytes));
-    m_parser->body_limit(static_cast<std::uint64_t>(bounds.maxBodyBytes));
+    // A trailer is held to the same limit as the header.
+    MessageReader<true>::Parser &parser = m_reader.begin(static_cast<std::size_t>(bounds.maxHeaderBytes));
+    parser.header_limit(static_cast<std::uint32_t>(bounds.maxHeaderBytes));
+    parser.body_limit(static_cast<std::uint64_t>(bounds.maxBodyBytes));
     m_timer = m_loop.timers().after(bounds.headerTimeout, [self = shared_from_this()] { self->tooSlow(); });
-    http::async_read_header(m_socket, m_buffer, *m_parser, [self = shared_from_this()](ErrorCode error, std::size_t /*bytes*/) { self->headerRead(error); });
+    m_reader.readHead([self = shared_from_this()](ErrorCode error) { self->headerRead(error); });
 }
 
 void Connection::headerRead(ErrorCode error)
@@ -254,19 +254,19 @@
         readFailed(error);
         return;
     }
-    if (isLengthAmbiguous(m_parser->get())) {
+    if (isLengthAmbiguous(m_reader.parser().get())) {
         refuse(Refused::AmbiguousLength);
         return;
     }
-    if (m_parser->get().target().size() > m_settings.maxTargetBytes) {
+    if (m_reader.parser().get().target().size() > m_settings.maxTargetBytes) {
         refuse(Refused::TargetTooLong);
         return;
     }
-    if (m_parser->is_done()) {
+    if (m_reader.parser().is_done()) {
         requestRead();
         return;
     }
-    if (absl::EqualsIgnoreCase(std::string(m_parser->get()[http::field::expect]), "100-continue")) {
+    if (absl::EqualsIgnoreCase(std::string(m_reader.parser().get()[http::field::expect]), "100-continue")) {
         m_unsent += continueBytes();
         write();
     }
@@ -276,7 +276,7 @@
 
 void Connection::readBody()
 {
-    http::async_read_some(m_socket, m_buffer, *m_parser, [self = shared_from_this()](ErrorCode error, std::size_t /*bytes*/) {
+    m_reader.readSome([self = shared_from_this()](ErrorCode error) {
         if (self->m_state != State::Reading) {
             return;
         }
@@ -284,7 +284,7 @@
             self->readFailed(error);
         } else if (!self->reserveBody()) {
             self->refuse(Refused::TooManyBytes);
-        } else if (self->m_parser->is_done()) {
+        } else if (self->m_reader.parser().is_done()) {
             self->requestRead();
         } else {
             self->readBody();
@@ -295,7 +295,7 @@
 bool Connection::reserveBody()
 {
     const std::shared_ptr<HttpServer::Impl> server = m_server.lock();
-    const std::size_t size = m_parser->get().body().size();
+    const std::size_t size = m_reader.parser().get().body().size();
     if (server == nullptr || size <= m_reserved) {
         return true;
     }
@@ -316,8 +316,10 @@
 void Connection::readFailed(ErrorCode error)
 {
     const bool isHttpError = error.category() == make_error_code(http::error::bad_method).category();
-    if (error == http::error::header_limit) {
+    if (error == http::error::header_limit || (error == http::error::buffer_overflow && m_reader.bound() == ReadBound::Part)) {
         refuse(Refused::HeaderTooLarge);
+    } else if (error == http::error::buffer_overflow) {
+        refuse(Refused::TooManyBytes);
     } else if (error == http::error::body_limit) {
         refuse(Refused::BodyTooLarge);
     } else if (isLengthError(error)) {
@@ -336,6 +338,7 @@
         return;
     }
     // The read that still waits ends without effect.
+    m_reader.stop();
     m_state = State::Answering;
     ErrorCode ignored;
     m_socket.cancel(ignored);
@@ -363,8 +366,8 @@
         close();
         return;
     }
-    http::request<http::string_body> message = m_parser->release();
-    m_parser.reset();
+    http::request<http::string_body> message = m_reader.parser().release();
+    m_reader.endMessage();
     m_isKeptAlive = message.keep_alive();
     m_version = message.version();
     m_isHead = message.method() == http::verb::head;
@@ -479,6 +482,7 @@
     m_state = State::Closed;
     m_timer.cancel();
     m_writeTimer.cancel();
+    m_reader.stop();
     releaseBody();
     ErrorCode ignored;
     m_socket.close(ignored);
--- a/source/net/httpconnection.h
+++ b/source/net/httpconnection.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "messagereader.h"
 #include "snipeferry/net/httpserver.h"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
 #include <memory>
@@ -60,7 +60,8 @@
         : m_server(server.weak_from_this()),
           m_settings(server.settings),
           m_loop(server.loop),
-          m_socket(std::move(socket))
+          m_socket(std::move(socket)),
+          m_reader(m_socket, server.settings.readMemory)
     {
     }
 
@@ -173,8 +174,7 @@
     /** Bytes of the request's body counted at the server. */
     std::size_t m_reserved = 0;
     bool m_isOverBound = false;
-    boost::beast::flat_buffer m_buffer;
-    std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
+    MessageReader<true> m_reader;
     std::string m_unsent;
     std::string m_sending;
     std::size_t m_sent = 0;
--- a/tests/net/backendpooltest.cpp
+++ b/tests/net/backendpooltest.cpp
@@ -60,7 +60,7 @@
 {
     explicit PoolFixture(ScriptedServer::Script script)
         : server(loop, std::move(script)),
-          pool(loop, settings(), [](const gateway::HttpHead &head) {
+          pool(loop, settings(memory), [](const gateway::HttpHead &head) {
               for (const gateway::Header &header : head.headers) {
                   if (header.name == "Id") {
                       return core::RequestId(header.value);
@@ -72,10 +72,11 @@
         pool.setEvents(recorder);
     }
 
-    static net::BackendPoolSettings settings()
+    static net::BackendPoolSettings settings(const std::shared_ptr<net::ReadMemory> &memory)
     {
         net::BackendPoolSettings settings;
         settings.doAnswersNameRequests = true;
+        settings.readMemory = memory;
         return settings;
     }
 
@@ -98,6 +99,7 @@
     }
 
     net::EventLoop loop;
+    std::shared_ptr<net::ReadMemory> memory = std::make_shared<net::ReadMemory>(std::size_t{1} << 20U);
     Recorder recorder{loop};
     std::string address;
     std::string method = "POST";
@@ -455,3 +457,41 @@
         }
     }
 }
+
+// Failure (LOST): a server that never ended the head of a chunk, or a trailer, filled the memory of the process that had called it.
+TEST_CASE("bytes without end where the head of a chunk or a trailer is due end the run as a broken answer")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string begun = GENERATE("40;", "40", "5\r\nhello\r\n5;x=", "0;", "5\r\nhello\r\n0\r\nX: ");
+    const std::shared_ptr<std::size_t> sent = std::make_shared<std::size_t>(0);
+    PoolFixture fixture([&](int /*request*/, const std::shared_ptr<ScriptedServer::Socket> &socket, const std::string & /*read*/) {
+        ScriptedServer::send(socket, head + begun);
+        sendWithoutEnd(socket, std::make_shared<std::string>(4096, 'a'), sent);
+    });
+    fixture.send("r1");
+    CHECK(fixture.recorder.failures == 1);
+    CHECK(fixture.recorder.mayHaveRun);
+    CHECK(fixture.recorder.ends == 0);
+    fixture.turn(absl::Milliseconds(200));
+    CHECK(*sent < (32U << 20U));
+    CHECK(fixture.memory->bytes() == 0);
+}
+
+// Failure (LOST): a bound that cuts sound answers.
+TEST_CASE("heads of chunks and trailers up to the bound are read, in one piece and in many")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string extension = ";x=" + std::string(16000, 'a');
+    const std::string trailer = "X: " + std::string(16000, 'a') + "\r\n";
+    const std::string answer = absl::StrCat(head, "5", extension, "\r\nhello\r\n1", extension, "\r\n!\r\n0\r\n", trailer, "\r\n");
+    const std::size_t piece = GENERATE(std::size_t{1} << 20U, std::size_t{1000}, std::size_t{37});
+    PoolFixture fixture([&](int /*request*/, const std::shared_ptr<ScriptedServer::Socket> &socket, const std::string & /*read*/) {
+        for (std::size_t at = 0; at < answer.size(); at += piece) {
+            ScriptedServer::send(socket, answer.substr(at, piece));
+        }
+    });
+    fixture.send("r1");
+    CHECK(fixture.recorder.ends == 1);
+    CHECK(fixture.recorder.body == "hello!");
+    CHECK(fixture.memory->bytes() == 0);
+}
--- a/tests/support/rawconnection.cpp
+++ b/tests/support/rawconnection.cpp
@@ -18,8 +18,8 @@
     int port = 0;
     sockaddr_in target = {};
     target.sin_family = AF_INET;
-    target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    const bool isPort = absl::SimpleAtoi(address.substr(address.find(':') + 1), &port);
+    const std::string host = address.substr(0, address.find(':'));
+    const bool isPort = absl::SimpleAtoi(address.substr(host.size() + 1), &port) && ::inet_pton(AF_INET, host.c_str(), &target.sin_addr) == 1;
     target.sin_port = htons(static_cast<std::uint16_t>(port));
     if (!isPort || ::connect(m_socket, reinterpret_cast<const sockaddr *>(&target), sizeof(target)) != 0) {
         ::close(m_socket);
--- a/tests/support/rawconnection.h
+++ b/tests/support/rawconnection.h
@@ -10,7 +10,7 @@
 class RawConnection
 {
 public:
-    /** @brief Connects to "127.0.0.1:port". */
+    /** @brief Connects to "a.b.c.d:port". */
     explicit RawConnection(const std::string &address);
     ~RawConnection();
     RawConnection(const RawConnection &) = delete;
--- a/tests/users-platform/runnertest.cpp
+++ b/tests/users-platform/runnertest.cpp
@@ -1,13 +1,10 @@
 #include "usersfixture.h"
 
-#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
-#include <absl/strings/str_split.h>
 #include <absl/time/clock.h>
 #include <catch2/catch.hpp>
 
 #include <atomic>
-#include <fstream>
 #include <thread>
 
 using namespace snipeferry;
@@ -203,21 +200,6 @@
 /** A quarter of the memory that the settings state, in KB. */
 constexpr std::int64_t MAX_GROWTH_KB = 65536;
 
-/** Highest resident memory of a process so far, in KB. */
-std::int64_t peakMemoryKb(pid_t process)
-{
-    std::ifstream status(absl::StrCat("/proc/", process, "/status"));
-    std::string line;
-    std::int64_t kilobytes = 0;
-    while (std::getline(status, line)) {
-        const std::vector<std::string> words = absl::StrSplit(line, absl::ByAnyChar(" \t"), absl::SkipEmpty());
-        if (words.size() > 1 && words[0] == "VmHWM:") {
-            REQUIRE(absl::SimpleAtoi(words[1], &kilobytes));
-        }
-    }
-    return kilobytes;
-}
-
 } // namespace
 
 // A runner in trouble may write without end. The machines have 160 MB, and one such runner must not take a whole instance.
--- a/tests/users-platform/usersfixture.cpp
+++ b/tests/users-platform/usersfixture.cpp
@@ -1,8 +1,13 @@
 #include "usersfixture.h"
 
 #include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
 #include <absl/time/clock.h>
+#include <catch2/catch.hpp>
+
+#include <fstream>
 
 namespace snipeferry::testing {
 
@@ -27,6 +32,20 @@
 
 } // namespace
 
+std::int64_t peakMemoryKb(pid_t process)
+{
+    std::ifstream status(absl::StrCat("/proc/", process, "/status"));
+    std::string line;
+    std::int64_t kilobytes = 0;
+    while (std::getline(status, line)) {
+        const std::vector<std::string> words = absl::StrSplit(line, absl::ByAnyChar(" \t"), absl::SkipEmpty());
+        if (words.size() > 1 && words[0] == "VmHWM:") {
+            REQUIRE(absl::SimpleAtoi(words[1], &kilobytes));
+        }
+    }
+    return kilobytes;
+}
+
 UsersFixture::UsersFixture()
     : m_addresses(gatewayAddresses(1))
 {
@@ -88,9 +107,15 @@
     });
 }
 
-void UsersFixture::startGateway()
+net::EventLoop &UsersFixture::loop()
+{
+    return m_thread.loop();
+}
+
+void UsersFixture::startGateway(const std::string &storeAddress)
 {
-    const std::string settings = gatewaySettingsText({"gw-1", "north-1", "north"}, m_addresses, m_wayToStore->address(), {{"north-1", "north"}});
+    const std::string settings
+        = gatewaySettingsText({"gw-1", "north-1", "north"}, m_addresses, storeAddress.empty() ? m_wayToStore->address() : storeAddress, {{"north-1", "north"}});
     const std::string file = m_folder.write("gw-1.yaml", settings);
     m_gateway = std::make_unique<Process>(PROGRAM, std::vector<std::string>{"--settings", file}, m_folder.path("gw-1.log"));
 }
--- a/tests/users-platform/usersfixture.h
+++ b/tests/users-platform/usersfixture.h
@@ -29,8 +29,11 @@
     UsersFixture(const UsersFixture &) = delete;
     UsersFixture &operator=(const UsersFixture &) = delete;
 
-    /** @brief Starts the gateway; does not wait. */
-    void startGateway();
+    /**
+     * @brief Starts the gateway; does not wait.
+     * @param storeAddress where it finds its store; empty: the fixture's
+     */
+    void startGateway(const std::string &storeAddress = "");
 
     /** @brief Waits until the platform's readiness check is answered with 200. */
     bool isReadyWithin(absl::Duration limit) const;
@@ -81,6 +84,9 @@
     /** @brief Makes runners crash when they begin to write an answer on a part. Each is back after a while, under another identifier. */
     void setCrashingPart(const std::vector<std::string> &runners, const std::string &part);
 
+    /** @brief The loop of the stand-ins, for more of them; on their thread. */
+    net::EventLoop &loop();
+
 private:
     /** Ends the connections of a runner and withdraws it, until it is back; on the thread of the stand-ins. */
     void restartRunner(const std::string &id);
@@ -100,4 +106,7 @@
     std::atomic<int> m_lastAttempt = 0;
 };
 
+/** @brief Highest resident memory of a process so far, in KB. */
+std::int64_t peakMemoryKb(pid_t process);
+
 } // namespace snipeferry::testing
