TWICE: take messages about a run from the process that has it, under numbers that are not given out again

The receiver's "not run" for the seventh request of the earlier process reached the seventh request of the present one, which placed it again. Evidence: in the logs the server refuses before-7, and in the same millisecond north logs run_failed request=after-7 may_have_run=false and forwards it a second time. Ruled out: a resumed run that is unknown (not in the logs), a second attempt of the client (one identifier).

Messages of another one are not its, and after a restart of that instance the run ends at once as one that may have run, in place of a question to a process that cannot know.

Tests, seen failing with both changes taken out: the refusal of a request that an earlier process has forwarded; a forwarded call whose instance was restarted; names and numbers of two processes; greetings of earlier builds.

--- a/include/snipeferry/gateway/requestflow.h
+++ b/include/snipeferry/gateway/requestflow.h
@@ -98,7 +98,11 @@
     /** @brief Bytes of answers that wait in this process. */
     std::size_t answerBytes() const;
     void linkDown(const core::InstanceId &peer);
-    /** @brief Asks an instance for the rest of the answers that it was sending when the link to it was lost. */
+    /**
+     * @brief Asks an instance for the rest of the answers that it was sending when the link to it was lost.
+     *
+     * Another process of the instance knows nothing of them; what the one before had in work may have run.
+     */
     void linkUp(const core::InstanceId &peer);
 
     /**
@@ -151,6 +155,8 @@
         core::BackendServerId server;
         /** Set for a forwarded run; empty for a local one. */
         core::InstanceId instance;
+        /** The instance's process that has the forwarded run. */
+        ProcessId instanceProcess;
         absl::Time runStartedAt;
         absl::Time lastDataAt;
         core::VersionId version;
@@ -264,6 +270,8 @@
     /** Closes a request whose caller has left without a report of that yet. Before each run is started, since nobody would take its answer. */
     bool closeIfCallerGone(const OpenRequest &open);
     OpenRequest *findByRun(Number run);
+    /** The request whose run an instance has, as far as its present process is the one that got it; null if there is none. */
+    OpenRequest *findForwarded(const core::InstanceId &instance, Number run);
     /** Where a request is, for the log. */
     static std::string stageOf(const OpenRequest &open);
     core::LogEvent makeLogEvent(const std::string &name, const OpenRequest &open) const;
--- a/source/gateway/requestanswer.cpp
+++ b/source/gateway/requestanswer.cpp
@@ -314,18 +314,25 @@
     close(open.number);
 }
 
+RequestFlow::OpenRequest *RequestFlow::findForwarded(const core::InstanceId &instance, Number run)
+{
+    OpenRequest *open = findByRun(run);
+    const bool isHeldThere = open != nullptr && open->instance == instance && open->instanceProcess == m_dependencies.fleet.linkedProcess(instance);
+    return isHeldThere ? open : nullptr;
+}
+
 void RequestFlow::handle(const core::InstanceId &from, const ForwardHead &message)
 {
-    OpenRequest *open = findByRun(message.number);
-    if (open != nullptr && open->instance == from) {
+    OpenRequest *open = findForwarded(from, message.number);
+    if (open != nullptr) {
         runHead(message.number, message.head);
     }
 }
 
 void RequestFlow::handle(const core::InstanceId &from, const ForwardData &message)
 {
-    OpenRequest *open = findByRun(message.number);
-    if (open == nullptr || open->instance != from) {
+    OpenRequest *open = findForwarded(from, message.number);
+    if (open == nullptr) {
         return;
     }
     if (message.sequence != open->receivedPieces) {
@@ -339,8 +346,8 @@
 
 void RequestFlow::handle(const core::InstanceId &from, const ForwardEnd &message)
 {
-    OpenRequest *open = findByRun(message.number);
-    if (open == nullptr || open->instance != from) {
+    OpenRequest *open = findForwarded(from, message.number);
+    if (open == nullptr) {
         return;
     }
     if (message.pieces != open->receivedPieces || !open->hasHead) {
@@ -353,8 +360,8 @@
 
 void RequestFlow::handle(const core::InstanceId &from, const ForwardFailed &message)
 {
-    OpenRequest *open = findByRun(message.number);
-    if (open == nullptr || open->instance != from) {
+    OpenRequest *open = findForwarded(from, message.number);
+    if (open == nullptr) {
         return;
     }
     // The other instance knows more of the request; no third one is asked.
@@ -391,12 +398,22 @@
 
 void RequestFlow::linkUp(const core::InstanceId &peer)
 {
+    const ProcessId process = m_dependencies.fleet.linkedProcess(peer);
+    std::vector<Number> lost;
     for (const auto &entry : m_openRequests) {
         const OpenRequest &open = *entry.second;
-        if (open.run != 0 && open.server.isEmpty() && open.instance == peer) {
+        if (open.run == 0 || !open.server.isEmpty() || open.instance != peer) {
+            continue;
+        }
+        if (open.instanceProcess == process) {
             m_dependencies.links.send(peer, ForwardResume{open.run, open.hasHead, open.receivedPieces});
+        } else {
+            lost.push_back(entry.first);
         }
     }
+    for (const Number number : lost) {
+        retryOrFail(number, true, RunEnd::Unreachable, "instance_restarted");
+    }
 }
 
 } // namespace snipeferry::gateway
--- a/source/gateway/requestplacement.cpp
+++ b/source/gateway/requestplacement.cpp
@@ -187,6 +187,7 @@
     open.run = m_dependencies.runNumbers.next();
     open.server = core::BackendServerId();
     open.instance = choice.instance;
+    open.instanceProcess = m_dependencies.fleet.linkedProcess(choice.instance);
     open.runStartedAt = now;
     open.lastDataAt = now;
     open.isAnswering = false;
--- a/source/net/gatewayprocess.cpp
+++ b/source/net/gatewayprocess.cpp
@@ -1,11 +1,12 @@
 #include "snipeferry/net/gatewayprocess.h"
 
+#include "snipeferry/net/processname.h"
+
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 #include <unistd.h>
 
 #include <csignal>
-#include <random>
 
 namespace snipeferry::net {
 
@@ -108,20 +109,6 @@
     return settings;
 }
 
-std::uint64_t randomNumber()
-{
-    std::random_device device;
-    return std::uniform_int_distribution<std::uint64_t>(1)(device);
-}
-
-/** Names this process. The time alone does not: clocks are set back, and two starts may fall into one millisecond. */
-gateway::Member nameProcess(gateway::Member member, core::TimerService &timers)
-{
-    member.incarnation = static_cast<core::Incarnation>(absl::ToUnixMillis(timers.wallNow()));
-    member.bootId = randomNumber();
-    return member;
-}
-
 } // namespace
 
 GatewayProcess::GatewayProcess(GatewayProcessSettings settings, std::string settingsFile, Adapter adapter)
@@ -149,8 +136,7 @@
           serverSettings(m_readMemory)),
       m_signals(m_loop.context(), SIGTERM, SIGINT, SIGHUP)
 {
-    m_settings.gateway.self = nameProcess(m_settings.gateway.self, m_loop.timers());
-    m_settings.gateway.flow.seed = m_settings.gateway.self.incarnation;
+    nameProcess(m_settings.gateway, m_loop.timers().wallNow());
     const gateway::Member &self = m_settings.gateway.self;
     LinkEvents events;
     events.up = [this](const gateway::Member &peer) {
--- a/tests/gateway/restartedinstancetest.cpp
+++ b/tests/gateway/restartedinstancetest.cpp
@@ -101,6 +101,47 @@
     CHECK(fixture.runs.cancelled == std::vector<gateway::Number>{later});
 }
 
+// Failure (TWICE): "not run", said of a request that an earlier process had forwarded, reached an order in work, which was then sent once more.
+TEST_CASE("the refusal of a request that an earlier process of an instance has forwarded reaches no request of the present one")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.gateway.linkUp(originProcess(7));
+    const gateway::Number earlier = forward(fixture, 7, "earlier");
+    fixture.gateway.linkDown(ORIGIN);
+    fixture.gateway.linkUp(originProcess(GENERATE(6, 8)));
+    forward(fixture, 7, "later");
+    fixture.links.sent.clear();
+    const bool isRefused = GENERATE(true, false);
+    if (isRefused) {
+        fixture.gateway.runHead(earlier, {503, {{"not-run", "1"}}});
+    } else {
+        fixture.gateway.runFailed(earlier, false, "connect_timeout");
+    }
+    CHECK(forwardMessages(fixture) == 0);
+    CHECK(fixture.gateway.openCount() == 1);
+}
+
+// Failure (TWICE): the instance that runs a forwarded order was restarted, and what its next process said of its own runs passed for the order's.
+TEST_CASE("a forwarded call whose instance was restarted ends as one that may have run, and nothing of the next process reaches it")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.linkRemote("gw-9", "south");
+    const std::shared_ptr<Answer> answer = fixture.ask("/south/x");
+    const gateway::Number number = fixture.links.all<gateway::ForwardRequest>().at(0).number;
+    fixture.gateway.linkDown(ORIGIN);
+    CHECK(answer->finalCount == 0);
+    fixture.links.sent.clear();
+    fixture.gateway.linkUp(originProcess(GENERATE(0, 2)));
+    CHECK(answer->status == 502);
+    CHECK(fixture.links.all<gateway::ForwardResume>().empty());
+    fixture.gateway.received(ORIGIN, gateway::ForwardFailed{number, false, "refused_by_server"});
+    fixture.gateway.received(ORIGIN, gateway::ForwardHead{number, {200, {{"receipt", "x"}}}});
+    CHECK(fixture.links.all<gateway::ForwardRequest>().empty());
+    CHECK(answer->finalCount == 1);
+}
+
 // Failure (MIXED, TWICE): whichever of two instances was restarted, and whenever, answers and refusals reached other requests than their own.
 TEST_CASE("each forwarded request gets its own answer and runs once, whatever is restarted and whenever the link is lost")
 {
--- a/tests/net/fleetcodectest.cpp
+++ b/tests/net/fleetcodectest.cpp
@@ -50,3 +50,24 @@
     // The next message is read again.
     CHECK(net::decodeFleetMessage(bytes));
 }
+
+// Failure (MIXED): instances of two builds on one link take the processes of an instance for one.
+TEST_CASE("greetings of earlier builds are understood, and theirs understand this one's")
+{
+    Member member;
+    member.id = core::InstanceId("gw-1");
+    member.incarnation = 7;
+    member.bootId = 0xfedcba9876543210;
+    const core::Expected<FleetMessage> decoded = net::decodeFleetMessage(net::encodeFleetMessage(Greeting{member}));
+    REQUIRE(decoded);
+    CHECK(std::get<Greeting>(*decoded).sender == member);
+    // An earlier build reads the fields that it knows.
+    const nlohmann::json fields = Greeting{member};
+    CHECK(fields["sender"]["incarnation"] == 7);
+
+    nlohmann::json earlier = fields;
+    earlier["sender"].erase("bootId");
+    const Greeting greeting = earlier.get<Greeting>();
+    CHECK(greeting.sender.process() == ProcessId{7, 0});
+    CHECK(nlohmann::json(greeting) == earlier);
+}
