--- a/source/net/httpcaller.h
+++ b/include/snipeferry/net/httpcaller.h
@@ -3,14 +3,12 @@
 #include "snipeferry/core/error.h"
 #include "snipeferry/gateway/message.h"
 #include "snipeferry/net/eventloop.h"
+#include "snipeferry/net/readmemory.h"
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http.hpp>
+#include <boost/system/error_code.hpp>
 
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 
 namespace snipeferry::net {
@@ -34,6 +32,7 @@
     using Callback = std::function<void(const core::Expected<CallAnswer> &)>;
 
     HttpCaller(EventLoop &loop, std::string address, absl::Duration connectTimeout = absl::InfiniteDuration());
+    ~HttpCaller();
 
     /**
      * @brief Makes a call; only one at a time.
@@ -45,12 +44,24 @@
     /** @brief Limits the bodies of answers. A longer one fails the call with RequestTooLarge. */
     void setMaxAnswerBytes(std::size_t bytes);
 
+    /** @brief Sets what all connections of the process share for unfinished heads, heads of chunks and trailers. */
+    void setReadMemory(std::shared_ptr<ReadMemory> memory);
+
     void close();
 
 private:
     static constexpr std::size_t DEFAULT_MAX_ANSWER_BYTES = 64U << 20U;
 
+    /**
+     * A connection with everything that its operations use.
+     *
+     * Each operation holds it. One that has completed when the connection is closed may not have been handled yet, and must find its own buffer and parser
+     * then, not those of a later call.
+     */
+    struct Connection;
+
     void send();
+    void answered(const std::shared_ptr<Connection> &connection, boost::system::error_code error);
     void finish(const core::Expected<CallAnswer> &answer);
     void fail(const std::string &reason, core::ErrorKind kind = core::ErrorKind::PlatformUnavailable);
     void connect();
@@ -59,15 +70,12 @@
     EventLoop &m_loop;
     std::string m_address;
     absl::Duration m_connectTimeout;
-    std::optional<boost::asio::ip::tcp::socket> m_socket;
     std::size_t m_maxAnswerBytes = DEFAULT_MAX_ANSWER_BYTES;
-    bool m_isConnected = false;
-    bool m_isWatching = false;
-    /** Tells callbacks of earlier connections and calls apart. */
-    std::uint64_t m_generation = 0;
+    std::shared_ptr<ReadMemory> m_readMemory;
+    /** Null before the first call and behind a close. */
+    std::shared_ptr<Connection> m_connection;
+    /** The bytes of the call that waits for its connection. */
     std::string m_bytes;
-    boost::beast::flat_buffer m_buffer;
-    std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> m_parser;
     Callback m_callback;
     core::Subscription m_timer;
     core::Subscription m_connectTimer;
--- a/include/snipeferry/net/storeclient.h
+++ b/include/snipeferry/net/storeclient.h
@@ -2,6 +2,7 @@
 
 #include "snipeferry/gateway/gateway.h"
 #include "snipeferry/net/eventloop.h"
+#include "snipeferry/net/readmemory.h"
 #include "snipeferry/net/storeformat.h"
 
 #include <array>
@@ -22,6 +23,10 @@
     absl::Duration answerTimeout = absl::Milliseconds(900);
     /** Longest answer to a call for records or changes. */
     std::size_t maxAnswerBytes = 32U << 20U;
+    /** Longest answer to any other call; it holds one record at most. */
+    std::size_t maxWriteAnswerBytes = 2U << 20U;
+    /** Shared by all connections of the process; null: no bound. */
+    std::shared_ptr<ReadMemory> readMemory;
     absl::Duration leaseTime = absl::Seconds(9);
     absl::Duration renewPeriod = absl::Seconds(3);
 };
--- a/source/http/backendmonitor.cpp
+++ b/source/http/backendmonitor.cpp
@@ -1,6 +1,6 @@
 #include "snipeferry/http/backendmonitor.h"
 
-#include "../net/httpcaller.h"
+#include "snipeferry/net/httpcaller.h"
 
 #include <algorithm>
 #include <utility>
--- a/source/net/announcer.h
+++ b/source/net/announcer.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "backoff.h"
-#include "httpcaller.h"
+#include "snipeferry/net/httpcaller.h"
 #include "snipeferry/net/storeclient.h"
 #include "storeera.h"
 
@@ -29,6 +29,8 @@
           m_caller(std::make_shared<HttpCaller>(loop, settings.address)),
           m_backoff(std::random_device()())
     {
+        m_caller->setMaxAnswerBytes(settings.maxWriteAnswerBytes);
+        m_caller->setReadMemory(settings.readMemory);
     }
 
     void start(gateway::Record record)
--- a/source/net/gatewayprocess.cpp
+++ b/source/net/gatewayprocess.cpp
@@ -154,6 +154,7 @@
     m_pool.setEvents(*m_gateway);
     m_gateway->membersChanged().subscribe([this](const gateway::MembersChanged &change) { m_links->keep(change.members); });
     m_gateway->limitsChanged().subscribe([this](const gateway::LimitsChanged &change) { m_callers.setLimits(change.limits); });
+    m_settings.store.readMemory = m_readMemory;
     m_store = std::make_unique<StoreClient>(m_loop, m_settings.store, m_adapter.store, m_adapter.records, *m_gateway, m_journal);
 }
 
--- a/source/net/gatewaysettings.cpp
+++ b/source/net/gatewaysettings.cpp
@@ -21,8 +21,8 @@
 constexpr double MIN_MEMORY_MB = 16.0;
 constexpr double MAX_MEMORY_MB = 1 << 20;
 constexpr double BYTES_PER_MB = 1e6;
-/** Fraction of the memory that one answer of the store may use. */
-constexpr double STORE_ANSWER_FRACTION = 0.1;
+/** Fraction of the memory that one answer of the store may use. Three topics are read at once, and a growing answer takes up to twice its size. */
+constexpr double STORE_ANSWER_FRACTION = 1.0 / 30;
 constexpr double MIN_CPU_SHARE = 0.001;
 constexpr double MAX_CPU_SHARE = 1024.0;
 
--- a/source/net/storeclient.cpp
+++ b/source/net/storeclient.cpp
@@ -2,8 +2,8 @@
 
 #include "announcer.h"
 #include "backoff.h"
-#include "httpcaller.h"
 #include "snipeferry/gateway/storeposition.h"
+#include "snipeferry/net/httpcaller.h"
 #include "storeera.h"
 #include "storewriter.h"
 
@@ -60,6 +60,7 @@
           m_random(std::random_device()())
     {
         m_caller->setMaxAnswerBytes(settings.maxAnswerBytes);
+        m_caller->setReadMemory(settings.readMemory);
     }
 
     void start()
--- a/source/net/storeera.h
+++ b/source/net/storeera.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "httpcaller.h"
 #include "snipeferry/core/signal.h"
 #include "snipeferry/gateway/ports.h"
+#include "snipeferry/net/httpcaller.h"
 #include "snipeferry/net/storeformat.h"
 
 #include <optional>
--- a/source/net/storewriter.cpp
+++ b/source/net/storewriter.cpp
@@ -42,6 +42,8 @@
       m_caller(std::make_shared<HttpCaller>(loop, settings.address)),
       m_backoff(std::random_device()())
 {
+    m_caller->setMaxAnswerBytes(settings.maxWriteAnswerBytes);
+    m_caller->setReadMemory(settings.readMemory);
 }
 
 void StoreWriter::write(const gateway::RolloutDecision &decision)
--- a/source/net/storewriter.h
+++ b/source/net/storewriter.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "backoff.h"
-#include "httpcaller.h"
+#include "snipeferry/net/httpcaller.h"
 #include "snipeferry/net/storeclient.h"
 #include "storeera.h"
 
--- a/source/platform/callqueue.cpp
+++ b/source/platform/callqueue.cpp
@@ -1,6 +1,6 @@
 #include "callqueue.h"
 
-#include "../net/httpcaller.h"
+#include "snipeferry/net/httpcaller.h"
 
 #include <algorithm>
 #include <utility>
--- a/tests/users-platform/endlessbytestest.cpp
+++ b/tests/users-platform/endlessbytestest.cpp
@@ -154,3 +154,28 @@
         CHECK(UsersFixture::isWhole("/stock/x", fixture.ask("/stock/x")));
     }
 }
+
+// Failure (FAULT, LOST): a store whose answer did not end crashed the process, or took its memory.
+TEST_CASE("bytes without end at any place of the store's answers neither end the gateway nor cost it much memory")
+{
+    UsersFixture fixture;
+    const std::string letters(FILLER_BYTES, 'a');
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::vector<Place> places = {{"head", "HTTP/1.1 200 OK\r\nX: ", letters}, {"chunk extension", chunked + "5;", letters},
+        {"trailer", chunked + "1\r\na\r\n0\r\nX: ", letters}, {"chunks", chunked, "1\r\na\r\n"}, {"body by close", "HTTP/1.1 200 OK\r\n\r\n", letters},
+        {"body by length", "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", letters}};
+    std::unique_ptr<EndlessServer> endless;
+    fixture.onStandins(
+        [&] { endless = std::make_unique<EndlessServer>(fixture.loop(), [](const std::string & /*request*/) { return EndlessServer::Answer(); }); });
+    fixture.startGateway(fixture.onStandins([&] { return endless->address(); }));
+    for (const Place &place : places) {
+        INFO(place.name);
+        fixture.onStandins([&] { endless->setScript([place](const std::string & /*request*/) { return EndlessServer::Answer{place.begun, place.filler}; }); });
+        const int before = fixture.onStandins([&] { return endless->answers(); });
+        absl::SleepFor(absl::Seconds(4));
+        REQUIRE(fixture.gateway().isRunning());
+        CHECK(fixture.onStandins([&] { return endless->answers(); }) > before);
+        CHECK(peakMemoryKb(fixture.gateway().id()) < MAX_GROWTH_KB);
+    }
+    fixture.onStandins([&] { endless = nullptr; });
+}
