FAULT: serve without the metrics page, and wait at the start for an address that is taken

Of several instances on one address all but one ended at their start with exit 3, and so did an instance whose address another program, or its process before, had for a moment. The users saw a system that did not start; that this was their cause is suspected, no logs were kept.

Cause: each address was tried once, the metrics page's as well, whose port is the same for all instances (9464 in deploy/). Evidence: two processes on one address with ports of their own and that metrics port, the second ended with "Cannot listen on ...:9464: Address already in use". Ruled out: connections in TIME_WAIT (the address is reused), the settings (the check accepts them).

Change: callers', directory, readiness and peer addresses are tried each 100 ms for 5 s, then exit 3 names the address; SIGTERM ends the waiting at once. The metrics address is tried each 5 s for as long as the process runs, with a log line each time, and callers are served meanwhile.

--- a/include/snipeferry/net/gatewayprocess.h
+++ b/include/snipeferry/net/gatewayprocess.h
@@ -35,7 +35,13 @@
     core::Expected<void> run();
 
 private:
+    /** Listens on all addresses that callers and instances need. */
     core::Expected<void> listen();
+    /** Listens on the address of the metrics page, now or later. */
+    void listenForMetrics();
+    /** Begins as soon as all needed addresses can be listened on; gives up after a time. */
+    void start();
+    void begin();
     void awaitSignals();
     /** Logs it if the event loop is behind, so that requests and ends of connections are handled late. */
     void checkLoopDelay();
@@ -61,6 +67,11 @@
     HttpServer m_readiness;
     HttpServer m_metrics;
     boost::asio::signal_set m_signals;
+    core::Expected<void> m_startResult;
+    bool m_hasBegun = false;
+    absl::Time m_listenUntil = absl::InfiniteFuture();
+    core::Subscription m_listenTimer;
+    core::Subscription m_metricsTimer;
     absl::Time m_stopAt = absl::InfiniteFuture();
     absl::Time m_stopEarliest = absl::InfiniteFuture();
     core::Subscription m_stopTimer;
--- a/source/net/gatewayprocess.cpp
+++ b/source/net/gatewayprocess.cpp
@@ -22,6 +22,11 @@
 /** Interval at which the delay of the event loop is measured, and the delay from which it is logged. */
 constexpr absl::Duration LOOP_CHECK_PERIOD = absl::Milliseconds(250);
 constexpr absl::Duration LOGGED_LOOP_DELAY = absl::Milliseconds(250);
+/** Interval at which an address that callers or instances need is tried again, and for how long: a process before may not have given it up yet. */
+constexpr absl::Duration LISTEN_RETRY_PERIOD = absl::Milliseconds(100);
+constexpr absl::Duration LISTEN_TIME_LIMIT = absl::Seconds(5);
+/** Interval at which the address of the metrics page is tried again. */
+constexpr absl::Duration METRICS_RETRY_PERIOD = absl::Seconds(5);
 constexpr double BYTES_PER_MB = 1e6;
 /** Fraction of the memory that the bodies of open requests may use. */
 constexpr double REQUEST_BODIES_FRACTION = 0.25;
@@ -162,10 +167,10 @@
 
 core::Expected<void> GatewayProcess::listen()
 {
-    const std::pair<HttpServer *, const std::string *> servers[] = {{&m_callers, &m_settings.gateway.self.callerAddress},
-        {&m_directory, &m_settings.directoryAddress}, {&m_readiness, &m_settings.readinessAddress}, {&m_metrics, &m_settings.metricsAddress}};
+    const std::pair<HttpServer *, const std::string *> servers[]
+        = {{&m_callers, &m_settings.gateway.self.callerAddress}, {&m_directory, &m_settings.directoryAddress}, {&m_readiness, &m_settings.readinessAddress}};
     for (const std::pair<HttpServer *, const std::string *> &server : servers) {
-        if (server.second->empty()) {
+        if (server.second->empty() || server.first->isListening()) {
             continue;
         }
         const core::Expected<int> port = server.first->listen(*server.second);
@@ -176,12 +181,49 @@
     return m_links->start();
 }
 
-core::Expected<void> GatewayProcess::run()
+void GatewayProcess::listenForMetrics()
 {
-    core::Expected<void> listening = listen();
-    if (!listening) {
-        return listening;
+    if (m_settings.metricsAddress.empty()) {
+        return;
     }
+    // Another process of the machine may have the address. The page is no reason not to serve callers.
+    const core::Expected<int> port = m_metrics.listen(m_settings.metricsAddress);
+    if (!port) {
+        m_journal.log(core::LogEvent{"listen_failed", {}}.with("address", m_settings.metricsAddress).with("error", port.error().message));
+        m_metricsTimer = m_loop.timers().after(METRICS_RETRY_PERIOD, [this] { listenForMetrics(); });
+    }
+}
+
+void GatewayProcess::start()
+{
+    const core::Expected<void> listening = listen();
+    if (listening) {
+        listenForMetrics();
+        begin();
+        return;
+    }
+    if (m_loop.timers().now() >= m_listenUntil) {
+        m_startResult = listening;
+        m_loop.stop();
+        return;
+    }
+    m_journal.log(core::LogEvent{"listen_failed", {}}.with("error", listening.error().message));
+    m_listenTimer = m_loop.timers().after(LISTEN_RETRY_PERIOD, [this] { start(); });
+}
+
+core::Expected<void> GatewayProcess::run()
+{
+    awaitSignals();
+    m_listenUntil = m_loop.timers().now() + LISTEN_TIME_LIMIT;
+    start();
+    m_loop.run();
+    m_journal.flush();
+    return m_startResult;
+}
+
+void GatewayProcess::begin()
+{
+    m_hasBegun = true;
     const gateway::Member &self = m_settings.gateway.self;
     m_journal.log(core::LogEvent{
         "started", {}}.with("instance", self.id.value())
@@ -196,12 +238,8 @@
     announcement.key = m_adapter.records.memberKey(self.id);
     announcement.value = m_adapter.records.encodeMember(self);
     m_store->start(announcement);
-    awaitSignals();
     m_loopCheckDue = m_loop.timers().now() + LOOP_CHECK_PERIOD;
     m_loopCheckTimer = m_loop.timers().every(LOOP_CHECK_PERIOD, [this] { checkLoopDelay(); });
-    m_loop.run();
-    m_journal.flush();
-    return {};
 }
 
 void GatewayProcess::checkLoopDelay()
@@ -249,6 +287,10 @@
     if (m_gateway->isDraining()) {
         return;
     }
+    if (!m_hasBegun) {
+        m_loop.stop();
+        return;
+    }
     const absl::Time now = m_loop.timers().now();
     m_journal.log(core::LogEvent{"stopping", {}}.with("open_requests", absl::StrCat(m_gateway->openCount())));
     m_gateway->drain(m_settings.stopGrace - STOP_MARGIN);
--- a/source/net/httpserver.cpp
+++ b/source/net/httpserver.cpp
@@ -176,6 +176,8 @@
         m_impl->acceptor.listen(asio::socket_base::max_listen_connections, error);
     }
     if (error) {
+        ErrorCode ignored;
+        m_impl->acceptor.close(ignored);
         return tl::make_unexpected(core::makeError(core::ErrorKind::Internal, absl::StrCat("Cannot listen on ", address, ": ", error.message(), ".")));
     }
     m_impl->accept();
