--- a/source/gateway/backendtable.cpp
+++ b/source/gateway/backendtable.cpp
@@ -48,8 +48,8 @@
 void BackendTable::announce(const BackendServer &server)
 {
     const absl::Time now = m_timers.now();
+    const bool isNew = m_servers.find(server.id) == m_servers.end();
     ServerState &entry = m_servers[server.id];
-    const bool isNew = entry.server.id.isEmpty();
     const bool isRestarted = !isNew && entry.server.startedAtMs != server.startedAtMs;
     const bool isMoved = !isNew && entry.server.service != server.service;
     if (isRestarted || isMoved) {
--- a/tests/gateway/gatewaytest.cpp
+++ b/tests/gateway/gatewaytest.cpp
@@ -76,6 +76,29 @@
     }
 }
 
+// Failure (LOST): an announcement without an identifier that moved from service to service and was removed ended the process (std::out_of_range).
+TEST_CASE("announcements that move between services and go leave nothing behind, whatever their identifier")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    const std::string id = GENERATE("", "s9", "s1");
+    for (const char *service : {"warehouse", "archive", "warehouse"}) {
+        gateway::BackendServer moved = GatewayFixture::server(id);
+        moved.service = core::ServiceId(service);
+        fixture.announce(moved);
+        fixture.timers.advance(absl::Seconds(2));
+        fixture.confirm();
+    }
+    fixture.withdraw(id);
+    // Each pulse asks for the rooms of all services.
+    fixture.linkRemote("gw-9", "south");
+    fixture.timers.advance(absl::Seconds(3));
+    fixture.confirm();
+    fixture.ask("/once/x");
+    fixture.succeed("done");
+    CHECK(fixture.gateway.openCount() == 0);
+}
+
 TEST_CASE("backend servers of other regions are never used")
 {
     GatewayFixture fixture;
--- a/tests/platform-adapter/adaptertest.cpp
+++ b/tests/platform-adapter/adaptertest.cpp
@@ -209,6 +209,8 @@
         CHECK_FALSE(RECORDS.decodeBackendServer("servers/i-7", bad));
     }
     CHECK_FALSE(RECORDS.decodeBackendServer("servers/i-7", std::string("\xff\xfe\x00", 3)));
+    // The identifier stands in the key alone.
+    CHECK_FALSE(RECORDS.decodeBackendServer("servers/", good));
 }
 
 TEST_CASE("an instance's announcement is decoded as it was encoded")
