--- a/source/net/backendpool.cpp
+++ b/source/net/backendpool.cpp
@@ -48,7 +48,7 @@
 public:
     Impl(EventLoop &eventLoop, BackendPoolSettings poolSettings, AnsweredRequest answered)
         : loop(eventLoop),
-          settings(poolSettings),
+          settings(std::move(poolSettings)),
           answeredRequest(std::move(answered))
     {
     }
@@ -430,7 +430,7 @@
 }
 
 BackendPool::BackendPool(EventLoop &loop, BackendPoolSettings settings, AnsweredRequest answeredRequest)
-    : m_impl(std::make_shared<Impl>(loop, settings, std::move(answeredRequest)))
+    : m_impl(std::make_shared<Impl>(loop, std::move(settings), std::move(answeredRequest)))
 {
     m_impl->idleTimer = loop.timers().every(IDLE_CHECK_PERIOD, [impl = m_impl.get()] { impl->dropOldIdle(); });
 }
--- a/source/net/httpconnection.h
+++ b/source/net/httpconnection.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 
 /**
  * What HttpServer consists of: the acceptor with what all connections share, and the connections.
@@ -24,7 +25,7 @@
     Impl(EventLoop &eventLoop, HttpHandler requestHandler, HttpServerSettings bounds)
         : loop(eventLoop),
           handler(std::move(requestHandler)),
-          settings(bounds),
+          settings(std::move(bounds)),
           acceptor(eventLoop.context())
     {
     }
--- a/source/net/httpserver.cpp
+++ b/source/net/httpserver.cpp
@@ -144,7 +144,7 @@
 }
 
 HttpServer::HttpServer(EventLoop &loop, HttpHandler handler, HttpServerSettings settings)
-    : m_impl(std::make_shared<Impl>(loop, std::move(handler), settings))
+    : m_impl(std::make_shared<Impl>(loop, std::move(handler), std::move(settings)))
 {
     m_impl->refusals = &statusOnly;
 }
--- a/tests/gateway/restartedinstancetest.cpp
+++ b/tests/gateway/restartedinstancetest.cpp
@@ -165,7 +165,9 @@
         }
         pair.run(absl::Seconds(15));
         INFO("seed " << seed);
-        CHECK(pair.violations() == "");
+        const std::string violations = pair.violations();
+        INFO(violations);
+        CHECK(violations.empty());
         CHECK(pair.openCount() == 0);
         successes += pair.successCount();
     }
--- a/tests/users-platform/endlessbytestest.cpp
+++ b/tests/users-platform/endlessbytestest.cpp
@@ -20,6 +20,8 @@
 /** A quarter of the memory that the settings state, in KB. */
 constexpr std::int64_t MAX_GROWTH_KB = 65536;
 constexpr std::size_t FILLER_BYTES = 4096;
+/** Callers whose requests do not end, at once. */
+constexpr int CUT_CALLERS = 4;
 
 std::string valueOf(const std::string &request, const std::string &header)
 {
@@ -129,7 +131,8 @@
         INFO(place.name);
         std::vector<std::thread> callers;
         std::atomic<int> cut = 0;
-        for (int caller = 0; caller < 4; ++caller) {
+        callers.reserve(CUT_CALLERS);
+        for (int caller = 0; caller < CUT_CALLERS; ++caller) {
             callers.emplace_back([&] {
                 tests::RawConnection connection(fixture.addresses().callers);
                 connection.send(place.begun);
@@ -149,7 +152,7 @@
         for (std::thread &caller : callers) {
             caller.join();
         }
-        CHECK(cut == 4);
+        CHECK(cut == CUT_CALLERS);
         CHECK(peakMemoryKb(fixture.gateway().id()) - before < MAX_GROWTH_KB);
         CHECK(UsersFixture::isWhole("/stock/x", fixture.ask("/stock/x")));
     }
