Keep ReadMemory in its header, so that the review's stand-ins build

review/CMakeLists.txt builds source/net/http*.cpp and names no other file of net/, and review/ stays as it is. With readmemory.cpp beside them its link failed (undefined reference to ReadMemory::update); found by review/build.sh in a clone. No behaviour changes.

--- a/include/snipeferry/net/readmemory.h
+++ b/include/snipeferry/net/readmemory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 
 namespace snipeferry::net {
@@ -15,18 +16,36 @@
 public:
     static constexpr std::size_t FREE_BYTES = 4096;
 
-    explicit ReadMemory(std::size_t maxBytes);
+    explicit ReadMemory(std::size_t maxBytes)
+        : m_maxBytes(maxBytes)
+    {
+    }
 
     /**
      * @brief Changes the size of one connection's unfinished part.
      * @return false if all together would be over the bound; then nothing has changed
      */
-    bool update(std::size_t before, std::size_t now);
-
-    std::size_t bytes() const;
+    bool update(std::size_t before, std::size_t now)
+    {
+        const std::size_t others = m_bytes - counted(before);
+        const std::size_t own = counted(now);
+        if (now > before && own > 0 && others + own > m_maxBytes) {
+            return false;
+        }
+        m_bytes = others + own;
+        return true;
+    }
+
+    std::size_t bytes() const
+    {
+        return m_bytes;
+    }
 
 private:
-    static std::size_t counted(std::size_t partBytes);
+    static std::size_t counted(std::size_t partBytes)
+    {
+        return partBytes - std::min<std::size_t>(partBytes, FREE_BYTES);
+    }
 
     std::size_t m_maxBytes;
     std::size_t m_bytes = 0;
