--- a/tests/gateway/enginefleet.cpp
+++ b/tests/gateway/enginefleet.cpp
@@ -185,7 +185,7 @@
 {
     request.headers.push_back({"id", absl::StrCat("r", ++m_requestCount)});
     std::shared_ptr<Answer> answer = std::make_shared<Answer>();
-    m_requests.push_back({m_clock.now(), {}, answer, request.body});
+    m_requests.push_back({m_clock.now(), instance, {}, answer, request.body});
     m_lastAsked = instance;
     deliver(*m_instances.at(instance),
         [this, request, answer](gateway::Gateway &gateway) { m_lastNumber = gateway.requests().arrived(request, std::make_shared<FakeSink>(answer)); });
@@ -225,7 +225,7 @@
         m_store[topic].erase(key);
     }
     for (const std::unique_ptr<Instance> &instance : m_instances) {
-        if (!instance->isStoreCut) {
+        if (!instance->isStoreCut && !instance->isReading) {
             deliver(*instance, [topic, key, value, revision = m_revision, now = m_clock.now()](gateway::Gateway &gateway) {
                 gateway.topicChanged(topic, {{key, value, revision}}, revision, now);
             });
@@ -264,6 +264,7 @@
     Instance &instance = *m_instances[index];
     instance.gateway.reset();
     instance.isFrozen = false;
+    instance.isReading = false;
     instance.heldBack.clear();
     for (const std::unique_ptr<Engine> &engine : m_engines) {
         const auto isOfInstance = [&instance](const Run &run) {
@@ -274,9 +275,12 @@
     keepLinks();
 }
 
-void EngineFleet::start(std::size_t index)
+void EngineFleet::start(std::size_t index, absl::Duration readDelay, absl::Duration announceDelay)
 {
     Instance &instance = *m_instances[index];
+    ++instance.member.incarnation;
+    instance.announcedFrom = m_clock.now() + announceDelay;
+    instance.isProcessAnnounced = false;
     gateway::GatewaySettings settings = GatewayFixture::settings();
     settings.self = instance.member;
     settings.announcementLifetime = LEASE_TIME;
@@ -296,7 +300,17 @@
             }
         });
     });
-    readStore(instance);
+    if (readDelay == absl::ZeroDuration()) {
+        readStore(instance);
+        return;
+    }
+    instance.isReading = true;
+    at(readDelay, [this, &instance, process = instance.gateway.get()] {
+        if (instance.gateway.get() == process) {
+            instance.isReading = false;
+            readStore(instance);
+        }
+    });
 }
 
 void EngineFleet::readStore(Instance &instance)
@@ -322,6 +336,11 @@
     }
 }
 
+void EngineFleet::setBusy(std::size_t index, absl::Duration time)
+{
+    m_instances[index]->busyUntil = m_clock.now() + time;
+}
+
 void EngineFleet::setStoreCut(std::size_t index, bool isCut)
 {
     Instance &instance = *m_instances[index];
@@ -347,11 +366,12 @@
     const absl::Time now = m_clock.now();
     for (const std::unique_ptr<Instance> &instance : m_instances) {
         const bool canRenew = instance->gateway != nullptr && !instance->isFrozen && !instance->isStoreCut;
-        const bool isDue = !instance->isAnnounced || now - instance->renewedAt >= RENEW_PERIOD;
-        if (canRenew && isDue) {
+        const bool isDue = !instance->isAnnounced || !instance->isProcessAnnounced || now - instance->renewedAt >= RENEW_PERIOD;
+        if (canRenew && isDue && now >= instance->announcedFrom) {
             instance->renewedAt = now;
-            if (!instance->isAnnounced) {
+            if (!instance->isAnnounced || !instance->isProcessAnnounced) {
                 instance->isAnnounced = true;
+                instance->isProcessAnnounced = true;
                 storeRecord(gateway::Topic::Members, instance->member.id.value(), nlohmann::json(instance->member).dump());
             }
         } else if (instance->isAnnounced && now - instance->renewedAt > LEASE_TIME) {
@@ -404,7 +424,7 @@
 void EngineFleet::confirmTopics()
 {
     for (const std::unique_ptr<Instance> &instance : m_instances) {
-        if (instance->isStoreCut) {
+        if (instance->isStoreCut || instance->isReading) {
             continue;
         }
         for (const gateway::Topic topic : TOPICS) {
--- a/tests/gateway/enginefleet.h
+++ b/tests/gateway/enginefleet.h
@@ -33,10 +33,23 @@
     std::string body;
 };
 
+/** What is the matter with an instance's paths to the engines. */
+enum class PathCut {
+    None,
+    /** Connections hang, and new ones are neither accepted nor refused. */
+    Silent,
+    /** Connections are reset, and new ones refused. */
+    Reset,
+    /** New connections are refused; those that are open live on. */
+    NewRefused,
+};
+
 /** A caller's request to the fleet. */
 struct FleetRequest
 {
     absl::Time at;
+    /** Number of the instance that the caller asked. */
+    std::size_t instance = 0;
     std::vector<std::string> sharedParts;
     std::shared_ptr<Answer> answer;
     std::string body;
@@ -98,13 +111,22 @@
     // Instances
 
     void kill(std::size_t instance);
-    void start(std::size_t instance);
+    /**
+     * Starts a process of an instance.
+     * @param readDelay time until it has read the store
+     * @param announceDelay time until the store has its announcement; the one of the process before stays until then
+     */
+    void start(std::size_t instance, absl::Duration readDelay = {}, absl::Duration announceDelay = {});
     /** Starts an instance at a new address. Returns its number. */
     std::size_t addInstance(std::size_t region);
     /** Stops an instance's clock and messages, or lets it catch up. */
     void setFrozen(std::size_t instance, bool isFrozen);
+    /** Makes an instance so busy that it writes to no backend server until a time is over; what it has decided meanwhile it then writes at once. */
+    void setBusy(std::size_t instance, absl::Duration time);
     /** Cuts an instance off from the store, or restores the way there. */
     void setStoreCut(std::size_t instance, bool isCut);
+    /** Cuts an instance's paths to all engines, or to those that are named; None restores all of them. */
+    void setPathCut(std::size_t instance, PathCut cut, const std::set<std::size_t> &engines = {});
     /** Cuts the links between instances of different groups. Instances that are not named form one group. */
     void partition(const std::vector<std::vector<std::size_t>> &groups);
     /** Removes the announcements of instances from the store; each is written again when its lease is renewed. */
@@ -168,6 +190,12 @@
 
     void announce(Engine &engine);
     void bringBack(Engine &engine, absl::Duration lapseTime, absl::Duration restartTime);
+    /** What is the matter with the path from an instance to an engine. */
+    PathCut pathCut(const Instance &instance, const core::BackendServerId &engine) const;
+    /** Fails a run that meets a cut path; false if it reaches the engine. */
+    bool failAtCut(Instance &instance, gateway::Number run, const core::BackendServerId &engine);
+    /** Takes a connection on which an earlier run has ended; false if there is none. */
+    bool takeKeptConnection(Instance &instance, const core::BackendServerId &engine);
     void arrive(Instance &instance, gateway::Number run, const gateway::BackendServer &server, const gateway::HttpRequest &request);
     void beginAnswer(std::size_t engine, std::uint64_t boot, gateway::Number run);
     void writeEvent(std::size_t engine, std::uint64_t boot, gateway::Number run, int event);
--- a/tests/gateway/enginefleetengines.cpp
+++ b/tests/gateway/enginefleetengines.cpp
@@ -14,6 +14,8 @@
 /** Time after which the other end of a connection to an engine without power gives up. */
 constexpr absl::Duration SILENCE_TIME = absl::Seconds(2);
 constexpr absl::Duration CONNECT_TIMEOUT = absl::Seconds(1);
+/** Time for which a connection without a run is used again. */
+constexpr absl::Duration KEPT_TIME = absl::Seconds(4);
 constexpr absl::Duration PREFILL_TIME = absl::Milliseconds(60);
 constexpr int PREFILL_SPREAD_MS = 40;
 constexpr absl::Duration EVENT_TIME = absl::Milliseconds(20);
@@ -45,7 +47,8 @@
     gateway::Number run, const gateway::BackendServer &server, const gateway::HttpRequest &request, const core::RequestId & /*id*/, bool /*mayReuse*/)
 {
     Instance &instance = *m_fleet.m_instances[m_self];
-    m_fleet.at(REGION_LATENCY, [this, &instance, run, server, request] {
+    const absl::Duration busyTime = std::max(absl::ZeroDuration(), instance.busyUntil - m_fleet.now());
+    m_fleet.at(busyTime + REGION_LATENCY, [this, &instance, run, server, request] {
         if (instance.gateway != nullptr) {
             m_fleet.arrive(instance, run, server, request);
         }
@@ -123,6 +126,9 @@
         deliver(instance, [run](gateway::Gateway &gateway) { gateway.runFailed(run, false, gateway::REASON_CONNECT_REFUSED); });
         return;
     }
+    if (failAtCut(instance, run, server.id)) {
+        return;
+    }
     Engine &engine = **it;
     const std::vector<std::string> sharedParts = sharedPartsOf(request);
     m_arrivals.push_back({m_clock.now(), server.id, instance.member.id, FakeHeaders::value(request.headers, "id"), sharedParts, request.body});
@@ -131,6 +137,85 @@
     at(PREFILL_TIME + absl::Milliseconds(randomInt(PREFILL_SPREAD_MS)), [this, index, boot = engine.boot, run] { beginAnswer(index, boot, run); });
 }
 
+PathCut EngineFleet::pathCut(const Instance &instance, const core::BackendServerId &engine) const
+{
+    return instance.cutEngines.empty() || instance.cutEngines.count(engine) > 0 ? instance.cut : PathCut::None;
+}
+
+bool EngineFleet::takeKeptConnection(Instance &instance, const core::BackendServerId &engine)
+{
+    std::vector<absl::Time> &kept = instance.keptConnections[engine];
+    const auto isOld = [now = m_clock.now()](absl::Time usedAt) {
+        return now - usedAt > KEPT_TIME;
+    };
+    kept.erase(std::remove_if(kept.begin(), kept.end(), isOld), kept.end());
+    if (kept.empty()) {
+        return false;
+    }
+    kept.pop_back();
+    return true;
+}
+
+bool EngineFleet::failAtCut(Instance &instance, gateway::Number run, const core::BackendServerId &engine)
+{
+    const bool isKept = takeKeptConnection(instance, engine);
+    const auto fail = [this, &instance, run](absl::Duration delay, bool mayHaveRun, const char *reason) {
+        at(delay, [this, &instance, run, mayHaveRun, reason] {
+            deliver(instance, [run, mayHaveRun, reason](gateway::Gateway &gateway) { gateway.runFailed(run, mayHaveRun, reason); });
+        });
+    };
+    switch (pathCut(instance, engine)) {
+    case PathCut::None:
+        return false;
+    case PathCut::Silent:
+        isKept ? fail(SILENCE_TIME, true, gateway::REASON_CONNECTION_SILENT) : fail(CONNECT_TIMEOUT, false, "connect_timeout");
+        return true;
+    case PathCut::Reset:
+        fail(absl::ZeroDuration(), false, gateway::REASON_CONNECT_REFUSED);
+        return true;
+    case PathCut::NewRefused:
+        if (!isKept) {
+            fail(absl::ZeroDuration(), false, gateway::REASON_CONNECT_REFUSED);
+        }
+        return !isKept;
+    }
+    return false;
+}
+
+void EngineFleet::setPathCut(std::size_t index, PathCut cut, const std::set<std::size_t> &engines)
+{
+    Instance &instance = *m_instances[index];
+    instance.cut = cut;
+    instance.cutEngines.clear();
+    for (const std::size_t engine : engines) {
+        instance.cutEngines.insert(m_engines[engine]->server.id);
+    }
+    if (cut != PathCut::Silent && cut != PathCut::Reset) {
+        return;
+    }
+    for (const std::unique_ptr<Engine> &engine : m_engines) {
+        if (pathCut(instance, engine->server.id) == PathCut::None) {
+            continue;
+        }
+        // Kept connections stay in use until they are found silent; those that are reset are closed at once.
+        if (cut == PathCut::Reset) {
+            instance.keptConnections.erase(engine->server.id);
+        }
+        for (Run &run : engine->runs) {
+            if (run.instance != &instance || run.isLost) {
+                continue;
+            }
+            run.isLost = true;
+            const bool isReset = cut == PathCut::Reset;
+            const char *resetReason = run.hasHead ? gateway::REASON_ANSWER_BROKEN_OFF : gateway::REASON_NO_ANSWER;
+            const char *reason = isReset ? resetReason : gateway::REASON_CONNECTION_SILENT;
+            at(isReset ? absl::ZeroDuration() : SILENCE_TIME, [this, &instance, number = run.number, reason] {
+                deliver(instance, [number, reason](gateway::Gateway &gateway) { gateway.runFailed(number, true, reason); });
+            });
+        }
+    }
+}
+
 EngineFleet::Run *EngineFleet::findRun(std::size_t engine, std::uint64_t boot, gateway::Number run)
 {
     if (m_engines[engine]->boot != boot || !m_engines[engine]->isUp) {
@@ -138,7 +223,7 @@
     }
     for (Run &candidate : m_engines[engine]->runs) {
         if (candidate.number == run) {
-            return candidate.instance->gateway == nullptr ? nullptr : &candidate;
+            return candidate.instance->gateway == nullptr || candidate.isLost ? nullptr : &candidate;
         }
     }
     return nullptr;
@@ -202,6 +287,9 @@
     const auto isRun = [run](const Run &candidate) {
         return candidate.number == run;
     };
+    if (!areAnswersCloseDelimited) {
+        instance.keptConnections[m_engines[engine]->server.id].push_back(m_clock.now());
+    }
     std::vector<Run> &runs = m_engines[engine]->runs;
     runs.erase(std::remove_if(runs.begin(), runs.end(), isRun), runs.end());
     const gateway::AnswerEnd end = areAnswersCloseDelimited ? gateway::AnswerEnd::ConnectionClosed : gateway::AnswerEnd::Framed;
--- a/tests/gateway/enginefleetparts.h
+++ b/tests/gateway/enginefleetparts.h
@@ -17,6 +17,8 @@
     std::vector<std::string> sharedParts;
     std::string body;
     bool hasHead = false;
+    /** Whether the path to the instance was lost, so that nothing of the run arrives there any more. */
+    bool isLost = false;
 };
 
 struct EngineFleet::Engine
@@ -81,9 +83,22 @@
     bool isFrozen = false;
     std::deque<std::function<void(gateway::Gateway &)>> heldBack;
     bool isStoreCut = false;
+    /** Until when the instance writes to no backend server. */
+    absl::Time busyUntil = absl::InfinitePast();
+    PathCut cut = PathCut::None;
+    /** Engines to which the paths are cut; empty for all. */
+    std::set<core::BackendServerId> cutEngines;
+    /** Times at which the connections that are kept to each engine were last used. */
+    std::map<core::BackendServerId, std::vector<absl::Time>> keptConnections;
     /** When the announcement was last renewed. */
     absl::Time renewedAt;
+    /** Whether the store has an announcement, and whether it is the one of the present process. */
     bool isAnnounced = false;
+    bool isProcessAnnounced = false;
+    /** From when on the process writes to the store. */
+    absl::Time announcedFrom;
+    /** Whether the first reading of the store is under way. */
+    bool isReading = false;
     /** Empty while the instance is down. */
     std::unique_ptr<gateway::Gateway> gateway;
 };
