FAILBACK: send to a cold backend server within 0.2 s of the decision, or not at all

Cause: the sender's pace counted decisions. Between a decision and its send lie a connection and, at an instance without processor time, seconds; what was decided over them leaves together. Beside it, the sender was not one: a restarted member was left out of the list while its earlier process was announced, and the next sender waited 1.2 s while lists are used for 5.4 s.

Ruled out: an engine known as warm from before (it came back under another identifier; 421 does not count).

Change: RunTransport gets a time by which a request is sent; behind the connection the pool checks it and fails the run as not run. The pace counts that time, two senders included. The next sender waits as long as earlier lists are used. Members are those the store announces.

--- a/include/snipeferry/gateway/backendtable.h
+++ b/include/snipeferry/gateway/backendtable.h
@@ -83,6 +83,9 @@
     Cancelled,
 };
 
+/** @brief How a run ended that failed for a reason of ports.h: it says nothing about the backend server if this instance did not send it. */
+RunEnd endOfFailedRun(const std::string &reason);
+
 /** Numbers of one service's backend servers and runs in this region. */
 struct ServerCounts
 {
@@ -158,6 +161,9 @@
     /** @brief How long a backend server remains cold as far as this instance knows; zero for a warm or unknown one. */
     absl::Duration coldLeft(const core::BackendServerId &id) const;
 
+    /** @brief Until when a run that is started now has to be sent: soon to a cold backend server, whose requests are counted when they arrive. */
+    absl::Time sendBy(const core::BackendServerId &id) const;
+
     /** @brief Whether a backend server of the version accepts requests. */
     bool hasVersion(const core::ServiceId &service, const core::VersionId &version) const;
 
--- a/include/snipeferry/gateway/coldpacing.h
+++ b/include/snipeferry/gateway/coldpacing.h
@@ -22,11 +22,15 @@
  * Decides whether this instance is the one that sends requests to a cold backend server, and at which rate.
  *
  * The sender is chosen among the announced members of the region and not among those that are heard of, so that instances which do not hear each other choose
- * the same one. While lists differ, two instances may both be the sender: the rate of each leaves room for the other.
+ * the same one. An instance uses a list for some time after it was confirmed, so after a change the next sender waits that long. Should two instances be the
+ * sender nevertheless, the rate of each leaves room for the other.
  */
 class ColdPacing
 {
 public:
+    /** Time from the decision to send a request to a cold backend server within which it has to be sent. Later it would meet those decided after it. */
+    static constexpr absl::Duration SEND_TIME = absl::Milliseconds(200);
+
     ColdPacing(core::InstanceId self, core::TimerService &timers);
 
     void setBounds(ColdBounds bounds);
@@ -43,6 +47,9 @@
     absl::Duration interval(double coldRate) const;
 
 private:
+    /** Time after a change of the members in which another instance may send by the list before. */
+    absl::Duration handoverTime() const;
+
     core::InstanceId m_self;
     core::TimerService &m_timers;
     ColdBounds m_bounds;
--- a/include/snipeferry/gateway/fleetview.h
+++ b/include/snipeferry/gateway/fleetview.h
@@ -44,7 +44,7 @@
 
     const Member &self() const;
 
-    /** @brief Adds or updates a member from its announcement in the store. An older incarnation is ignored. */
+    /** @brief Adds or updates a member from its announcement in the store. What an older incarnation says of itself is ignored. */
     void announceMember(const Member &member);
     /** @brief Removes a member whose announcement was removed from the store. A linked instance stays. */
     void removeMember(const core::InstanceId &id);
--- a/include/snipeferry/gateway/ports.h
+++ b/include/snipeferry/gateway/ports.h
@@ -4,6 +4,8 @@
 #include "snipeferry/core/logevent.h"
 #include "snipeferry/gateway/fleetmessages.h"
 
+#include <absl/time/time.h>
+
 #include <string>
 #include <vector>
 
@@ -50,8 +52,11 @@
      * @brief Sends a request to a backend server. The events of the run go to RunEvents under the same number.
      * @param mayReuseConnection false if the request may not be repeated: a reused connection may just have been closed by the server, and then it is
      * unknown whether the request was executed
+     * @param sendBy time after which the request is not sent any more; the run then fails with REASON_SENT_TOO_LATE and was not executed
      */
-    virtual void start(Number run, const BackendServer &server, const HttpRequest &request, const core::RequestId &id, bool mayReuseConnection) = 0;
+    virtual void start(
+        Number run, const BackendServer &server, const HttpRequest &request, const core::RequestId &id, bool mayReuseConnection, absl::Time sendBy)
+        = 0;
 
     /** @brief Closes the run's connection. No events of the run follow. */
     virtual void cancel(Number run) = 0;
@@ -71,6 +76,8 @@
 constexpr const char *REASON_READ_MEMORY_FULL = "read_memory_full";
 /** The connection has gone silent, which says nothing about the backend server. */
 constexpr const char *REASON_CONNECTION_SILENT = "connection_silent";
+/** The connection was established when it was too late to send the request. */
+constexpr const char *REASON_SENT_TOO_LATE = "sent_too_late";
 
 /** How an answer has ended. */
 enum class AnswerEnd {
--- a/include/snipeferry/net/backendpool.h
+++ b/include/snipeferry/net/backendpool.h
@@ -42,7 +42,7 @@
     void setEvents(gateway::RunEvents &events);
 
     void start(gateway::Number run, const gateway::BackendServer &server, const gateway::HttpRequest &request, const core::RequestId &id,
-        bool mayReuseConnection) override;
+        bool mayReuseConnection, absl::Time sendBy) override;
     void cancel(gateway::Number run) override;
     void setPaused(gateway::Number run, bool isPaused) override;
 
--- a/source/gateway/backendtable.cpp
+++ b/source/gateway/backendtable.cpp
@@ -34,6 +34,11 @@
     return static_cast<double>(URGENCY_LEVELS - 1 - level) / (URGENCY_LEVELS - 1);
 }
 
+RunEnd endOfFailedRun(const std::string &reason)
+{
+    return reason == REASON_SENT_TOO_LATE ? RunEnd::Cancelled : RunEnd::Unreachable;
+}
+
 BackendTable::BackendTable(core::InstanceId self, core::TimerService &timers)
     : m_self(std::move(self)),
       m_timers(timers),
@@ -205,6 +210,11 @@
     return all;
 }
 
+absl::Time BackendTable::sendBy(const core::BackendServerId &id) const
+{
+    return coldLeft(id) > absl::ZeroDuration() ? m_timers.now() + ColdPacing::SEND_TIME : absl::InfiniteFuture();
+}
+
 bool BackendTable::hasVersion(const core::ServiceId &service, const core::VersionId &version) const
 {
     const auto it = m_services.find(service);
--- a/source/gateway/coldpacing.cpp
+++ b/source/gateway/coldpacing.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-/** The sender before a change of the members may have sent within the second in which the bound counts; the rest is for requests on their way. */
-constexpr absl::Duration HANDOVER_TIME = absl::Milliseconds(1200);
+/** Span in which the requests to a cold backend server are counted. */
+constexpr absl::Duration BOUND_SPAN = absl::Seconds(1);
 /** Part of an announcement's lifetime in which an instance has to hear of the other members, before they can take it for gone. */
 constexpr double MEMBERS_AGE_FRACTION = 0.6;
 /** Instances that may take themselves for the sender at the same time. */
@@ -26,6 +26,11 @@
 {
 }
 
+absl::Duration ColdPacing::handoverTime() const
+{
+    return m_maxMembersAge + SEND_TIME + BOUND_SPAN;
+}
+
 void ColdPacing::setBounds(ColdBounds bounds)
 {
     m_bounds = bounds;
@@ -34,7 +39,7 @@
 void ColdPacing::setMembers(std::vector<core::InstanceId> members)
 {
     const absl::Time now = m_timers.now();
-    while (!m_earlierMembers.empty() && now - m_earlierMembers.front().first > HANDOVER_TIME) {
+    while (!m_earlierMembers.empty() && now - m_earlierMembers.front().first > handoverTime()) {
         m_earlierMembers.pop_front();
     }
     std::sort(members.begin(), members.end());
@@ -60,13 +65,15 @@
         return false;
     }
     return std::all_of(m_earlierMembers.begin(), m_earlierMembers.end(), [&](const std::pair<absl::Time, std::vector<core::InstanceId>> &earlier) {
-        return now - earlier.first > HANDOVER_TIME || rendezvousFirst(server.value(), earlier.second) == m_self;
+        return now - earlier.first > handoverTime() || rendezvousFirst(server.value(), earlier.second) == m_self;
     });
 }
 
 absl::Duration ColdPacing::interval(double coldRate) const
 {
-    const double shared = (m_bounds.excess * coldRate + m_bounds.slack) / POSSIBLE_SENDERS - FIRST_REQUEST;
+    // What is decided within the span and the time to send may arrive within the span.
+    const double counted = absl::FDivDuration(BOUND_SPAN + SEND_TIME, BOUND_SPAN);
+    const double shared = ((m_bounds.excess * coldRate + m_bounds.slack) / POSSIBLE_SENDERS - FIRST_REQUEST) / counted;
     return absl::Seconds(1.0 / std::max(MIN_RATE, std::min(coldRate, shared)));
 }
 
--- a/source/gateway/fleetview.cpp
+++ b/source/gateway/fleetview.cpp
@@ -43,6 +43,9 @@
     }
     Peer &peer = m_peers[member.id];
     if (peer.member.incarnation > member.incarnation) {
+        // It is still announced for the process before the one that is linked. All instances take the announced members from the store alone.
+        m_areLinkTargetsOutdated = m_areLinkTargetsOutdated || !peer.isAnnounced;
+        peer.isAnnounced = true;
         return;
     }
     if (!peer.isAnnounced || peer.member.incarnation != member.incarnation) {
--- a/source/gateway/forwardreceiver.cpp
+++ b/source/gateway/forwardreceiver.cpp
@@ -156,7 +156,7 @@
                       .with("estimate_ms", absl::StrCat(absl::ToInt64Milliseconds(choice->estimate)))
                       .with("cold_ms", absl::StrCat(absl::ToInt64Milliseconds(m_backends.coldLeft(choice->server))))
                       .with("version", forwardedRun.version.value()));
-    m_runs.start(run, *m_backends.find(choice->server), request, message.request.id, message.isRepeatable);
+    m_runs.start(run, *m_backends.find(choice->server), request, message.request.id, message.isRepeatable, m_backends.sendBy(choice->server));
 }
 
 void ForwardReceiver::end(Number run, RunEnd end)
@@ -416,7 +416,7 @@
     }
     const ForwardedRun forwardedRun = it->second;
     noteFailedRun(forwardedRun, reason);
-    end(run, RunEnd::Unreachable);
+    end(run, endOfFailedRun(reason));
     m_journal.log(core::LogEvent{"forward_failed", {}}
                       .with("request", forwardedRun.request.value())
                       .with("server", forwardedRun.server.value())
--- a/source/gateway/requestanswer.cpp
+++ b/source/gateway/requestanswer.cpp
@@ -285,7 +285,7 @@
     OpenRequest *open = findByRun(run);
     if (open != nullptr) {
         noteFailedRun(*open, reason);
-        retryOrFail(open->number, mayHaveRun, RunEnd::Unreachable, reason);
+        retryOrFail(open->number, mayHaveRun, endOfFailedRun(reason), reason);
     }
 }
 
--- a/source/gateway/requestplacement.cpp
+++ b/source/gateway/requestplacement.cpp
@@ -178,7 +178,8 @@
     m_dependencies.journal.count("prompt_tokens_total", "unread", static_cast<double>(choice.unreadTokens));
     m_dependencies.journal.count(
         "prompt_tokens_total", "kept", static_cast<double>(std::max<std::int64_t>(0, open.request.promptTokens - choice.unreadTokens)));
-    m_dependencies.runs.start(open.run, *m_dependencies.backends.find(choice.server), request, open.request.id, mayRepeat(open));
+    m_dependencies.runs.start(
+        open.run, *m_dependencies.backends.find(choice.server), request, open.request.id, mayRepeat(open), m_dependencies.backends.sendBy(choice.server));
 }
 
 void RequestFlow::startForwarded(OpenRequest &open, const RemoteChoice &choice, const VersionChoice &versions)
--- a/source/http/backendclient.cpp
+++ b/source/http/backendclient.cpp
@@ -95,7 +95,7 @@
     gateway::BackendServer server;
     server.id = dispatch.backendServer;
     server.address = dispatch.address;
-    m_pool.start(run, server, {dispatch.method, dispatch.path, passedOn(dispatch.headers), dispatch.body}, dispatch.request, false);
+    m_pool.start(run, server, {dispatch.method, dispatch.path, passedOn(dispatch.headers), dispatch.body}, dispatch.request, false, absl::InfiniteFuture());
 }
 
 void BackendClient::Impl::cancel(const messages::CancelDispatch &cancel)
--- a/source/net/backendpool.cpp
+++ b/source/net/backendpool.cpp
@@ -102,9 +102,10 @@
         }
     }
 
-    void connect(const Tcp::endpoint &endpoint, gateway::Number run, core::RequestId id, std::string bytes, bool isHead)
+    void connect(const Tcp::endpoint &endpoint, gateway::Number run, core::RequestId id, std::string bytes, bool isHead, absl::Time sendBy)
     {
         prepare(run, std::move(id), std::move(bytes), isHead);
+        m_sendBy = sendBy;
         const std::shared_ptr<BackendPool::Impl> pool = m_pool.lock();
         m_timer = m_loop.timers().after(pool->settings.connectTimeout, [self = shared_from_this()] { self->fail(false, "connect_timeout"); });
         m_socket.async_connect(endpoint, [self = shared_from_this()](ErrorCode error) {
@@ -122,6 +123,10 @@
             if (owner != nullptr) {
                 setLinkOptions(self->m_socket, owner->settings.lossTimeout);
             }
+            if (self->m_loop.timers().now() > self->m_sendBy) {
+                self->fail(false, gateway::REASON_SENT_TOO_LATE);
+                return;
+            }
             self->send();
         });
     }
@@ -392,6 +397,8 @@
     gateway::Number m_run = 0;
     core::RequestId m_request;
     std::string m_bytes;
+    /** Time after which the request is not sent on a new connection. */
+    absl::Time m_sendBy = absl::InfiniteFuture();
     bool m_hasSent = false;
     bool m_isWritten = false;
     bool m_isHead = false;
@@ -447,8 +454,8 @@
     return m_impl->opened;
 }
 
-void BackendPool::start(
-    gateway::Number run, const gateway::BackendServer &server, const gateway::HttpRequest &request, const core::RequestId &id, bool mayReuseConnection)
+void BackendPool::start(gateway::Number run, const gateway::BackendServer &server, const gateway::HttpRequest &request, const core::RequestId &id,
+    bool mayReuseConnection, absl::Time sendBy)
 {
     std::string bytes = requestBytes(request, server.address);
     const bool isHead = request.method == "HEAD";
@@ -478,7 +485,7 @@
     ++m_impl->opened;
     const std::shared_ptr<BackendConnection> connection = std::make_shared<BackendConnection>(m_impl, server.id);
     m_impl->runs[run] = connection;
-    connection->connect(Tcp::endpoint(ip, static_cast<unsigned short>(parts->second)), run, id, std::move(bytes), isHead);
+    connection->connect(Tcp::endpoint(ip, static_cast<unsigned short>(parts->second)), run, id, std::move(bytes), isHead, sendBy);
 }
 
 void BackendPool::setPaused(gateway::Number run, bool isPaused)
