RECOVER: tell lost paths from failed servers, and hand requests to instances that reach them

Cause: an instance took what it did not reach for failed. It found out again with each request, spent the fleet's repeats on connections that were refused, told the others of crashes that had not happened, and knew no way to another instance of its own region. Other regions kept forwarding to it.

Change: ServerPaths suspects by failed runs and decides by connections without a request. While cut off, requests go to another instance of the region, then to other regions, else they are refused at once. What was not reached is no evidence against servers, versions or prompt parts, and no repeat.

--- a/include/snipeferry/gateway/backendtable.h
+++ b/include/snipeferry/gateway/backendtable.h
@@ -150,6 +150,12 @@
     /** @brief Chooses the best backend server; NoBackendServer if none accepts requests now. */
     core::Expected<ServerChoice> choose(const ServerQuery &query);
 
+    /** @brief The backend servers of a service that accept requests. */
+    std::vector<BackendServer> acceptingServers(const core::ServiceId &service) const;
+
+    /** @brief Takes back what failed runs have said about a service's backend servers. */
+    void forgetFailures(const core::ServiceId &service);
+
     /** @brief Whether any backend server of the service accepts requests. */
     bool hasServers(const core::ServiceId &service) const;
 
--- a/include/snipeferry/gateway/fleetmessages.h
+++ b/include/snipeferry/gateway/fleetmessages.h
@@ -64,8 +64,10 @@
     std::vector<ReadPart> readParts;
     std::vector<AllowanceReport> allowances;
     std::vector<RolloutReport> rollouts;
+    /** Services none of whose backend servers the sender can reach. */
+    std::vector<core::ServiceId> lostServices;
 
-    SNIPEFERRY_VALUE(Pulse, sentAt, echo, isReady, topics, rooms, work, readParts, allowances, rollouts)
+    SNIPEFERRY_EXTENDED_VALUE(Pulse, lostServices, sentAt, echo, isReady, topics, rooms, work, readParts, allowances, rollouts)
 };
 
 /** Transfers customers' tokens to the receiver. The sender has already debited them. */
@@ -107,7 +109,7 @@
     SNIPEFERRY_VALUE(RecordsUpdate, topic, after, revision, changes)
 };
 
-/** Forwards a caller's request to an instance of another region, which runs it there or refuses it. It is never forwarded again. */
+/** Forwards a caller's request to another instance, which sends it to a backend server of its region or refuses it. It is never forwarded again. */
 struct ForwardRequest
 {
     /** The sender's run number; the answers carry the same number. */
@@ -214,8 +216,10 @@
     absl::Duration heardAgo;
     /** Whether it accepts callers. */
     bool isReady = false;
+    /** Services none of whose backend servers it can reach. */
+    std::vector<core::ServiceId> lostServices;
 
-    SNIPEFERRY_VALUE(InstanceState, instance, heardAgo, isReady)
+    SNIPEFERRY_EXTENDED_VALUE(InstanceState, lostServices, instance, heardAgo, isReady)
 };
 
 /** Merged reports of all instances of a large region, sent by a relay. */
--- a/include/snipeferry/gateway/fleetview.h
+++ b/include/snipeferry/gateway/fleetview.h
@@ -89,7 +89,7 @@
     /** @brief Processes the states of this region's instances from a relay's summary. */
     void receiveStates(const std::vector<InstanceState> &states);
     /** @brief States of this region's instances, this one included, for a summary. */
-    std::vector<InstanceState> regionStates(bool isSelfReady) const;
+    std::vector<InstanceState> regionStates(bool isSelfReady, const std::vector<core::ServiceId> &ownLostServices) const;
 
     /**
      * @brief Announced members to which this instance keeps links.
@@ -124,14 +124,22 @@
     /**
      * @brief Addresses of the nearest usable instances for callers in a data centre.
      *
-     * Prefers the data centre, then the region, then other regions. If no instance of the callers' region accepts callers, its draining instances are
-     * preferred to other regions.
+     * Prefers the data centre, there instances that reach the backend servers, then the region, then other regions. If no instance of the callers' region
+     * accepts callers, its draining instances are preferred to other regions.
      */
-    std::vector<std::string> callerAddresses(const core::RegionId &region, const core::DataCentreId &dataCentre, bool isSelfReady) const;
+    std::vector<std::string> callerAddresses(
+        const core::RegionId &region, const core::DataCentreId &dataCentre, bool isSelfReady, bool isSelfCutOff = false) const;
 
     /** @brief Chooses the instance of another region with the shortest expected time for a request. */
     core::Expected<RemoteChoice> choose(const RemoteQuery &query) const;
 
+    /**
+     * @brief Chooses another instance of this region that reaches the backend servers of a service.
+     *
+     * Prefers the own data centre, and there the instance to which the fewest requests were forwarded. Its estimates are left to the caller.
+     */
+    core::Expected<RemoteChoice> chooseNeighbour(const core::ServiceId &service, const std::vector<core::InstanceId> &excluded) const;
+
     /** @brief Counts a forwarded request until forwardEnded(), and its prompt tokens until the next pulse. */
     void forwardStarted(const core::InstanceId &id, const core::ServiceId &service, std::int64_t promptTokens);
     void forwardEnded(const core::InstanceId &id);
@@ -162,8 +170,12 @@
         absl::Time relayAvoidedUntil = absl::InfinitePast();
         /** Expected waits in the peer's region, from its last pulse. */
         std::vector<ServiceRoom> rooms;
+        /** Services that the peer is cut off from, from its last pulse or a relay's report. */
+        std::vector<core::ServiceId> lostServices;
         /** Requests forwarded to the peer that have not ended. */
         int openForwards = 0;
+        /** All requests forwarded to the peer. */
+        std::uint64_t forwards = 0;
         /** Prompt tokens forwarded since the last pulse; the waits in rooms do not include them yet. */
         absl::flat_hash_map<core::ServiceId, std::int64_t> unreportedTokens;
     };
--- a/include/snipeferry/gateway/forwardreceiver.h
+++ b/include/snipeferry/gateway/forwardreceiver.h
@@ -7,6 +7,7 @@
 #include "snipeferry/gateway/promptquarantine.h"
 #include "snipeferry/gateway/rolloutguard.h"
 #include "snipeferry/gateway/runnumbers.h"
+#include "snipeferry/gateway/serverpaths.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -17,15 +18,15 @@
 namespace snipeferry::gateway {
 
 /**
- * Runs requests that instances of other regions forwarded here, and streams the answers back.
+ * Runs requests that other instances forwarded here, and streams the answers back.
  *
  * Each request is either run at a backend server of this region or refused. It is never forwarded again, so requests cannot loop between instances.
  */
 class ForwardReceiver : public RunEvents
 {
 public:
-    ForwardReceiver(core::TimerService &timers, BackendTable &backends, FleetView &fleet, RolloutGuard &rollouts, PromptQuarantine &quarantine,
-        const HeaderCodec &headers, RunNumbers &runNumbers, RunTransport &runs, FleetLinks &links, Journal &journal);
+    ForwardReceiver(core::TimerService &timers, BackendTable &backends, ServerPaths &paths, FleetView &fleet, RolloutGuard &rollouts,
+        PromptQuarantine &quarantine, const HeaderCodec &headers, RunNumbers &runNumbers, RunTransport &runs, FleetLinks &links, Journal &journal);
 
     void handle(const core::InstanceId &from, const ForwardRequest &message);
     void handle(const core::InstanceId &from, const ForwardCancel &message);
@@ -140,6 +141,7 @@
 
     core::TimerService &m_timers;
     BackendTable &m_backends;
+    ServerPaths &m_paths;
     FleetView &m_fleet;
     RolloutGuard &m_rollouts;
     PromptQuarantine &m_quarantine;
--- a/include/snipeferry/gateway/gateway.h
+++ b/include/snipeferry/gateway/gateway.h
@@ -203,6 +203,8 @@
     void removeLapsedServers();
     /** Records a time at which the store confirmed that the copy of a topic was up to date. */
     void confirm(Topic topic, absl::Time at);
+    /** Tells the others that this instance has lost or regained the backend servers of a service. */
+    void pathsChanged(const core::ServiceId &service);
     /** Passes the known instances to the components that depend on them. */
     void updateInstances();
     /** Sends pulses to the own region, unless the region is so large that it is too early for the next ones. */
@@ -280,6 +282,7 @@
     PromptQuarantine m_quarantine;
     std::mt19937_64 m_random;
     RunNumbers m_runNumbers;
+    ServerPaths m_paths;
     RequestFlow m_requestFlow;
     ForwardReceiver m_forwardReceiver;
     std::shared_ptr<const RouteTable> m_routes;
--- a/include/snipeferry/gateway/ports.h
+++ b/include/snipeferry/gateway/ports.h
@@ -63,6 +63,13 @@
 
     /** @brief Stops or continues the reading of a run's answer. The backend server has to wait meanwhile. */
     virtual void setPaused(Number run, bool isPaused) = 0;
+
+    /**
+     * @brief Opens a new connection to a backend server and closes it without a request.
+     *
+     * RunEvents are told under the given number: runEnd() if it was established, runFailed() if not.
+     */
+    virtual void checkPath(Number run, const BackendServer &server) = 0;
 };
 
 /** Reasons of runFailed() that tell what happened to the backend server's process. */
@@ -78,6 +85,15 @@
 constexpr const char *REASON_CONNECTION_SILENT = "connection_silent";
 /** The connection was established when it was too late to send the request. */
 constexpr const char *REASON_SENT_TOO_LATE = "sent_too_late";
+constexpr const char *REASON_CONNECT_TIMEOUT = "connect_timeout";
+constexpr const char *REASON_CONNECT_FAILED = "connect_failed";
+/** The backend server has got the request and turned it away. */
+constexpr const char *REASON_REFUSED_BY_SERVER = "refused_by_server";
+constexpr const char *REASON_WRONG_SERVER = "wrong_server";
+/** A run was given up because its backend server sent nothing for too long. */
+constexpr const char *REASON_SILENT = "silent";
+/** An instance does not run a request because it is cut off from the service. */
+constexpr const char *REASON_CUT_OFF = "cut_off";
 
 /** How an answer has ended. */
 enum class AnswerEnd {
--- a/include/snipeferry/gateway/requestflow.h
+++ b/include/snipeferry/gateway/requestflow.h
@@ -12,6 +12,7 @@
 #include "snipeferry/gateway/rolloutguard.h"
 #include "snipeferry/gateway/routetable.h"
 #include "snipeferry/gateway/runnumbers.h"
+#include "snipeferry/gateway/serverpaths.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -42,6 +43,7 @@
 {
     core::TimerService &timers;
     BackendTable &backends;
+    ServerPaths &paths;
     FleetView &fleet;
     RateLimiter &allowances;
     RepeatBudget &repeats;
@@ -224,6 +226,8 @@
     bool mayRepeat(const OpenRequest &open) const;
     /** Selects a backend server or another region and starts a run there. */
     core::Expected<void> place(OpenRequest &open);
+    /** Selects another instance of the region for a request that cannot reach the backend servers from here, though one of them could take it. */
+    core::Expected<RemoteChoice> chooseNeighbour(const OpenRequest &open, const core::Expected<ServerChoice> &localChoice) const;
     void startLocally(OpenRequest &open, const ServerChoice &choice);
     void startForwarded(OpenRequest &open, const RemoteChoice &choice, const VersionChoice &versions);
     /** Forgets the current run and updates the statistics of its backend server and rollout. */
--- a/include/snipeferry/net/backendpool.h
+++ b/include/snipeferry/net/backendpool.h
@@ -45,6 +45,7 @@
         bool mayReuseConnection, absl::Time sendBy) override;
     void cancel(gateway::Number run) override;
     void setPaused(gateway::Number run, bool isPaused) override;
+    void checkPath(gateway::Number run, const gateway::BackendServer &server) override;
 
     /** @brief Connections opened since the start. */
     std::uint64_t openedCount() const;
--- a/source/gateway/backendtable.cpp
+++ b/source/gateway/backendtable.cpp
@@ -169,6 +169,38 @@
         it->second.servers.begin(), it->second.servers.end(), [this](const core::BackendServerId &id) { return acceptsRequests(m_servers.at(id)); });
 }
 
+std::vector<BackendServer> BackendTable::acceptingServers(const core::ServiceId &service) const
+{
+    std::vector<BackendServer> accepting;
+    const auto it = m_services.find(service);
+    if (it == m_services.end()) {
+        return accepting;
+    }
+    for (const core::BackendServerId &id : it->second.servers) {
+        const ServerState &state = m_servers.at(id);
+        if (acceptsRequests(state)) {
+            accepting.push_back(state.server);
+        }
+    }
+    return accepting;
+}
+
+void BackendTable::forgetFailures(const core::ServiceId &service)
+{
+    const auto it = m_services.find(service);
+    if (it == m_services.end()) {
+        return;
+    }
+    it->second.failureShare = 0;
+    for (const core::BackendServerId &id : it->second.servers) {
+        ServerState &state = m_servers.at(id);
+        state.failureShare = 0;
+        state.consecutiveFailures = 0;
+        state.ejectedUntil = absl::InfinitePast();
+        state.ejectionTime = absl::ZeroDuration();
+    }
+}
+
 std::string BackendTable::describe(const core::BackendServerId &id)
 {
     refreshPeerWork();
--- a/source/gateway/fleetlinkchoice.cpp
+++ b/source/gateway/fleetlinkchoice.cpp
@@ -129,18 +129,21 @@
         if (it != m_peers.end() && now - state.heardAgo >= it->second.reportedAliveAt) {
             it->second.reportedAliveAt = now - state.heardAgo;
             it->second.isReportedReady = state.isReady;
+            if (!hasRecentPulse(it->second)) {
+                it->second.lostServices = state.lostServices;
+            }
         }
     }
 }
 
-std::vector<InstanceState> FleetView::regionStates(bool isSelfReady) const
+std::vector<InstanceState> FleetView::regionStates(bool isSelfReady, const std::vector<core::ServiceId> &ownLostServices) const
 {
     const absl::Time now = m_timers.now();
-    std::vector<InstanceState> states{{m_self.id, absl::ZeroDuration(), isSelfReady}};
+    std::vector<InstanceState> states{{m_self.id, absl::ZeroDuration(), isSelfReady, ownLostServices}};
     for (const auto &entry : m_peers) {
         const Peer &peer = entry.second;
         if (peer.member.region == m_self.region && hasRecentPulse(peer)) {
-            states.push_back({entry.first, now - peer.lastHeardAt, peer.isReady});
+            states.push_back({entry.first, now - peer.lastHeardAt, peer.isReady, peer.lostServices});
         }
     }
     return states;
--- a/source/gateway/fleetview.cpp
+++ b/source/gateway/fleetview.cpp
@@ -90,6 +90,7 @@
     it->second.linkedProcess = ProcessId();
     it->second.isReady = false;
     it->second.rooms.clear();
+    it->second.lostServices.clear();
     if (!it->second.isAnnounced) {
         m_peers.erase(it);
     }
@@ -111,6 +112,7 @@
     peer.lastHeardAt = m_timers.now();
     peer.isReady = pulse.isReady;
     peer.rooms = pulse.rooms;
+    peer.lostServices = pulse.lostServices;
     peer.unreportedTokens.clear();
     peer.lastSentAt = pulse.sentAt;
     if (pulse.echo == 0) {
@@ -243,15 +245,17 @@
     return 1 + static_cast<int>(m_peers.size());
 }
 
-std::vector<std::string> FleetView::callerAddresses(const core::RegionId &region, const core::DataCentreId &dataCentre, bool isSelfReady) const
+std::vector<std::string> FleetView::callerAddresses(
+    const core::RegionId &region, const core::DataCentreId &dataCentre, bool isSelfReady, bool isSelfCutOff) const
 {
     std::vector<std::string> sameDataCentre;
+    std::vector<std::string> cutOffInDataCentre;
     std::vector<std::string> sameRegion;
     std::vector<std::string> otherRegions;
     std::vector<std::string> draining;
-    const auto add = [&](const Member &member) {
+    const auto add = [&](const Member &member, bool isCutOff) {
         if (member.dataCentre == dataCentre) {
-            sameDataCentre.push_back(member.callerAddress);
+            (isCutOff ? cutOffInDataCentre : sameDataCentre).push_back(member.callerAddress);
         } else if (member.region == region) {
             sameRegion.push_back(member.callerAddress);
         } else {
@@ -259,19 +263,21 @@
         }
     };
     if (isSelfReady) {
-        add(m_self);
+        add(m_self, isSelfCutOff);
     } else if (m_self.region == region) {
         draining.push_back(m_self.callerAddress);
     }
     for (const auto &entry : m_peers) {
         const bool isOffered = isAlive(entry.second) ? acceptsCallers(entry.second) : mayBeAlive(entry.second);
         if (isOffered) {
-            add(entry.second.member);
+            add(entry.second.member, !entry.second.lostServices.empty());
         } else if (isAlive(entry.second) && entry.second.member.region == region) {
             draining.push_back(entry.second.member.callerAddress);
         }
     }
-    std::vector<std::string> &best = !sameDataCentre.empty() ? sameDataCentre : !sameRegion.empty() ? sameRegion : !draining.empty() ? draining : otherRegions;
+    // An instance that is cut off from backend servers hands its requests on, so it is named only if its data centre has no other.
+    std::vector<std::string> &nearest = !sameDataCentre.empty() ? sameDataCentre : cutOffInDataCentre;
+    std::vector<std::string> &best = !nearest.empty() ? nearest : !sameRegion.empty() ? sameRegion : !draining.empty() ? draining : otherRegions;
     if (best.size() > MAX_CALLER_ADDRESSES) {
         best.resize(MAX_CALLER_ADDRESSES);
     }
@@ -313,11 +319,35 @@
     return best;
 }
 
+core::Expected<RemoteChoice> FleetView::chooseNeighbour(const core::ServiceId &service, const std::vector<core::InstanceId> &excluded) const
+{
+    const Peer *best = nullptr;
+    const auto isBetter = [&](const Peer &peer) {
+        const bool isNear = peer.member.dataCentre == m_self.dataCentre;
+        const bool isBestNear = best->member.dataCentre == m_self.dataCentre;
+        return isNear != isBestNear ? isNear : std::pair(peer.openForwards, peer.forwards) < std::pair(best->openForwards, best->forwards);
+    };
+    for (const auto &entry : m_peers) {
+        const Peer &peer = entry.second;
+        const bool isUsable = peer.member.region == m_self.region && peer.isReady && hasRecentPulse(peer);
+        const bool isExcluded = std::find(excluded.begin(), excluded.end(), entry.first) != excluded.end();
+        const bool reachesServers = std::find(peer.lostServices.begin(), peer.lostServices.end(), service) == peer.lostServices.end();
+        if (isUsable && !isExcluded && reachesServers && (best == nullptr || isBetter(peer))) {
+            best = &peer;
+        }
+    }
+    if (best == nullptr) {
+        return tl::make_unexpected(core::makeError(core::ErrorKind::PeerUnavailable, "No other instance of the region reaches the backend servers."));
+    }
+    return RemoteChoice{best->member.id, best->member.region};
+}
+
 void FleetView::forwardStarted(const core::InstanceId &id, const core::ServiceId &service, std::int64_t promptTokens)
 {
     const auto it = m_peers.find(id);
     if (it != m_peers.end()) {
         ++it->second.openForwards;
+        ++it->second.forwards;
         it->second.unreportedTokens[service] += promptTokens;
     }
 }
--- a/source/gateway/forwardreceiver.cpp
+++ b/source/gateway/forwardreceiver.cpp
@@ -35,10 +35,11 @@
 
 } // namespace
 
-ForwardReceiver::ForwardReceiver(core::TimerService &timers, BackendTable &backends, FleetView &fleet, RolloutGuard &rollouts, PromptQuarantine &quarantine,
-    const HeaderCodec &headers, RunNumbers &runNumbers, RunTransport &runs, FleetLinks &links, Journal &journal)
+ForwardReceiver::ForwardReceiver(core::TimerService &timers, BackendTable &backends, ServerPaths &paths, FleetView &fleet, RolloutGuard &rollouts,
+    PromptQuarantine &quarantine, const HeaderCodec &headers, RunNumbers &runNumbers, RunTransport &runs, FleetLinks &links, Journal &journal)
     : m_timers(timers),
       m_backends(backends),
+      m_paths(paths),
       m_fleet(fleet),
       m_rollouts(rollouts),
       m_quarantine(quarantine),
@@ -95,6 +96,10 @@
         refuse(origin, message.request.id, core::errorAnswer(core::ErrorKind::InstanceDraining).name);
         return;
     }
+    if (m_paths.isCutOff(message.service)) {
+        refuse(origin, message.request.id, REASON_CUT_OFF);
+        return;
+    }
     const RunContent content(message.request.promptParts, message.request.fingerprint);
     const QuarantinedPart *quarantined = m_quarantine.find(message.service, content);
     if (quarantined != nullptr) {
@@ -166,6 +171,9 @@
         return;
     }
     const ForwardedRun &forwardedRun = it->second;
+    if (end == RunEnd::Unreachable && m_paths.isInDoubt(forwardedRun.service)) {
+        end = RunEnd::Cancelled;
+    }
     m_backends.finished(
         forwardedRun.server, forwardedRun.priority, forwardedRun.isAnswering ? 0 : forwardedRun.unreadTokens, end, m_timers.now() - forwardedRun.startedAt);
     if (saysOfVersion(forwardedRun, end)) {
@@ -182,7 +190,8 @@
     }
     const BackendServer *server = m_backends.find(forwardedRun.server);
     const bool isLeaving = server == nullptr || server->isDraining;
-    if (end == RunEnd::Refused || isLeaving || m_quarantine.isSuspect(forwardedRun.service, forwardedRun.promptParts)) {
+    const bool isPathInDoubt = end != RunEnd::ServerError && m_paths.isInDoubt(forwardedRun.service);
+    if (end == RunEnd::Refused || isLeaving || isPathInDoubt || m_quarantine.isSuspect(forwardedRun.service, forwardedRun.promptParts)) {
         return false;
     }
     const bool isSilent = !forwardedRun.isAnswering && m_timers.now() >= forwardedRun.deadline;
@@ -331,12 +340,13 @@
         return;
     }
     const RunReport report = m_headers.decodeAnswer(head);
+    m_paths.noteAnswer(it->second.service, it->second.server);
     m_backends.noteReport(it->second.server, report, report.hasReceipt && head.status >= 200 && head.status < 300, it->second.startedAt, m_journal);
     if (report.isNotRun || report.isWrongServer) {
         const ForwardedRun forwardedRun = it->second;
         m_runs.cancel(run);
         end(run, RunEnd::Refused);
-        refuse(forwardedRun.origin, forwardedRun.request, "refused_by_server");
+        refuse(forwardedRun.origin, forwardedRun.request, REASON_REFUSED_BY_SERVER);
         return;
     }
     it->second.progress = AnswerProgress::Begun;
@@ -403,7 +413,11 @@
 void ForwardReceiver::noteFailedRun(const ForwardedRun &forwardedRun, const std::string &reason)
 {
     const BackendServer *server = m_backends.find(forwardedRun.server);
-    if (server != nullptr) {
+    if (server == nullptr) {
+        return;
+    }
+    m_paths.noteFailedRun(*server, reason);
+    if (reason != REASON_CONNECT_REFUSED || !m_paths.isInDoubt(forwardedRun.service)) {
         m_quarantine.addFailedRun(*server, forwardedRun.content, forwardedRun.progress, reason);
     }
 }
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -52,10 +52,15 @@
       m_quarantine(m_settings.serverReportPeriod, ports.timers, ports.journal),
       m_random(m_settings.flow.seed + 2),
       m_runNumbers(m_settings.firstRunNumber),
+      m_paths(
+          m_settings.flow.seed + 3, ports.timers, m_runNumbers, ports.runs, ports.journal,
+          [this](const core::ServiceId &service) { return m_backends.acceptingServers(service); },
+          [this](const core::ServiceId &service) { pathsChanged(service); }),
       m_requestFlow(m_settings.flow,
-          FlowDependencies{ports.timers, m_backends, m_fleet, m_allowances, m_repeats, m_rollouts, m_quarantine, ports.headers, m_runNumbers, ports.runs,
-              ports.links, ports.journal}),
-      m_forwardReceiver(ports.timers, m_backends, m_fleet, m_rollouts, m_quarantine, ports.headers, m_runNumbers, ports.runs, ports.links, ports.journal),
+          FlowDependencies{ports.timers, m_backends, m_paths, m_fleet, m_allowances, m_repeats, m_rollouts, m_quarantine, ports.headers, m_runNumbers,
+              ports.runs, ports.links, ports.journal}),
+      m_forwardReceiver(
+          ports.timers, m_backends, m_paths, m_fleet, m_rollouts, m_quarantine, ports.headers, m_runNumbers, ports.runs, ports.links, ports.journal),
       m_regionPulseTimer(ports.timers.every(m_settings.regionPulsePeriod, [this] { sendRegionPulses(); })),
       m_otherRegionsPulseTimer(ports.timers.every(m_settings.otherRegionsPulsePeriod, [this] { sendPulses(false); })),
       m_lapsedServerTimer(ports.timers.every(LAPSED_SERVER_CHECK_PERIOD, [this] { removeLapsedServers(); })),
@@ -254,7 +259,7 @@
 
 std::vector<std::string> Gateway::callerAddresses(const core::RegionId &region, const core::DataCentreId &dataCentre) const
 {
-    return m_fleet.callerAddresses(region, dataCentre, isReady());
+    return m_fleet.callerAddresses(region, dataCentre, isReady(), !m_paths.lostServices().empty());
 }
 
 bool Gateway::isReady() const
@@ -310,11 +315,24 @@
     return m_limitsChanged;
 }
 
+void Gateway::pathsChanged(const core::ServiceId &service)
+{
+    if (m_paths.isCutOff(service)) {
+        m_backends.forgetFailures(service);
+    }
+    // The others forward to this instance, or it to them, by what the pulses say.
+    sendToRegion();
+    sendPulses(false);
+}
+
 RunEvents &Gateway::ownerOf(Number run)
 {
     if (m_requestFlow.ownsRun(run)) {
         return m_requestFlow;
     }
+    if (m_paths.ownsRun(run)) {
+        return m_paths;
+    }
     return m_forwardReceiver;
 }
 
--- a/source/gateway/gatewayfleet.cpp
+++ b/source/gateway/gatewayfleet.cpp
@@ -78,12 +78,13 @@
             pulse.topics.push_back({static_cast<Topic>(index), mirror.changeRevision(), now - mirror.confirmedAt()});
         }
     }
+    pulse.lostServices = m_paths.lostServices();
     if (isToOwnRegion) {
         pulse.work = m_backends.ownWork();
     } else {
         for (const core::ServiceId &service : m_backends.services()) {
             const std::vector<absl::Duration> waits = m_backends.leastWaits(service);
-            if (!waits.empty()) {
+            if (!waits.empty() && !m_paths.isCutOff(service)) {
                 pulse.rooms.push_back({service, waits});
             }
         }
--- a/source/gateway/gatewayrelay.cpp
+++ b/source/gateway/gatewayrelay.cpp
@@ -79,7 +79,7 @@
 RegionSummary Gateway::buildSummary()
 {
     RegionSummary summary;
-    summary.instances = m_fleet.regionStates(isReady());
+    summary.instances = m_fleet.regionStates(isReady(), m_paths.lostServices());
     summary.work = m_backends.regionWork();
     summary.readParts = std::exchange(m_partsForRegion, {});
     summary.rollouts = m_rollouts.fleetReports();
--- a/source/gateway/requestanswer.cpp
+++ b/source/gateway/requestanswer.cpp
@@ -25,6 +25,7 @@
     }
     const RunReport report = m_dependencies.headers.decodeAnswer(head);
     if (!open->server.isEmpty()) {
+        m_dependencies.paths.noteAnswer(open->service, open->server);
         m_dependencies.backends.noteReport(
             open->server, report, report.hasReceipt && head.status >= 200 && head.status < 300, open->runStartedAt, m_dependencies.journal);
     }
@@ -33,7 +34,7 @@
     // The request was not executed, so it may be sent again.
     if (report.isNotRun || report.isWrongServer) {
         stopTransport(*open);
-        retryOrFail(open->number, false, RunEnd::Refused, report.isWrongServer ? "wrong_server" : "refused_by_server");
+        retryOrFail(open->number, false, RunEnd::Refused, report.isWrongServer ? REASON_WRONG_SERVER : REASON_REFUSED_BY_SERVER);
         return;
     }
     const bool isSuccess = head.status >= 200 && head.status < 300;
--- a/source/gateway/requestplacement.cpp
+++ b/source/gateway/requestplacement.cpp
@@ -55,7 +55,12 @@
 void RequestFlow::noteFailedRun(const OpenRequest &open, const std::string &reason)
 {
     const BackendServer *server = open.server.isEmpty() ? nullptr : m_dependencies.backends.find(open.server);
-    if (server != nullptr) {
+    if (server == nullptr) {
+        return;
+    }
+    m_dependencies.paths.noteFailedRun(*server, reason);
+    // A refused connection is a sign of a crash only if it is not this instance's path that is lost.
+    if (reason != REASON_CONNECT_REFUSED || !m_dependencies.paths.isInDoubt(open.service)) {
         m_dependencies.quarantine.addFailedRun(*server, open.content, open.progress, reason);
     }
 }
@@ -88,6 +93,17 @@
         = tl::make_unexpected(core::makeError(core::ErrorKind::RegionNotAllowed, "The request may not run in this region."));
     if (mayRunHere(open)) {
         localChoice = m_dependencies.backends.choose(query);
+        if (!m_dependencies.paths.mayDispatch(open.service)) {
+            // Another instance of the region reaches the same backend servers.
+            const core::Expected<RemoteChoice> neighbour = chooseNeighbour(open, localChoice);
+            if (neighbour) {
+                startForwarded(open, *neighbour, versions);
+                return {};
+            }
+            if (m_dependencies.paths.isCutOff(open.service)) {
+                localChoice = tl::make_unexpected(core::makeError(core::ErrorKind::NoBackendServer, "No backend server can be reached from here."));
+            }
+        }
     }
 
     // Prefer a local backend server that answers well within the objective: another region costs a round trip and wide-area traffic.
@@ -140,6 +156,23 @@
     return {};
 }
 
+core::Expected<RemoteChoice> RequestFlow::chooseNeighbour(const OpenRequest &open, const core::Expected<ServerChoice> &localChoice) const
+{
+    if (!localChoice) {
+        return tl::make_unexpected(localChoice.error());
+    }
+    core::Expected<RemoteChoice> neighbour = m_dependencies.fleet.chooseNeighbour(open.service, open.excludedInstances);
+    if (!neighbour) {
+        return neighbour;
+    }
+    neighbour->estimate = localChoice->estimate;
+    neighbour->wait = localChoice->wait;
+    if (neighbour->wait > open.route.latencyObjective * m_settings.refuseShare) {
+        return tl::make_unexpected(core::makeError(core::ErrorKind::Overloaded, "The region is overloaded.", SHORT_RETRY_DELAY));
+    }
+    return neighbour;
+}
+
 void RequestFlow::startLocally(OpenRequest &open, const ServerChoice &choice)
 {
     const absl::Time now = m_dependencies.timers.now();
@@ -232,6 +265,10 @@
         return;
     }
     if (!open.server.isEmpty()) {
+        // What an instance that is cut off does not reach says nothing about the backend servers.
+        if (end == RunEnd::Unreachable && m_dependencies.paths.isInDoubt(open.service)) {
+            end = RunEnd::Cancelled;
+        }
         const absl::Duration duration = m_dependencies.timers.now() - open.runStartedAt;
         m_dependencies.backends.finished(open.server, open.priority, open.isAnswering ? 0 : open.unreadTokens, end, duration);
         if (saysOfVersion(open, end)) {
@@ -255,7 +292,8 @@
     // this one.
     const BackendServer *server = m_dependencies.backends.find(open.server);
     const bool isLeaving = server == nullptr || server->isDraining;
-    if (end == RunEnd::Refused || isLeaving || m_dependencies.quarantine.isSuspect(open.service, open.request.promptParts)) {
+    const bool isPathInDoubt = end != RunEnd::ServerError && m_dependencies.paths.isInDoubt(open.service);
+    if (end == RunEnd::Refused || isLeaving || isPathInDoubt || m_dependencies.quarantine.isSuspect(open.service, open.request.promptParts)) {
         return false;
     }
     // A run that was given up counts if it was silent for longer than a sound one is.
@@ -335,7 +373,9 @@
     const bool isSuspect = mayHaveRun && m_dependencies.quarantine.isSuspect(open.service, open.content);
     const bool isPermitted = !mayHaveRun || (mayRepeat(open) && open.possibleRuns < open.route.maxAttempts && !isSuspect);
     const bool isInTime = open.sendCount < MAX_SENDS && open.deadline > m_dependencies.timers.now();
-    if (isPermitted && isInTime && m_dependencies.repeats.tryTake(open.service)) {
+    // What has not reached a backend server does not count as a repeat there.
+    const bool hasArrived = mayHaveRun || reason == REASON_REFUSED_BY_SERVER || reason == REASON_WRONG_SERVER;
+    if (isPermitted && isInTime && (!hasArrived || m_dependencies.repeats.tryTake(open.service))) {
         m_dependencies.journal.count("requests_repeated_total", mayHaveRun ? "may_have_run" : "not_run", 1);
         const core::Expected<void> placed = place(open);
         if (placed) {
@@ -373,8 +413,12 @@
         open.lastDataAt = now;
         return;
     }
+    const BackendServer *server = open.server.isEmpty() ? nullptr : m_dependencies.backends.find(open.server);
+    if (server != nullptr) {
+        m_dependencies.paths.noteFailedRun(*server, REASON_SILENT);
+    }
     stopTransport(open);
-    retryOrFail(open.number, true, RunEnd::Unreachable, "silent");
+    retryOrFail(open.number, true, RunEnd::Unreachable, REASON_SILENT);
 }
 
 } // namespace snipeferry::gateway
--- a/source/net/backendpool.cpp
+++ b/source/net/backendpool.cpp
@@ -38,6 +38,19 @@
 constexpr int MAX_INTERIM_ANSWERS = 16;
 /** Bytes of heads and bodies that belong to no request, before the connection is given up. */
 constexpr std::uint64_t MAX_UNUSED_BYTES = 1U << 20U;
+constexpr const char *REASON_BAD_ADDRESS = "bad_address";
+
+/** Where a backend server listens; empty if its address cannot be read. */
+std::optional<Tcp::endpoint> endpointOf(const gateway::BackendServer &server)
+{
+    const core::Expected<std::pair<std::string, int>> parts = splitAddress(server.address);
+    ErrorCode error;
+    const asio::ip::address ip = parts ? asio::ip::make_address(parts->first, error) : asio::ip::address();
+    if (!parts || error) {
+        return std::nullopt;
+    }
+    return Tcp::endpoint(ip, static_cast<unsigned short>(parts->second));
+}
 
 } // namespace
 
@@ -107,7 +120,7 @@
         prepare(run, std::move(id), std::move(bytes), isHead);
         m_sendBy = sendBy;
         const std::shared_ptr<BackendPool::Impl> pool = m_pool.lock();
-        m_timer = m_loop.timers().after(pool->settings.connectTimeout, [self = shared_from_this()] { self->fail(false, "connect_timeout"); });
+        m_timer = m_loop.timers().after(pool->settings.connectTimeout, [self = shared_from_this()] { self->fail(false, gateway::REASON_CONNECT_TIMEOUT); });
         m_socket.async_connect(endpoint, [self = shared_from_this()](ErrorCode error) {
             if (self->m_isClosed) {
                 return;
@@ -116,7 +129,7 @@
             if (error) {
                 // No process listens at the address.
                 const bool isRefused = error == asio::error::connection_refused || error == asio::error::connection_reset;
-                self->fail(false, isRefused ? gateway::REASON_CONNECT_REFUSED : "connect_failed");
+                self->fail(false, isRefused ? gateway::REASON_CONNECT_REFUSED : gateway::REASON_CONNECT_FAILED);
                 return;
             }
             const std::shared_ptr<BackendPool::Impl> owner = self->m_pool.lock();
@@ -420,6 +433,55 @@
     core::Subscription m_timer;
 };
 
+/** A connection that is only established and closed. */
+class PathCheck : public std::enable_shared_from_this<PathCheck>
+{
+public:
+    PathCheck(const std::shared_ptr<BackendPool::Impl> &pool, gateway::Number run)
+        : m_pool(pool),
+          m_run(run),
+          m_socket(pool->loop.context())
+    {
+    }
+
+    void connect(const Tcp::endpoint &endpoint)
+    {
+        const std::shared_ptr<BackendPool::Impl> pool = m_pool.lock();
+        m_timer = pool->loop.timers().after(pool->settings.connectTimeout, [self = shared_from_this()] { self->end(gateway::REASON_CONNECT_TIMEOUT); });
+        m_socket.async_connect(endpoint, [self = shared_from_this()](ErrorCode error) { self->end(error ? gateway::REASON_CONNECT_FAILED : std::string()); });
+    }
+
+private:
+    /** @param failure empty if the connection was established */
+    void end(const std::string &failure)
+    {
+        if (m_hasEnded) {
+            return;
+        }
+        m_hasEnded = true;
+        // The timer's callback may be the one that runs.
+        const std::shared_ptr<PathCheck> self = shared_from_this();
+        m_timer.cancel();
+        ErrorCode ignored;
+        m_socket.close(ignored);
+        const std::shared_ptr<BackendPool::Impl> pool = m_pool.lock();
+        if (pool == nullptr) {
+            return;
+        }
+        if (failure.empty()) {
+            pool->events->runEnd(m_run, gateway::AnswerEnd::ConnectionClosed);
+        } else {
+            pool->events->runFailed(m_run, false, failure);
+        }
+    }
+
+    std::weak_ptr<BackendPool::Impl> m_pool;
+    gateway::Number m_run;
+    Tcp::socket m_socket;
+    core::Subscription m_timer;
+    bool m_hasEnded = false;
+};
+
 void BackendPool::Impl::dropOldIdle()
 {
     const absl::Time now = loop.timers().now();
@@ -473,19 +535,28 @@
     }
 
     // Otherwise open one. Failures are told later, never from within this call.
-    const core::Expected<std::pair<std::string, int>> parts = splitAddress(server.address);
-    ErrorCode error;
-    const asio::ip::address ip = parts ? asio::ip::make_address(parts->first, error) : asio::ip::address();
+    const std::optional<Tcp::endpoint> endpoint = endpointOf(server);
     const bool isFull = m_impl->open[server.id] >= m_impl->settings.maxConnectionsPerServer;
-    if (!parts || error || isFull) {
-        const std::string reason = isFull ? "too_many_connections" : "bad_address";
+    if (!endpoint.has_value() || isFull) {
+        const std::string reason = isFull ? "too_many_connections" : REASON_BAD_ADDRESS;
         asio::post(m_impl->loop.context(), [impl = m_impl, run, reason] { impl->events->runFailed(run, false, reason); });
         return;
     }
     ++m_impl->opened;
     const std::shared_ptr<BackendConnection> connection = std::make_shared<BackendConnection>(m_impl, server.id);
     m_impl->runs[run] = connection;
-    connection->connect(Tcp::endpoint(ip, static_cast<unsigned short>(parts->second)), run, id, std::move(bytes), isHead, sendBy);
+    connection->connect(*endpoint, run, id, std::move(bytes), isHead, sendBy);
+}
+
+void BackendPool::checkPath(gateway::Number run, const gateway::BackendServer &server)
+{
+    const std::optional<Tcp::endpoint> endpoint = endpointOf(server);
+    if (!endpoint.has_value()) {
+        asio::post(m_impl->loop.context(), [impl = m_impl, run] { impl->events->runFailed(run, false, REASON_BAD_ADDRESS); });
+        return;
+    }
+    ++m_impl->opened;
+    std::make_shared<PathCheck>(m_impl, run)->connect(*endpoint);
 }
 
 void BackendPool::setPaused(gateway::Number run, bool isPaused)
--- a/tests/gateway/enginefleetengines.cpp
+++ b/tests/gateway/enginefleetengines.cpp
@@ -72,6 +72,27 @@
     // Callers of this fleet take their answers at once.
 }
 
+void EngineFleet::Runs::checkPath(gateway::Number run, const gateway::BackendServer &server)
+{
+    Instance &instance = *m_fleet.m_instances[m_self];
+    const auto isChecked = [&server](const std::unique_ptr<Engine> &engine) {
+        return engine->server.id == server.id;
+    };
+    const auto it = std::find_if(m_fleet.m_engines.begin(), m_fleet.m_engines.end(), isChecked);
+    const PathCut cut = m_fleet.pathCut(instance, server.id);
+    const bool isSilent = cut == PathCut::Silent || (it != m_fleet.m_engines.end() && (*it)->isDark);
+    const bool isReached = cut == PathCut::None && it != m_fleet.m_engines.end() && (*it)->isUp;
+    m_fleet.at(isSilent ? CONNECT_TIMEOUT : 2 * REGION_LATENCY, [this, &instance, run, isReached] {
+        m_fleet.deliver(instance, [run, isReached](gateway::Gateway &gateway) {
+            if (isReached) {
+                gateway.runEnd(run, gateway::AnswerEnd::ConnectionClosed);
+            } else {
+                gateway.runFailed(run, false, gateway::REASON_CONNECT_FAILED);
+            }
+        });
+    });
+}
+
 void EngineFleet::setCrashing(const std::string &part, bool isCrashing)
 {
     if (isCrashing) {
--- a/tests/gateway/enginefleetparts.h
+++ b/tests/gateway/enginefleetparts.h
@@ -57,6 +57,7 @@
         absl::Time sendBy) override;
     void cancel(gateway::Number run) override;
     void setPaused(gateway::Number run, bool isPaused) override;
+    void checkPath(gateway::Number run, const gateway::BackendServer &server) override;
 
 private:
     EngineFleet &m_fleet;
--- a/tests/gateway/fakeports.h
+++ b/tests/gateway/fakeports.h
@@ -40,7 +40,14 @@
         paused[run] = isPaused;
     }
 
+    void checkPath(gateway::Number run, const gateway::BackendServer &server) override
+    {
+        checks.emplace_back(run, server.id);
+    }
+
     std::vector<SentRun> sent;
+    /** Checks of paths, by the number under which their outcome is expected. */
+    std::vector<std::pair<gateway::Number, core::BackendServerId>> checks;
     std::vector<gateway::Number> cancelled;
     /** Whether the reading of a run was last stopped or continued. */
     std::map<gateway::Number, bool> paused;
