--- a/include/snipeferry/gateway/backendtable.h
+++ b/include/snipeferry/gateway/backendtable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "snipeferry/core/timerservice.h"
+#include "snipeferry/gateway/brittleservers.h"
 #include "snipeferry/gateway/coldpacing.h"
 #include "snipeferry/gateway/message.h"
 #include "snipeferry/gateway/model.h"
@@ -267,6 +268,8 @@
     std::vector<core::BackendServerId> candidates(const ServiceState &service, const ServerQuery &query, const std::string &affinityKey);
     /** Whether the backend server is neither draining nor in an evacuated data centre. */
     bool acceptsRequests(const ServerState &state) const;
+    /** Whether the backend server is not one that fails of a refusal and may have to refuse. */
+    bool hasRoom(const ServerState &state) const;
     /** Whether a run may be dispatched to the backend server now without exceeding its rate limit for the cold state. */
     bool mayDispatchToCold(ServerState &state, absl::Time now);
     /** Prompt tokens that the backend server prefills before those of a new request at this urgency level. */
@@ -295,6 +298,7 @@
     ServerLimits m_limits;
     ServerNotices m_notices;
     ColdPacing m_coldPacing;
+    BrittleServers m_brittle;
     std::mt19937_64 m_random;
     absl::flat_hash_map<core::BackendServerId, ServerState> m_servers;
     absl::flat_hash_map<core::BackendServerId, BackendServer> m_remoteServers;
--- a/include/snipeferry/gateway/message.h
+++ b/include/snipeferry/gateway/message.h
@@ -112,9 +112,13 @@
     std::optional<double> pauseSeconds;
     /** The answer names such a time that cannot be read. */
     bool isPauseUnreadable = false;
+    /** Requests per second that the backend server can turn away for want of room before it fails; empty if it does not say that it is brittle. */
+    std::optional<double> brittleRate;
+    /** The answer names such a rate that cannot be read. */
+    bool isBrittleRateUnreadable = false;
 
-    SNIPEFERRY_VALUE(
-        RunReport, request, isNotRun, isWrongServer, hasReceipt, running, waiting, requestLimit, isLimitUnreadable, isLeaving, pauseSeconds, isPauseUnreadable)
+    SNIPEFERRY_VALUE(RunReport, request, isNotRun, isWrongServer, hasReceipt, running, waiting, requestLimit, isLimitUnreadable, isLeaving, pauseSeconds,
+        isPauseUnreadable, brittleRate, isBrittleRateUnreadable)
 };
 
 /** Strategy that decodes and encodes the HTTP headers that the callers and backend servers of one deployment use. */
--- a/include/snipeferry/gateway/ports.h
+++ b/include/snipeferry/gateway/ports.h
@@ -89,12 +89,23 @@
 constexpr const char *REASON_CONNECT_FAILED = "connect_failed";
 /** The backend server has got the request and turned it away. */
 constexpr const char *REASON_REFUSED_BY_SERVER = "refused_by_server";
+/** The same of a backend server that fails if it has to turn many away. */
+constexpr const char *REASON_BRITTLE_SERVER_FULL = "brittle_server_full";
 constexpr const char *REASON_WRONG_SERVER = "wrong_server";
 /** A run was given up because its backend server sent nothing for too long. */
 constexpr const char *REASON_SILENT = "silent";
 /** An instance does not run a request because it is cut off from the service. */
 constexpr const char *REASON_CUT_OFF = "cut_off";
 
+/** @brief Why a backend server did not run a request, by its answer. */
+inline const char *refusalReason(const RunReport &report)
+{
+    if (report.isWrongServer) {
+        return REASON_WRONG_SERVER;
+    }
+    return report.brittleRate.has_value() ? REASON_BRITTLE_SERVER_FULL : REASON_REFUSED_BY_SERVER;
+}
+
 /** How an answer has ended. */
 enum class AnswerEnd {
     /** Its length was known, or its last chunk has arrived. */
--- a/include/snipeferry/gateway/requestflow.h
+++ b/include/snipeferry/gateway/requestflow.h
@@ -122,6 +122,9 @@
     /** Retry-after time for causes that usually disappear within a moment. */
     static constexpr absl::Duration SHORT_RETRY_DELAY = absl::Milliseconds(300);
 
+    /** Retry-after time if the backend servers are full and must not be asked again soon. */
+    static constexpr absl::Duration FULL_RETRY_DELAY = absl::Seconds(1);
+
     static constexpr const char *PART_QUARANTINED_MESSAGE = "A part of the prompt crashes backend servers.";
     static constexpr const char *REQUEST_QUARANTINED_MESSAGE = "The request crashes backend servers.";
 
--- a/source/gateway/backendchoice.cpp
+++ b/source/gateway/backendchoice.cpp
@@ -124,8 +124,8 @@
         const bool matchesVersion = (query.version.isEmpty() || version == query.version)
             && std::find(query.excludedVersions.begin(), query.excludedVersions.end(), version) == query.excludedVersions.end();
         const bool isExcluded = std::find(query.excluded.begin(), query.excluded.end(), id) != query.excluded.end();
-        if (acceptsRequests(candidate) && matchesVersion && !isExcluded && m_notices.pauseLeft(id) == absl::ZeroDuration() && mayDispatchToCold(candidate, now)
-            && m_limits.mayDispatch(id, lead)) {
+        if (acceptsRequests(candidate) && matchesVersion && !isExcluded && m_notices.pauseLeft(id) == absl::ZeroDuration() && hasRoom(candidate)
+            && mayDispatchToCold(candidate, now) && m_limits.mayDispatch(id, lead)) {
             eligible.push_back(id);
         }
     }
--- a/source/gateway/backendtable.cpp
+++ b/source/gateway/backendtable.cpp
@@ -45,6 +45,7 @@
       m_limits(m_self, timers),
       m_notices(m_self, timers),
       m_coldPacing(m_self, timers),
+      m_brittle(m_self, timers),
       m_random(std::hash<std::string>{}(m_self.value())),
       m_promptCache(timers)
 {
@@ -58,6 +59,7 @@
     const bool isRestarted = !isNew && entry.server.startedAtMs != server.startedAtMs;
     const bool isMoved = !isNew && entry.server.service != server.service;
     if (isRestarted || isMoved) {
+        m_brittle.remove(entry.server);
         m_promptCache.removeServer(server.id);
         m_limits.remove(server.id);
         entry.consecutiveFailures = 0;
@@ -104,6 +106,7 @@
     }
     std::vector<core::BackendServerId> &servers = m_services[it->second.server.service].servers;
     servers.erase(std::remove(servers.begin(), servers.end(), id), servers.end());
+    m_brittle.remove(it->second.server);
     m_servers.erase(it);
     m_limits.remove(id);
     m_promptCache.removeServer(id);
@@ -146,6 +149,11 @@
     return !state.server.isDraining && !m_evacuatedDataCentres.contains(state.server.dataCentre);
 }
 
+bool BackendTable::hasRoom(const ServerState &state) const
+{
+    return m_brittle.hasRoom(state.server, state.running + state.peerRunning);
+}
+
 bool BackendTable::mayDispatchToCold(ServerState &state, absl::Time now)
 {
     if (state.coldUntil <= now) {
@@ -298,7 +306,7 @@
     for (const core::BackendServerId &id : it->second.servers) {
         const ServerState &state = m_servers.at(id);
         if (!acceptsRequests(state) || state.ejectedUntil > now || state.coldUntil > now || m_notices.pauseLeft(id) > absl::ZeroDuration()
-            || !m_limits.mayDispatch(id, limitLeadOf(0))) {
+            || !m_limits.mayDispatch(id, limitLeadOf(0)) || !hasRoom(state)) {
             continue;
         }
         least.resize(URGENCY_LEVELS, absl::InfiniteDuration());
@@ -419,8 +427,14 @@
     if (report.isPauseUnreadable) {
         journal.log(core::LogEvent{"pause_unreadable", {}}.with("server", id.value()));
     }
+    if (report.isBrittleRateUnreadable) {
+        journal.log(core::LogEvent{"brittle_rate_unreadable", {}}.with("server", id.value()));
+    }
     noteFurtherWork(id, report, isSuccess, runStartedAt, journal);
     const BackendServer *server = find(id);
+    if (server != nullptr) {
+        m_brittle.note(*server, report, journal);
+    }
     if (server != nullptr && m_limits.note(*server, report, isSuccess, runStartedAt)) {
         journal.log(core::LogEvent{report.requestLimit.has_value() ? "limit_named" : "limit_ended", {}}
                         .with("server", id.value())
--- a/source/gateway/forwardreceiver.cpp
+++ b/source/gateway/forwardreceiver.cpp
@@ -346,7 +346,7 @@
         const ForwardedRun forwardedRun = it->second;
         m_runs.cancel(run);
         end(run, RunEnd::Refused);
-        refuse(forwardedRun.origin, forwardedRun.request, REASON_REFUSED_BY_SERVER);
+        refuse(forwardedRun.origin, forwardedRun.request, refusalReason(report));
         return;
     }
     it->second.progress = AnswerProgress::Begun;
--- a/source/gateway/requestanswer.cpp
+++ b/source/gateway/requestanswer.cpp
@@ -34,7 +34,7 @@
     // The request was not executed, so it may be sent again.
     if (report.isNotRun || report.isWrongServer) {
         stopTransport(*open);
-        retryOrFail(open->number, false, RunEnd::Refused, report.isWrongServer ? REASON_WRONG_SERVER : REASON_REFUSED_BY_SERVER);
+        retryOrFail(open->number, false, RunEnd::Refused, refusalReason(report));
         return;
     }
     const bool isSuccess = head.status >= 200 && head.status < 300;
--- a/source/gateway/requestplacement.cpp
+++ b/source/gateway/requestplacement.cpp
@@ -374,8 +374,10 @@
     const bool isPermitted = !mayHaveRun || (mayRepeat(open) && open.possibleRuns < open.route.maxAttempts && !isSuspect);
     const bool isInTime = open.sendCount < MAX_SENDS && open.deadline > m_dependencies.timers.now();
     // What has not reached a backend server does not count as a repeat there.
-    const bool hasArrived = mayHaveRun || reason == REASON_REFUSED_BY_SERVER || reason == REASON_WRONG_SERVER;
-    if (isPermitted && isInTime && (!hasArrived || m_dependencies.repeats.tryTake(open.service))) {
+    const bool isBrittleServerFull = reason == REASON_BRITTLE_SERVER_FULL;
+    const bool hasArrived = mayHaveRun || isBrittleServerFull || reason == REASON_REFUSED_BY_SERVER || reason == REASON_WRONG_SERVER;
+    // Other backend servers of the service are no less full, and fail of being asked in turn.
+    if (!isBrittleServerFull && isPermitted && isInTime && (!hasArrived || m_dependencies.repeats.tryTake(open.service))) {
         m_dependencies.journal.count("requests_repeated_total", mayHaveRun ? "may_have_run" : "not_run", 1);
         const core::Expected<void> placed = place(open);
         if (placed) {
@@ -389,7 +391,8 @@
     if (open.mayHaveRun) {
         fail(open, core::makeError(core::ErrorKind::BackendFailed, "The backend server failed and may have run the request."));
     } else {
-        fail(open, core::makeError(core::ErrorKind::Overloaded, "No backend server accepted the request.", SHORT_RETRY_DELAY));
+        const absl::Duration retryAfter = isBrittleServerFull ? FULL_RETRY_DELAY : SHORT_RETRY_DELAY;
+        fail(open, core::makeError(core::ErrorKind::Overloaded, "No backend server accepted the request.", retryAfter));
     }
 }
 
--- a/tests/gateway/fakecodecs.h
+++ b/tests/gateway/fakecodecs.h
@@ -61,6 +61,10 @@
             report.requestLimit = limit;
         }
         report.isLeaving = !value(head.headers, "leaving").empty();
+        double brittleRate = 0;
+        if (absl::SimpleAtod(value(head.headers, "brittle"), &brittleRate)) {
+            report.brittleRate = brittleRate;
+        }
         double pause = 0;
         if (absl::SimpleAtod(value(head.headers, "pause"), &pause)) {
             report.pauseSeconds = pause;
--- a/tests/platform-adapter/adaptertest.cpp
+++ b/tests/platform-adapter/adaptertest.cpp
@@ -116,6 +116,20 @@
     CHECK(HEADERS.decodeAnswer({200, {{"Server-Limit", "1"}, {"Server-Limit", "2"}}}).isLimitUnreadable);
 }
 
+TEST_CASE("an answer's head states how many refusals a brittle backend server bears")
+{
+    CHECK_FALSE(HEADERS.decodeAnswer({200, {}}).brittleRate.has_value());
+    for (const std::string text : {"0", "1", "0.5", "40"}) {
+        CHECK(absl::StrCat(HEADERS.decodeAnswer({503, {{"server-brittle", text}}}).brittleRate.value()) == text);
+    }
+    for (const std::string text : {"", "-1", "many", "nan"}) {
+        const gateway::RunReport report = HEADERS.decodeAnswer({200, {{"Server-Brittle", text}}});
+        CHECK_FALSE(report.brittleRate.has_value());
+        CHECK(report.isBrittleRateUnreadable);
+    }
+    CHECK(HEADERS.decodeAnswer({200, {{"Server-Brittle", "1"}, {"Server-Brittle", "2"}}}).isBrittleRateUnreadable);
+}
+
 // Guards against processes that end, or stop following the list, because another writer left one odd entry there (LOST).
 TEST_CASE("an odd entry among the announcements of backend servers is an error of its own")
 {
