DRAIN: an entry of another service in its place is no new start of a backend server

Cause: BackendTable::announce took a change of the service for a new start and forgot what the process had said, its limit too. Ruled out: an older announcement (the start time is the same).

Change: only another start time is a new start. Test before: 20 requests reach the leaving server; after: none. A second test holds that a later start for another service is used.

--- a/source/gateway/backendtable.cpp
+++ b/source/gateway/backendtable.cpp
@@ -58,7 +58,7 @@
     ServerState &entry = m_servers[server.id];
     const bool isRestarted = !isNew && entry.server.startedAtMs != server.startedAtMs;
     const bool isMoved = !isNew && entry.server.service != server.service;
-    if (isRestarted || isMoved) {
+    if (isRestarted) {
         m_brittle.remove(entry.server);
         m_promptCache.removeServer(server.id);
         m_limits.remove(server.id);
@@ -67,10 +67,12 @@
         entry.ejectedUntil = absl::InfinitePast();
         entry.restartKnownAt = now;
     }
-    if (isMoved || (isRestarted && server.startedAtMs > entry.server.startedAtMs)) {
+    if (isRestarted && server.startedAtMs > entry.server.startedAtMs) {
         m_notices.restarted(server.id);
     }
+    // Another service alone is no new start: the entry may be another writer's, and what the process has said still holds.
     if (isMoved) {
+        m_promptCache.removeServer(server.id);
         std::vector<core::BackendServerId> &old = m_services[entry.server.service].servers;
         old.erase(std::remove(old.begin(), old.end(), server.id), old.end());
     }
--- a/tests/gateway/servernoticestest.cpp
+++ b/tests/gateway/servernoticestest.cpp
@@ -52,6 +52,40 @@
 
 } // namespace
 
+// Failure: an entry of another writer, with a service that no deployment names, makes an instance forget that the backend server leaves (DRAIN).
+TEST_CASE("a backend server that has said that it leaves is chosen no more after an entry of another service in its place")
+{
+    GatewayFixture fixture;
+    const std::string leaver = startRun(fixture);
+    fixture.gateway.runHead(fixture.lastRun().run, {200, LEAVING});
+    fixture.gateway.runEnd(fixture.lastRun().run, gateway::AnswerEnd::Framed);
+    gateway::BackendServer odd = GatewayFixture::server(leaver);
+    odd.service = core::ServiceId("warehouse");
+    fixture.announce(odd);
+    fixture.announce(GatewayFixture::server(leaver));
+    fixture.withdraw(leaver == "s1" ? "s2" : "s1");
+    const std::size_t before = fixture.runs.sent.size();
+    serve(fixture, 20);
+    CHECK(fixture.runs.sent.size() == before);
+}
+
+TEST_CASE("a backend server that starts again for another service has not said that it leaves")
+{
+    GatewayFixture fixture;
+    const std::string leaver = startRun(fixture);
+    fixture.gateway.runHead(fixture.lastRun().run, {200, LEAVING});
+    fixture.gateway.runEnd(fixture.lastRun().run, gateway::AnswerEnd::Framed);
+    gateway::BackendServer odd = GatewayFixture::server(leaver);
+    odd.service = core::ServiceId("warehouse");
+    fixture.announce(odd);
+    gateway::BackendServer next = GatewayFixture::server(leaver);
+    ++next.startedAtMs;
+    fixture.announce(next);
+    fixture.withdraw(leaver == "s1" ? "s2" : "s1");
+    serve(fixture, 20);
+    CHECK(runsAt(fixture, leaver, 1) == 20);
+}
+
 // Failure: a backend server that says only in its answers that it leaves goes on getting requests (DRAIN).
 TEST_CASE("a backend server that says in an answer that it leaves is chosen no more, whatever its announcement says")
 {
