--- a/include/snipeferry/gateway/backendtable.h
+++ b/include/snipeferry/gateway/backendtable.h
@@ -82,6 +82,8 @@
     Unreachable,
     /** The gateway ended the run, for example because the caller disconnected. */
     Cancelled,
+    /** The run failed for a reason of this instance, and says nothing about the backend server. */
+    OwnFailure,
 };
 
 /** @brief How a run ended that failed for a reason of ports.h: it says nothing about the backend server if this instance did not send it. */
--- a/source/gateway/backendtable.cpp
+++ b/source/gateway/backendtable.cpp
@@ -36,7 +36,7 @@
 
 RunEnd endOfFailedRun(const std::string &reason)
 {
-    return reason == REASON_SENT_TOO_LATE ? RunEnd::Cancelled : RunEnd::Unreachable;
+    return reason == REASON_SENT_TOO_LATE ? RunEnd::OwnFailure : RunEnd::Unreachable;
 }
 
 BackendTable::BackendTable(core::InstanceId self, core::TimerService &timers)
@@ -379,7 +379,7 @@
     target->running = std::max(0, target->running - 1);
     std::int64_t &ownUnread = target->ownUnread[urgencyOf(priority)];
     ownUnread = std::max<std::int64_t>(0, ownUnread - unreadTokens);
-    if (end == RunEnd::Cancelled) {
+    if (end == RunEnd::Cancelled || end == RunEnd::OwnFailure) {
         return;
     }
     const bool hasFailed = end == RunEnd::ServerError || end == RunEnd::Unreachable;
--- a/source/gateway/forwardreceiver.cpp
+++ b/source/gateway/forwardreceiver.cpp
@@ -191,7 +191,8 @@
     const BackendServer *server = m_backends.find(forwardedRun.server);
     const bool isLeaving = server == nullptr || server->isDraining;
     const bool isPathInDoubt = end != RunEnd::ServerError && m_paths.isInDoubt(forwardedRun.service);
-    if (end == RunEnd::Refused || isLeaving || isPathInDoubt || m_quarantine.isSuspect(forwardedRun.service, forwardedRun.promptParts)) {
+    if (end == RunEnd::Refused || end == RunEnd::OwnFailure || isLeaving || isPathInDoubt
+        || m_quarantine.isSuspect(forwardedRun.service, forwardedRun.promptParts)) {
         return false;
     }
     const bool isSilent = !forwardedRun.isAnswering && m_timers.now() >= forwardedRun.deadline;
--- a/source/gateway/requestplacement.cpp
+++ b/source/gateway/requestplacement.cpp
@@ -293,7 +293,8 @@
     const BackendServer *server = m_dependencies.backends.find(open.server);
     const bool isLeaving = server == nullptr || server->isDraining;
     const bool isPathInDoubt = end != RunEnd::ServerError && m_dependencies.paths.isInDoubt(open.service);
-    if (end == RunEnd::Refused || isLeaving || isPathInDoubt || m_dependencies.quarantine.isSuspect(open.service, open.request.promptParts)) {
+    if (end == RunEnd::Refused || end == RunEnd::OwnFailure || isLeaving || isPathInDoubt
+        || m_dependencies.quarantine.isSuspect(open.service, open.request.promptParts)) {
         return false;
     }
     // A run that was given up counts if it was silent for longer than a sound one is.
