--- a/include/snipeferry/gateway/backendtable.h
+++ b/include/snipeferry/gateway/backendtable.h
@@ -156,7 +156,7 @@
     /** @brief The backend servers of a service that accept requests. */
     std::vector<BackendServer> acceptingServers(const core::ServiceId &service) const;
 
-    /** @brief Takes back what failed runs have said about a service's backend servers. */
+    /** @brief Takes back what runs that did not reach a service's backend servers have said about them. */
     void forgetFailures(const core::ServiceId &service);
 
     /** @brief Whether any backend server of the service accepts requests. */
@@ -231,6 +231,8 @@
         /** Fraction of failed runs, as a moving average. */
         double failureShare = 0.0;
         int consecutiveFailures = 0;
+        /** Whether the last failure was that of a run that did not reach it. */
+        bool wasUnreached = false;
         absl::Time ejectedUntil = absl::InfinitePast();
         absl::Duration ejectionTime;
         /** Estimate for the run that was started last. */
--- a/include/snipeferry/gateway/brittleservers.h
+++ b/include/snipeferry/gateway/brittleservers.h
@@ -29,7 +29,7 @@
     /** @brief Forgets a backend server that has left, or started again. */
     void remove(const BackendServer &server);
 
-    /** @brief Whether the backend server says so; while nothing was heard of it lately, whether others of its service do. */
+    /** @brief Whether the backend server said so in its last answer; if it did not or gave none lately, whether others of its service do. */
     bool isBrittle(const BackendServer &server) const;
 
     /**
--- a/include/snipeferry/gateway/ports.h
+++ b/include/snipeferry/gateway/ports.h
@@ -97,13 +97,21 @@
 /** An instance does not run a request because it is cut off from the service. */
 constexpr const char *REASON_CUT_OFF = "cut_off";
 
+/** @brief Whether a run failed for this reason before a byte of it was sent to a backend server. */
+inline bool isUnreached(const std::string &reason)
+{
+    return reason == REASON_CONNECT_REFUSED || reason == REASON_CONNECT_TIMEOUT || reason == REASON_CONNECT_FAILED || reason == REASON_CUT_OFF
+        || reason == REASON_SENT_TOO_LATE;
+}
+
 /** @brief Why a backend server did not run a request, by its answer. */
 inline const char *refusalReason(const RunReport &report)
 {
     if (report.isWrongServer) {
         return REASON_WRONG_SERVER;
     }
-    return report.brittleRate.has_value() ? REASON_BRITTLE_SERVER_FULL : REASON_REFUSED_BY_SERVER;
+    const bool hasOtherReason = report.isLeaving || report.pauseSeconds.has_value() || report.requestLimit.has_value();
+    return report.brittleRate.has_value() && !hasOtherReason ? REASON_BRITTLE_SERVER_FULL : REASON_REFUSED_BY_SERVER;
 }
 
 /** How an answer has ended. */
--- a/include/snipeferry/gateway/serverpaths.h
+++ b/include/snipeferry/gateway/serverpaths.h
@@ -65,8 +65,8 @@
         /** When the last checks were begun. */
         absl::Time checkedAt = absl::InfinitePast();
         int openChecks = 0;
-        /** Backend servers reached by checks since the cut began, without a failed check between them. */
-        int reachedInTurn = 0;
+        /** Checks that have reached a backend server since the cut began. */
+        int reachedChecks = 0;
         /** Position of the next backend server to be checked. */
         std::size_t nextChecked = 0;
         std::map<core::BackendServerId, absl::Time> failures;
--- a/source/gateway/backendchoice.cpp
+++ b/source/gateway/backendchoice.cpp
@@ -31,6 +31,8 @@
 constexpr absl::Duration UNCONFIRMED_RETRY_DELAY = absl::Milliseconds(200);
 /** Retry-after time if no backend server accepts requests. */
 constexpr absl::Duration NO_SERVER_RETRY_DELAY = absl::Milliseconds(500);
+/** Retry-after time if backend servers that fail of refusals are full. */
+constexpr absl::Duration FULL_RETRY_DELAY = absl::Seconds(1);
 /** Interval over which callers are spread that find all limits used up. */
 constexpr absl::Duration LIMITED_RETRY_SPREAD = absl::Seconds(1);
 /** Costs that differ by less than this count as equal. */
@@ -271,7 +273,12 @@
 {
     absl::Duration shortest = absl::InfiniteDuration();
     bool isPaused = false;
+    bool isFull = false;
     for (const core::BackendServerId &id : service.servers) {
+        if (acceptsRequests(m_servers.at(id)) && !hasRoom(m_servers.at(id))) {
+            shortest = std::min(shortest, FULL_RETRY_DELAY);
+            isFull = true;
+        }
         const absl::Duration pause = m_notices.pauseLeft(id);
         const absl::Duration time = std::max(m_limits.timeUntilDispatch(id, limitLead), pause);
         if (acceptsRequests(m_servers.at(id)) && time > absl::ZeroDuration()) {
@@ -284,6 +291,9 @@
     }
     // Callers that are refused together must not come back together.
     const absl::Duration spread = LIMITED_RETRY_SPREAD * std::uniform_real_distribution<double>(0, 1)(m_random);
+    if (isFull && !isPaused) {
+        return core::makeError(core::ErrorKind::Overloaded, "The backend servers are full and must not have to turn requests away.", shortest + spread);
+    }
     const char *message = isPaused ? "The backend servers want no work for a time." : "The backend servers have named limits that are used up.";
     return core::makeError(core::ErrorKind::Overloaded, message, shortest + spread);
 }
--- a/source/gateway/backendtable.cpp
+++ b/source/gateway/backendtable.cpp
@@ -201,9 +201,12 @@
     if (it == m_services.end()) {
         return;
     }
-    it->second.failureShare = 0;
     for (const core::BackendServerId &id : it->second.servers) {
         ServerState &state = m_servers.at(id);
+        if (!state.wasUnreached) {
+            continue;
+        }
+        state.wasUnreached = false;
         state.failureShare = 0;
         state.consecutiveFailures = 0;
         state.ejectedUntil = absl::InfinitePast();
@@ -399,6 +402,7 @@
         return;
     }
     ++target->consecutiveFailures;
+    target->wasUnreached = end == RunEnd::Unreachable;
     // An unreachable backend server is ejected after two consecutive failures. Failures of individual requests need a longer series.
     if (target->consecutiveFailures >= EJECTION_FAILURES || (end == RunEnd::Unreachable && target->consecutiveFailures >= 2)) {
         target->ejectionTime = std::clamp(target->ejectionTime * 2, MIN_EJECTION, MAX_EJECTION);
--- a/source/gateway/brittleservers.cpp
+++ b/source/gateway/brittleservers.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-/** Time for which a backend server's own answer counts for more than those of others of its service. */
+/** Time for which a backend server's own answer that it is not brittle counts for more than those of others of its service. */
 constexpr absl::Duration OWN_ANSWER_TIME = absl::Seconds(2);
 /** Part of the slots that is used. The rest is for what other instances send before they are heard of. */
 constexpr double USED_SLOTS = 0.85;
@@ -28,6 +28,10 @@
 
 void BrittleServers::note(const BackendServer &server, const RunReport &report, Journal &journal)
 {
+    // An answer that cannot be read, or is another process's, says nothing.
+    if (report.isBrittleRateUnreadable || report.isWrongServer) {
+        return;
+    }
     const bool isBrittle = report.brittleRate.has_value();
     if (!isBrittle && !m_services.contains(server.service)) {
         return;
@@ -66,8 +70,12 @@
         return false;
     }
     const auto own = service->second.servers.find(server.id);
-    const bool isHeard = own != service->second.servers.end() && m_timers.now() - own->second.at <= OWN_ANSWER_TIME;
-    return isHeard ? own->second.isBrittle : service->second.last.isBrittle;
+    if (own == service->second.servers.end()) {
+        return service->second.last.isBrittle;
+    }
+    // It is brittle until it says otherwise itself.
+    const bool isRecent = m_timers.now() - own->second.at <= OWN_ANSWER_TIME;
+    return own->second.isBrittle || (!isRecent && service->second.last.isBrittle);
 }
 
 bool BrittleServers::hasRoom(const BackendServer &server, int runs) const
--- a/source/gateway/forwardreceiver.cpp
+++ b/source/gateway/forwardreceiver.cpp
@@ -172,7 +172,7 @@
     }
     const ForwardedRun &forwardedRun = it->second;
     if (end == RunEnd::Unreachable && m_paths.isInDoubt(forwardedRun.service)) {
-        end = RunEnd::Cancelled;
+        end = RunEnd::OwnFailure;
     }
     m_backends.finished(
         forwardedRun.server, forwardedRun.priority, forwardedRun.isAnswering ? 0 : forwardedRun.unreadTokens, end, m_timers.now() - forwardedRun.startedAt);
--- a/source/gateway/requestplacement.cpp
+++ b/source/gateway/requestplacement.cpp
@@ -158,15 +158,16 @@
 
 core::Expected<RemoteChoice> RequestFlow::chooseNeighbour(const OpenRequest &open, const core::Expected<ServerChoice> &localChoice) const
 {
-    if (!localChoice) {
+    // A backend server that could not be reached from here is not offered again, though another instance may reach it.
+    if (!localChoice && (localChoice.error().kind == core::ErrorKind::Overloaded || !m_dependencies.backends.hasServers(open.service))) {
         return tl::make_unexpected(localChoice.error());
     }
     core::Expected<RemoteChoice> neighbour = m_dependencies.fleet.chooseNeighbour(open.service, open.excludedInstances);
     if (!neighbour) {
         return neighbour;
     }
-    neighbour->estimate = localChoice->estimate;
-    neighbour->wait = localChoice->wait;
+    neighbour->estimate = localChoice ? localChoice->estimate : absl::ZeroDuration();
+    neighbour->wait = localChoice ? localChoice->wait : absl::ZeroDuration();
     if (neighbour->wait > open.route.latencyObjective * m_settings.refuseShare) {
         return tl::make_unexpected(core::makeError(core::ErrorKind::Overloaded, "The region is overloaded.", SHORT_RETRY_DELAY));
     }
@@ -267,7 +268,7 @@
     if (!open.server.isEmpty()) {
         // What an instance that is cut off does not reach says nothing about the backend servers.
         if (end == RunEnd::Unreachable && m_dependencies.paths.isInDoubt(open.service)) {
-            end = RunEnd::Cancelled;
+            end = RunEnd::OwnFailure;
         }
         const absl::Duration duration = m_dependencies.timers.now() - open.runStartedAt;
         m_dependencies.backends.finished(open.server, open.priority, open.isAnswering ? 0 : open.unreadTokens, end, duration);
@@ -359,7 +360,7 @@
 
     // The caller has already received part of the stream: resume it elsewhere or abort it.
     if (open.hasBegunAnswer) {
-        if (!resumeStream(open)) {
+        if (reason == REASON_BRITTLE_SERVER_FULL || !resumeStream(open)) {
             m_dependencies.journal.log(makeLogEvent("stream_broken_off", open).with("events", absl::StrCat(open.events.eventCount())));
             open.sink->breakOff();
             close(number);
@@ -376,7 +377,7 @@
     const bool isInTime = open.sendCount < MAX_SENDS && open.deadline > m_dependencies.timers.now();
     // What has not reached a backend server does not count as a repeat there.
     const bool isBrittleServerFull = reason == REASON_BRITTLE_SERVER_FULL;
-    const bool hasArrived = mayHaveRun || isBrittleServerFull || reason == REASON_REFUSED_BY_SERVER || reason == REASON_WRONG_SERVER;
+    const bool hasArrived = mayHaveRun || !isUnreached(reason);
     // Other backend servers of the service are no less full, and fail of being asked in turn.
     if (!isBrittleServerFull && isPermitted && isInTime && (!hasArrived || m_dependencies.repeats.tryTake(open.service))) {
         m_dependencies.journal.count("requests_repeated_total", mayHaveRun ? "may_have_run" : "not_run", 1);
--- a/source/gateway/serverpaths.cpp
+++ b/source/gateway/serverpaths.cpp
@@ -19,10 +19,10 @@
 constexpr absl::Duration SUSPICION_INTERVAL = absl::Milliseconds(500);
 /** Interval between two checks of a service that this instance is cut off from. */
 constexpr absl::Duration CHECK_PERIOD = absl::Milliseconds(250);
-/** Backend servers that have to be reached in turn before the paths count as back; all of them where a service has fewer. */
-constexpr std::size_t REQUIRED_REACHED = 2;
+/** Checks that have to reach a backend server before the paths count as back. */
+constexpr int REQUIRED_REACHED = 2;
 /** Time in which the share of the requests that are sent to the backend servers again grows from none to all. */
-constexpr absl::Duration RETURN_TIME = absl::Seconds(1);
+constexpr absl::Duration RAMP_TIME = absl::Seconds(1);
 /** Time for which the last answer of a backend server is remembered. */
 constexpr absl::Duration ANSWER_MEMORY = absl::Seconds(10);
 /** Time after a cut in which one failure is enough for a suspicion. */
@@ -90,6 +90,16 @@
     };
     std::stable_sort(
         servers.begin(), servers.end(), [&answeredAt](const BackendServer &left, const BackendServer &right) { return answeredAt(left) > answeredAt(right); });
+    // A data centre without power is no lost path, so that they are not all of one.
+    const auto isElsewhere = [&servers](const BackendServer &server) {
+        return server.dataCentre != servers.front().dataCentre;
+    };
+    if (servers.size() > DECIDING_CHECKS) {
+        const auto elsewhere = std::find_if(servers.begin(), servers.end(), isElsewhere);
+        if (elsewhere != servers.end() && elsewhere - servers.begin() >= static_cast<std::ptrdiff_t>(DECIDING_CHECKS)) {
+            std::iter_swap(servers.begin() + static_cast<std::ptrdiff_t>(DECIDING_CHECKS) - 1, elsewhere);
+        }
+    }
     servers.resize(std::min(servers.size(), DECIDING_CHECKS));
     paths.state = State::Suspected;
     paths.since = m_timers.now();
@@ -128,9 +138,9 @@
         m_journal.log(core::LogEvent{"paths_sound", {}}.with("service", service.value()));
     } else if (paths.state == State::Suspected && paths.openChecks == 0) {
         setCutOff(service, paths);
-    } else if (paths.state == State::CutOff) {
-        paths.reachedInTurn = isReached ? paths.reachedInTurn + 1 : 0;
-        if (paths.reachedInTurn >= static_cast<int>(std::min(REQUIRED_REACHED, m_servers(service).size()))) {
+    } else if (paths.state == State::CutOff && isReached) {
+        // Backend servers that are gone for good do not keep the others from being used.
+        if (++paths.reachedChecks >= REQUIRED_REACHED) {
             setRegained(service, paths);
         }
     }
@@ -140,7 +150,7 @@
 {
     const absl::Time now = m_timers.now();
     paths.state = State::CutOff;
-    paths.reachedInTurn = 0;
+    paths.reachedChecks = 0;
     m_journal.log(core::LogEvent{"paths_lost", {}}
                       .with("service", service.value())
                       .with("unreached", absl::StrCat(paths.failures.size()))
@@ -174,7 +184,10 @@
             continue;
         }
         const std::vector<BackendServer> servers = m_servers(entry.first);
-        if (!servers.empty()) {
+        if (servers.empty()) {
+            // Where nothing accepts requests there is no path to lose.
+            setRegained(entry.first, paths);
+        } else {
             check(entry.first, paths, servers[paths.nextChecked++ % servers.size()]);
         }
     }
@@ -199,10 +212,10 @@
         return true;
     }
     const absl::Duration sinceReturn = m_timers.now() - it->second.regainedAt;
-    if (it->second.state == State::CutOff || sinceReturn >= RETURN_TIME) {
+    if (it->second.state == State::CutOff || sinceReturn >= RAMP_TIME) {
         return it->second.state != State::CutOff;
     }
-    return std::uniform_real_distribution<double>(0, 1)(m_random) < absl::FDivDuration(sinceReturn, RETURN_TIME);
+    return std::uniform_real_distribution<double>(0, 1)(m_random) < absl::FDivDuration(sinceReturn, RAMP_TIME);
 }
 
 std::vector<core::ServiceId> ServerPaths::lostServices() const
--- a/source/net/socketstate.cpp
+++ b/source/net/socketstate.cpp
@@ -24,6 +24,12 @@
 
 } // namespace
 
+bool isEstablished(int socket)
+{
+    pollfd state{socket, POLLOUT, 0};
+    return ::poll(&state, 1, 0) == 1 && (state.revents & (POLLERR | POLLHUP | POLLNVAL)) == 0 && (state.revents & POLLOUT) != 0;
+}
+
 bool hasOtherEndClosed(int socket)
 {
     return haveOtherEndsClosed({socket}).front();
--- a/source/net/socketstate.h
+++ b/source/net/socketstate.h
@@ -10,4 +10,7 @@
 /** @brief The same for many connections with one system call. @return for each socket whether its other end has closed */
 std::vector<bool> haveOtherEndsClosed(const std::vector<int> &sockets);
 
+/** @brief Whether a connection that is being opened is established, also if the event loop has not reported that yet. */
+bool isEstablished(int socket);
+
 } // namespace snipeferry::net
--- a/tests/gateway/brittleservertest.cpp
+++ b/tests/gateway/brittleservertest.cpp
@@ -115,6 +115,27 @@
     CHECK(runsAt(fixture, first, before) > USED_SLOTS);
 }
 
+TEST_CASE("an answer whose word on brittleness cannot be read changes nothing")
+{
+    BrittleFixture fixture(BRITTLE);
+    const std::string first = fixture.server;
+    do {
+        fixture.answerOne({{"receipt", "x"}, {"brittle", "many"}});
+    } while (fixture.server != first);
+    const std::size_t before = fixture.runs.sent.size();
+    fixture.askMany(40);
+    CHECK(runsAt(fixture, first, before) == USED_SLOTS);
+}
+
+TEST_CASE("callers of a brittle service that is full are refused at once and told to come back later")
+{
+    BrittleFixture fixture(BRITTLE);
+    fixture.askMany(2 * USED_SLOTS);
+    const std::shared_ptr<Answer> refused = fixture.ask("/any/1");
+    REQUIRE(refused->error.has_value());
+    CHECK(refused->error->retryAfter.value_or(absl::ZeroDuration()) >= absl::Seconds(1));
+}
+
 TEST_CASE("backend servers that do not say that they are brittle are used as before")
 {
     const gateway::Headers refusal = {{"not-run", "x"}};
