--- a/source/platform/prefixwatch.cpp
+++ b/source/platform/prefixwatch.cpp
@@ -150,7 +150,8 @@
     endpoint.address = m_settings.endpoints[m_endpoint % m_settings.endpoints.size()];
     endpoint.id = core::BackendServerId(endpoint.address);
     awaitData();
-    m_streams.start(m_run, endpoint, {"POST", request.path, {{"Content-Type", "application/json"}}, request.body}, core::RequestId(), false);
+    m_streams.start(
+        m_run, endpoint, {"POST", request.path, {{"Content-Type", "application/json"}}, request.body}, core::RequestId(), false, absl::InfiniteFuture());
 }
 
 void PrefixWatch::awaitData()
--- a/tests/gateway/coldservertest.cpp
+++ b/tests/gateway/coldservertest.cpp
@@ -163,7 +163,7 @@
 {
     constexpr absl::Duration LIFETIME = absl::Seconds(9);
     /** An older list is in use for this part of the lifetime after its confirmation, and the bound counts within one second. */
-    const absl::Duration OLDER_LISTS_USED = 0.6 * LIFETIME + absl::Seconds(1);
+    const absl::Duration olderListsUsed = 0.6 * LIFETIME + absl::Seconds(1);
     const core::InstanceId self("gw-1");
     const core::BackendServerId server("s1");
     core::VirtualTimerService timers;
@@ -171,7 +171,7 @@
     pacing.setAnnouncementLifetime(LIFETIME);
     pacing.setMembers({self});
     const absl::Time listedAt = timers.now();
-    while (timers.now() < listedAt + OLDER_LISTS_USED) {
+    while (timers.now() < listedAt + olderListsUsed) {
         pacing.confirmMembers(timers.now());
         CHECK_FALSE(pacing.isSender(server));
         timers.advance(absl::Milliseconds(100));
