FAILBACK: do not announce every instance of the tests' fleet twice at its start

Since the fleet tells the processes of an instance apart, each of its instances was announced once more when it started. The next process is counted when the one before ends; the first one is the announced one.

--- a/tests/gateway/enginefleet.cpp
+++ b/tests/gateway/enginefleet.cpp
@@ -94,6 +94,7 @@
     // All are announced before the first one starts, as after a restart of the whole fleet within its leases.
     for (const std::unique_ptr<Instance> &instance : m_instances) {
         instance->isAnnounced = true;
+        instance->isProcessAnnounced = true;
         instance->renewedAt = m_clock.now();
         storeRecord(gateway::Topic::Members, instance->member.id.value(), nlohmann::json(instance->member).dump());
     }
@@ -263,6 +264,9 @@
 {
     Instance &instance = *m_instances[index];
     instance.gateway.reset();
+    // The next process is another one, which the store does not announce yet.
+    ++instance.member.incarnation;
+    instance.isProcessAnnounced = false;
     instance.isFrozen = false;
     instance.isReading = false;
     instance.heldBack.clear();
@@ -278,9 +282,7 @@
 void EngineFleet::start(std::size_t index, absl::Duration readDelay, absl::Duration announceDelay)
 {
     Instance &instance = *m_instances[index];
-    ++instance.member.incarnation;
     instance.announcedFrom = m_clock.now() + announceDelay;
-    instance.isProcessAnnounced = false;
     gateway::GatewaySettings settings = GatewayFixture::settings();
     settings.self = instance.member;
     settings.announcementLifetime = LEASE_TIME;
