--- a/tests/gateway/enginefleet.h
+++ b/tests/gateway/enginefleet.h
@@ -101,8 +101,17 @@
     void crash(std::size_t engine);
     /** Takes an engine's power: its connections go silent. It is back after some seconds. */
     void darken(std::size_t engine);
+    /**
+     * Ends an engine's process, which starts again under the same identifier and knows nothing of before.
+     * @param downTime time until it accepts connections again
+     * @param announceDelay time from then on until it announces itself
+     * @param isDark whether it has no power meanwhile, so that connections are neither accepted nor refused
+     */
+    void restart(std::size_t engine, absl::Duration downTime, absl::Duration announceDelay, bool isDark = false);
     /** Ends the connections of an engine's runs without an end of its process. */
     void truncate(std::size_t engine);
+    /** Ends the connection of one of an engine's runs, if it has any, without an end of its process. */
+    void breakOff(std::size_t engine);
     /** Makes an engine announce that it remains cold for a time. */
     void makeCold(std::size_t engine, absl::Duration time);
     /** Makes an engine name a limit in its answers, or none. */
@@ -140,6 +149,7 @@
     std::vector<std::size_t> instancesOf(std::size_t region) const;
     std::size_t engineCount() const;
     bool isEngineUp(std::size_t engine) const;
+    core::BackendServerId engineId(std::size_t engine) const;
     /** Engine that has a run with a part in work; empty if there is none. */
     std::optional<std::size_t> engineAtWorkOn(const std::string &part) const;
     gateway::Gateway &gateway(std::size_t instance);
@@ -154,8 +164,10 @@
     /** Number of arrivals with a body, later than a time. */
     int arrivalsOfBody(const std::string &body, absl::Time after) const;
     const std::vector<EngineArrival> &allArrivals() const;
-    /** Largest number of requests that an engine got in any span of this length, beginning with a time. */
-    int mostArrivals(std::size_t engine, absl::Time from, absl::Duration span) const;
+    /** Largest number of requests that an engine got in any span of this length within a time. */
+    int mostArrivals(std::size_t engine, absl::Time from, absl::Duration span, absl::Time to = absl::InfiniteFuture()) const;
+    /** Number of requests that an engine got within a time, from all instances or from one. */
+    int arrivalsAt(std::size_t engine, absl::Time from, absl::Time to, std::optional<std::size_t> instance = std::nullopt) const;
     const std::vector<FleetRequest> &requests() const;
     /** Fraction of the requests sent in an interval that were served and do not hold a part that crashes engines. */
     double servedShare(absl::Time from, absl::Time to) const;
@@ -190,6 +202,8 @@
 
     void announce(Engine &engine);
     void bringBack(Engine &engine, absl::Duration lapseTime, absl::Duration restartTime);
+    /** Ends a run's connection. */
+    void endConnection(const Run &run);
     /** What is the matter with the path from an instance to an engine. */
     PathCut pathCut(const Instance &instance, const core::BackendServerId &engine) const;
     /** Fails a run that meets a cut path; false if it reaches the engine. */
--- a/tests/gateway/enginefleetengines.cpp
+++ b/tests/gateway/enginefleetengines.cpp
@@ -8,11 +8,6 @@
 
 namespace {
 
-/** An engine's announcement lapses after three missing reports, and the engine is back a little later. */
-constexpr absl::Duration LAPSE_TIME = absl::Milliseconds(3600);
-constexpr absl::Duration RESTART_TIME = absl::Milliseconds(4000);
-/** Time after which the other end of a connection to an engine without power gives up. */
-constexpr absl::Duration SILENCE_TIME = absl::Seconds(2);
 constexpr absl::Duration CONNECT_TIMEOUT = absl::Seconds(1);
 /** Time for which a connection without a run is used again. */
 constexpr absl::Duration KEPT_TIME = absl::Seconds(4);
@@ -82,12 +77,13 @@
     const PathCut cut = m_fleet.pathCut(instance, server.id);
     const bool isSilent = cut == PathCut::Silent || (it != m_fleet.m_engines.end() && (*it)->isDark);
     const bool isReached = cut == PathCut::None && it != m_fleet.m_engines.end() && (*it)->isUp;
-    m_fleet.at(isSilent ? CONNECT_TIMEOUT : 2 * REGION_LATENCY, [this, &instance, run, isReached] {
-        m_fleet.deliver(instance, [run, isReached](gateway::Gateway &gateway) {
+    const char *reason = isSilent ? gateway::REASON_CONNECT_TIMEOUT : gateway::REASON_CONNECT_REFUSED;
+    m_fleet.at(isSilent ? CONNECT_TIMEOUT : 2 * REGION_LATENCY, [this, &instance, run, isReached, reason] {
+        m_fleet.deliver(instance, [run, isReached, reason](gateway::Gateway &gateway) {
             if (isReached) {
                 gateway.runEnd(run, gateway::AnswerEnd::ConnectionClosed);
             } else {
-                gateway.runFailed(run, false, gateway::REASON_CONNECT_FAILED);
+                gateway.runFailed(run, false, reason);
             }
         });
     });
@@ -319,64 +315,6 @@
     deliver(instance, [run, end](gateway::Gateway &gateway) { gateway.runEnd(run, end); });
 }
 
-void EngineFleet::truncate(std::size_t engine)
-{
-    for (const Run &run : std::exchange(m_engines[engine]->runs, {})) {
-        const gateway::Number number = run.number;
-        const bool hasHead = run.hasHead;
-        const bool endsQuietly = areAnswersCloseDelimited && hasHead;
-        deliver(*run.instance, [number, hasHead, endsQuietly](gateway::Gateway &gateway) {
-            if (endsQuietly) {
-                gateway.runEnd(number, gateway::AnswerEnd::ConnectionClosed);
-            } else {
-                gateway.runFailed(number, true, hasHead ? gateway::REASON_ANSWER_BROKEN_OFF : gateway::REASON_NO_ANSWER);
-            }
-        });
-    }
-}
-
-void EngineFleet::crash(std::size_t index)
-{
-    Engine &engine = *m_engines[index];
-    if (!engine.isUp) {
-        return;
-    }
-    engine.isUp = false;
-    truncate(index);
-    bringBack(engine, LAPSE_TIME, RESTART_TIME);
-}
-
-void EngineFleet::darken(std::size_t index)
-{
-    Engine &engine = *m_engines[index];
-    if (!engine.isUp) {
-        return;
-    }
-    engine.isUp = false;
-    engine.isDark = true;
-    for (const Run &run : std::exchange(engine.runs, {})) {
-        at(SILENCE_TIME, [this, instance = run.instance, number = run.number] {
-            deliver(*instance, [number](gateway::Gateway &gateway) { gateway.runFailed(number, true, gateway::REASON_CONNECTION_SILENT); });
-        });
-    }
-    bringBack(engine, LAPSE_TIME, RESTART_TIME);
-}
-
-void EngineFleet::bringBack(Engine &engine, absl::Duration lapseTime, absl::Duration restartTime)
-{
-    at(lapseTime, [this, key = engine.server.id.value()] { storeRecord(gateway::Topic::BackendServers, key, std::nullopt); });
-    at(restartTime, [this, &engine] {
-        ++engine.boot;
-        engine.isUp = true;
-        engine.isDark = false;
-        if (!keepsEngineIds) {
-            engine.server.id = core::BackendServerId(absl::StrCat("e-", m_revision, "-", engine.boot));
-        }
-        engine.server.startedAtMs = absl::ToUnixMillis(m_clock.now());
-        announce(engine);
-    });
-}
-
 void EngineFleet::announce(Engine &engine)
 {
     storeRecord(gateway::Topic::BackendServers, engine.server.id.value(), nlohmann::json(engine.server).dump());
--- a/tests/gateway/enginefleetmeasures.cpp
+++ b/tests/gateway/enginefleetmeasures.cpp
@@ -90,12 +90,26 @@
     return m_arrivals;
 }
 
-int EngineFleet::mostArrivals(std::size_t engine, absl::Time from, absl::Duration span) const
+core::BackendServerId EngineFleet::engineId(std::size_t engine) const
+{
+    return m_engines.at(engine)->server.id;
+}
+
+int EngineFleet::arrivalsAt(std::size_t engine, absl::Time from, absl::Time to, std::optional<std::size_t> instance) const
+{
+    const auto isCounted = [&](const EngineArrival &arrival) {
+        const bool isOfInstance = !instance.has_value() || arrival.instance == m_instances.at(*instance)->member.id;
+        return arrival.at >= from && arrival.at < to && arrival.server == m_engines.at(engine)->server.id && isOfInstance;
+    };
+    return static_cast<int>(std::count_if(m_arrivals.begin(), m_arrivals.end(), isCounted));
+}
+
+int EngineFleet::mostArrivals(std::size_t engine, absl::Time from, absl::Duration span, absl::Time to) const
 {
     std::deque<absl::Time> inSpan;
     std::size_t most = 0;
     for (const EngineArrival &arrival : m_arrivals) {
-        if (arrival.at < from || arrival.server != m_engines.at(engine)->server.id) {
+        if (arrival.at < from || arrival.at >= to || arrival.server != m_engines.at(engine)->server.id) {
             continue;
         }
         inSpan.push_back(arrival.at);
--- a/tests/gateway/enginefleetparts.h
+++ b/tests/gateway/enginefleetparts.h
@@ -7,6 +7,8 @@
 namespace snipeferry::tests {
 
 constexpr absl::Duration REGION_LATENCY = absl::Milliseconds(1);
+/** Time after which the other end of a connection to an engine without power gives up. */
+constexpr absl::Duration SILENCE_TIME = absl::Seconds(2);
 
 std::string regionName(std::size_t region);
 
