FAILBACK: treat a backend server as cold from the first sign that its process has ended

Callers saw requests lost and repeated: a backend server that started again under its identifier got up to 17 requests in a second where 6 are allowed, and crashed of them.

Cause: coldness hangs on the announcement, which follows the start by up to a second, and later while the store is away. Until then the process is taken for the one before, warm and, as it has no work, the best choice. Class of fault: knowledge of one process used for another one of the same name.

Change: ServerRestarts keeps what says that a process may have ended (a connection refused, not established or ended, the crash report of another instance), and checks by connections without a request whether a process is reached. From the first sign on the server is cold, so its one sender paces it; while none is reached it gets nothing. It ends with an announcement of another start, or when the process that was reached has run for as long as a started one is cold. A process that is reached within 250 ms of its last sign of life is the same one, so that an answer that breaks off costs nothing. A linked instance is told the ends that are known. server_announced names the start.

--- a/include/snipeferry/gateway/backendtable.h
+++ b/include/snipeferry/gateway/backendtable.h
@@ -170,6 +170,16 @@
     /** @brief How long a backend server remains cold as far as this instance knows; zero for a warm or unknown one. */
     absl::Duration coldLeft(const core::BackendServerId &id) const;
 
+    /** @brief How long a started process of a service is cold; zero if it bears as much as a warm one. */
+    absl::Duration coldTime(const core::ServiceId &service) const;
+
+    /**
+     * @brief Sets that a backend server may have started again since it was announced.
+     * @param coldUntil until when it counts as cold beside what it announces; InfinitePast if it has not started again
+     * @param isOutOfReach whether no process accepts connections, so that it gets no requests
+     */
+    void setRestartSuspicion(const core::BackendServerId &id, absl::Time coldUntil, bool isOutOfReach);
+
     /** @brief Until when a run that is started now has to be sent: soon to a cold backend server, whose requests are counted when they arrive. */
     absl::Time sendBy(const core::BackendServerId &id) const;
 
@@ -219,7 +229,12 @@
         BackendServer server;
         /** When a later start than the first known one was announced; runs before that say nothing of it. */
         absl::Time restartKnownAt = absl::InfinitePast();
-        absl::Time coldUntil = absl::InfinitePast();
+        /** As the backend server has announced it. */
+        absl::Time announcedColdUntil = absl::InfinitePast();
+        /** As it follows from signs that the process has started again. */
+        absl::Time suspectedColdUntil = absl::InfinitePast();
+        /** Whether no process accepts connections, as far as such signs tell. */
+        bool isOutOfReach = false;
         /** While the backend server is cold, it may receive its next run from this time on. */
         absl::Time nextColdRunAt = absl::InfinitePast();
         int running = 0;
@@ -274,6 +289,7 @@
     bool acceptsRequests(const ServerState &state) const;
     /** Whether the backend server is not one that fails of a refusal and may have to refuse. */
     bool hasRoom(const ServerState &state) const;
+    static absl::Time coldUntil(const ServerState &state);
     /** Whether a run may be dispatched to the backend server now without exceeding its rate limit for the cold state. */
     bool mayDispatchToCold(ServerState &state, absl::Time now);
     /** Prompt tokens that the backend server prefills before those of a new request at this urgency level. */
--- a/include/snipeferry/gateway/forwardreceiver.h
+++ b/include/snipeferry/gateway/forwardreceiver.h
@@ -8,6 +8,7 @@
 #include "snipeferry/gateway/rolloutguard.h"
 #include "snipeferry/gateway/runnumbers.h"
 #include "snipeferry/gateway/serverpaths.h"
+#include "snipeferry/gateway/serverrestarts.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -25,7 +26,7 @@
 class ForwardReceiver : public RunEvents
 {
 public:
-    ForwardReceiver(core::TimerService &timers, BackendTable &backends, ServerPaths &paths, FleetView &fleet, RolloutGuard &rollouts,
+    ForwardReceiver(core::TimerService &timers, BackendTable &backends, ServerPaths &paths, ServerRestarts &restarts, FleetView &fleet, RolloutGuard &rollouts,
         PromptQuarantine &quarantine, const HeaderCodec &headers, RunNumbers &runNumbers, RunTransport &runs, FleetLinks &links, Journal &journal);
 
     void handle(const core::InstanceId &from, const ForwardRequest &message);
@@ -142,6 +143,7 @@
     core::TimerService &m_timers;
     BackendTable &m_backends;
     ServerPaths &m_paths;
+    ServerRestarts &m_restarts;
     FleetView &m_fleet;
     RolloutGuard &m_rollouts;
     PromptQuarantine &m_quarantine;
--- a/include/snipeferry/gateway/gateway.h
+++ b/include/snipeferry/gateway/gateway.h
@@ -283,6 +283,7 @@
     std::mt19937_64 m_random;
     RunNumbers m_runNumbers;
     ServerPaths m_paths;
+    ServerRestarts m_restarts;
     RequestFlow m_requestFlow;
     ForwardReceiver m_forwardReceiver;
     std::shared_ptr<const RouteTable> m_routes;
--- a/include/snipeferry/gateway/promptquarantine.h
+++ b/include/snipeferry/gateway/promptquarantine.h
@@ -40,6 +40,9 @@
      */
     void addEndedRun(const BackendServer &server, const RunContent &content, absl::Time startedAt, AnswerEnd end);
 
+    /** @brief Records that a backend server has refused a connection that was to carry no request. */
+    void addRefusedCheck(const BackendServer &server);
+
     /** @brief Records that the announcement of a backend server has ended or states a later start. */
     void addEndOfProcess(const core::BackendServerId &server);
 
--- a/include/snipeferry/gateway/requestflow.h
+++ b/include/snipeferry/gateway/requestflow.h
@@ -13,6 +13,7 @@
 #include "snipeferry/gateway/routetable.h"
 #include "snipeferry/gateway/runnumbers.h"
 #include "snipeferry/gateway/serverpaths.h"
+#include "snipeferry/gateway/serverrestarts.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -44,6 +45,7 @@
     core::TimerService &timers;
     BackendTable &backends;
     ServerPaths &paths;
+    ServerRestarts &restarts;
     FleetView &fleet;
     RateLimiter &allowances;
     RepeatBudget &repeats;
--- /dev/null
+++ b/include/snipeferry/gateway/serverrestarts.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "snipeferry/core/timerservice.h"
+#include "snipeferry/gateway/backendtable.h"
+#include "snipeferry/gateway/ports.h"
+#include "snipeferry/gateway/promptquarantine.h"
+#include "snipeferry/gateway/runnumbers.h"
+#include "snipeferry/gateway/serverpaths.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace snipeferry::gateway {
+
+/**
+ * Tells which backend servers may have started again since they were announced.
+ *
+ * What is known of a backend server holds for one process. A process that starts again under the same identifier is cold, and its announcement follows later,
+ * or much later while the store is away. So the backend server counts as cold from the first sign that its process has ended: a connection that is refused,
+ * cannot be established or ends before its answer, or the report of another instance. Checks, connections without a request, tell whether a process
+ * accepts connections. One that is reached is cold for no longer than a process that has started at that moment.
+ */
+class ServerRestarts : public RunEvents
+{
+public:
+    /** Whether another instance of this region reaches a service's backend servers. */
+    using NeighbourReaches = std::function<bool(const core::ServiceId &)>;
+
+    ServerRestarts(core::TimerService &timers, BackendTable &backends, const ServerPaths &paths, PromptQuarantine &quarantine, RunNumbers &runNumbers,
+        RunTransport &runs, Journal &journal, NeighbourReaches neighbourReaches);
+
+    /**
+     * @brief Records that a run has failed. Only reasons that may be those of a process that has ended count.
+     *
+     * While this instance is cut off from the service, only the reports of others count.
+     */
+    void noteFailedRun(const BackendServer &server, const std::string &reason);
+    /** @brief Records that a part of an answer has arrived. */
+    void noteAnswer(const core::BackendServerId &server);
+    /** @brief Records that another instance has found that a process has ended. */
+    void noteReport(const CrashReport &report);
+
+    /** @brief Applies earlier reports to a backend server that was not known when they came. */
+    void noteFirstAnnouncement(const BackendServer &server);
+
+    /** @brief Processes that have ended and whose successors may be cold, for an instance that has not heard of them. */
+    std::vector<CrashReport> reports() const;
+
+    bool ownsRun(Number run) const;
+    void runHead(Number run, const HttpHead &head) override;
+    void runData(Number run, const std::string &data) override;
+    void runEnd(Number run, AnswerEnd end) override;
+    void runFailed(Number run, bool mayHaveRun, const std::string &reason) override;
+
+private:
+    struct Suspicion
+    {
+        /** The process that may have ended. */
+        BackendServer server;
+        absl::Duration coldTime;
+        absl::Time since;
+        /** Until when a process that is reached must be the same one; InfinitePast if it may be another one. */
+        absl::Time isSameUntil = absl::InfiniteFuture();
+        /** Whether a check was refused: no process accepted connections. */
+        bool hasEnded = false;
+        /** Whether another instance has found the same. */
+        bool isReported = false;
+        /** Whether the last check has reached no process. */
+        bool isOutOfReach = false;
+        /** When there was the last sign that the process has ended. */
+        absl::Time signAt;
+        /** When a process was reached since; InfinitePast if none was. */
+        absl::Time reachedAt = absl::InfinitePast();
+        /** Number of the check that is under way; 0 for none. */
+        Number check = 0;
+        absl::Time checkedAt = absl::InfinitePast();
+        absl::Time nextCheckAt;
+    };
+
+    /** @param runningAt when the announced process was running for certain; InfinitePast if that is not known */
+    void suspect(const BackendServer &server, const std::string &reason, absl::Time runningAt);
+    /** @param endedAt when the process has ended at the latest */
+    void suspectReported(const BackendServer &server, absl::Time endedAt);
+    void check(Suspicion &suspicion);
+    void checkEnded(Number run, bool isReached, const std::string &reason);
+    /** Whether the report is of the known process of a backend server, and recent enough for a cold successor. */
+    bool isRelevant(const CrashReport &report, const BackendServer &server, absl::Time receivedAt) const;
+    /** Ends a suspicion; the backend server is no colder than its announcements tell. */
+    void dismiss(const core::BackendServerId &server, const std::string &outcome);
+    /** Whether the signs were those of this instance's lost paths: another instance reaches the service and has reported no end. */
+    bool isExplainedByLostPaths(const Suspicion &suspicion) const;
+    /** Why a suspicion is over; empty if it is not. */
+    std::string outcomeOf(const Suspicion &suspicion) const;
+    void sweep();
+
+    core::TimerService &m_timers;
+    BackendTable &m_backends;
+    const ServerPaths &m_paths;
+    PromptQuarantine &m_quarantine;
+    RunNumbers &m_runNumbers;
+    RunTransport &m_runs;
+    Journal &m_journal;
+    NeighbourReaches m_neighbourReaches;
+    absl::flat_hash_map<core::BackendServerId, Suspicion> m_suspicions;
+    /** Backend server of each check that is under way. */
+    absl::flat_hash_map<Number, core::BackendServerId> m_checks;
+    /** When each backend server was last heard of in an answer. */
+    absl::flat_hash_map<core::BackendServerId, absl::Time> m_heardAt;
+    /** Reports of backend servers that are not known, and when they came. */
+    absl::flat_hash_map<core::BackendServerId, std::pair<CrashReport, absl::Time>> m_earlyReports;
+    core::Subscription m_sweepTimer;
+};
+
+} // namespace snipeferry::gateway
--- a/source/gateway/backendtable.cpp
+++ b/source/gateway/backendtable.cpp
@@ -66,6 +66,8 @@
         entry.failureShare = 0;
         entry.ejectedUntil = absl::InfinitePast();
         entry.restartKnownAt = now;
+        entry.suspectedColdUntil = absl::InfinitePast();
+        entry.isOutOfReach = false;
     }
     if (isRestarted && server.startedAtMs > entry.server.startedAtMs) {
         m_notices.restarted(server.id);
@@ -80,7 +82,7 @@
         m_services[server.service].servers.push_back(server.id);
     }
     if (server.coldLeft > absl::ZeroDuration()) {
-        entry.coldUntil = std::max(entry.coldUntil, now + server.coldLeft);
+        entry.announcedColdUntil = std::max(entry.announcedColdUntil, now + server.coldLeft);
     }
     entry.server = server;
     // An announcement may be older than what the backend server has said since.
@@ -141,7 +143,7 @@
         ServerState &state = entry.second;
         const auto configuration = m_serviceConfigurations.find(state.server.service);
         if (state.server.dataCentre == dataCentre && configuration != m_serviceConfigurations.end()) {
-            state.coldUntil = std::max(state.coldUntil, m_timers.now() + configuration->second.coldTime);
+            state.announcedColdUntil = std::max(state.announcedColdUntil, m_timers.now() + configuration->second.coldTime);
         }
     }
 }
@@ -158,7 +160,10 @@
 
 bool BackendTable::mayDispatchToCold(ServerState &state, absl::Time now)
 {
-    if (state.coldUntil <= now) {
+    if (state.isOutOfReach) {
+        return false;
+    }
+    if (coldUntil(state) <= now) {
         return true;
     }
     const auto configuration = m_serviceConfigurations.find(state.server.service);
@@ -236,7 +241,28 @@
 absl::Duration BackendTable::coldLeft(const core::BackendServerId &id) const
 {
     const auto it = m_servers.find(id);
-    return it == m_servers.end() ? absl::ZeroDuration() : std::max(absl::ZeroDuration(), it->second.coldUntil - m_timers.now());
+    return it == m_servers.end() ? absl::ZeroDuration() : std::max(absl::ZeroDuration(), coldUntil(it->second) - m_timers.now());
+}
+
+absl::Duration BackendTable::coldTime(const core::ServiceId &service) const
+{
+    const auto configuration = m_serviceConfigurations.find(service);
+    const bool isLimited = configuration != m_serviceConfigurations.end() && configuration->second.coldRate > 0;
+    return isLimited ? configuration->second.coldTime : absl::ZeroDuration();
+}
+
+void BackendTable::setRestartSuspicion(const core::BackendServerId &id, absl::Time coldUntil, bool isOutOfReach)
+{
+    ServerState *state = findState(id);
+    if (state != nullptr) {
+        state->suspectedColdUntil = coldUntil;
+        state->isOutOfReach = isOutOfReach;
+    }
+}
+
+absl::Time BackendTable::coldUntil(const ServerState &state)
+{
+    return std::max(state.announcedColdUntil, state.suspectedColdUntil);
 }
 
 std::vector<core::VersionId> BackendTable::versions(const core::ServiceId &service) const
@@ -310,7 +336,7 @@
     const absl::Time now = m_timers.now();
     for (const core::BackendServerId &id : it->second.servers) {
         const ServerState &state = m_servers.at(id);
-        if (!acceptsRequests(state) || state.ejectedUntil > now || state.coldUntil > now || m_notices.pauseLeft(id) > absl::ZeroDuration()
+        if (!acceptsRequests(state) || state.ejectedUntil > now || coldUntil(state) > now || m_notices.pauseLeft(id) > absl::ZeroDuration()
             || !m_limits.mayDispatch(id, limitLeadOf(0)) || !hasRoom(state)) {
             continue;
         }
@@ -344,7 +370,7 @@
     m_limits.dispatched(id);
     target->ownUnread[level] += unreadTokens;
     const auto configuration = m_serviceConfigurations.find(target->server.service);
-    if (target->coldUntil > now && configuration != m_serviceConfigurations.end() && configuration->second.coldRate > 0) {
+    if (coldUntil(*target) > now && configuration != m_serviceConfigurations.end() && configuration->second.coldRate > 0) {
         target->nextColdRunAt = now + m_coldPacing.interval(configuration->second.coldRate);
     }
     m_promptCache.noteDispatched(id, parts, target->lastEstimate);
--- a/source/gateway/forwardreceiver.cpp
+++ b/source/gateway/forwardreceiver.cpp
@@ -35,11 +35,13 @@
 
 } // namespace
 
-ForwardReceiver::ForwardReceiver(core::TimerService &timers, BackendTable &backends, ServerPaths &paths, FleetView &fleet, RolloutGuard &rollouts,
-    PromptQuarantine &quarantine, const HeaderCodec &headers, RunNumbers &runNumbers, RunTransport &runs, FleetLinks &links, Journal &journal)
+ForwardReceiver::ForwardReceiver(core::TimerService &timers, BackendTable &backends, ServerPaths &paths, ServerRestarts &restarts, FleetView &fleet,
+    RolloutGuard &rollouts, PromptQuarantine &quarantine, const HeaderCodec &headers, RunNumbers &runNumbers, RunTransport &runs, FleetLinks &links,
+    Journal &journal)
     : m_timers(timers),
       m_backends(backends),
       m_paths(paths),
+      m_restarts(restarts),
       m_fleet(fleet),
       m_rollouts(rollouts),
       m_quarantine(quarantine),
@@ -342,6 +344,7 @@
     }
     const RunReport report = m_headers.decodeAnswer(head);
     m_paths.noteAnswer(it->second.service, it->second.server);
+    m_restarts.noteAnswer(it->second.server);
     m_backends.noteReport(it->second.server, report, report.hasReceipt && head.status >= 200 && head.status < 300, it->second.startedAt, m_journal);
     if (report.isNotRun || report.isWrongServer) {
         const ForwardedRun forwardedRun = it->second;
@@ -364,6 +367,7 @@
         return;
     }
     ForwardedRun &forwardedRun = it->second;
+    m_restarts.noteAnswer(forwardedRun.server);
     noteFirstData(forwardedRun);
     if (endsEvent(forwardedRun.tail + data)) {
         forwardedRun.progress = AnswerProgress::Writing;
@@ -418,6 +422,7 @@
         return;
     }
     m_paths.noteFailedRun(*server, reason);
+    m_restarts.noteFailedRun(*server, reason);
     if (reason != REASON_CONNECT_REFUSED || !m_paths.isInDoubt(forwardedRun.service)) {
         m_quarantine.addFailedRun(*server, forwardedRun.content, forwardedRun.progress, reason);
     }
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -56,11 +56,13 @@
           m_settings.flow.seed + 3, ports.timers, m_runNumbers, ports.runs, ports.journal,
           [this](const core::ServiceId &service) { return m_backends.acceptingServers(service); },
           [this](const core::ServiceId &service) { pathsChanged(service); }),
+      m_restarts(ports.timers, m_backends, m_paths, m_quarantine, m_runNumbers, ports.runs, ports.journal,
+          [this](const core::ServiceId &service) { return m_fleet.chooseNeighbour(service, {}).has_value(); }),
       m_requestFlow(m_settings.flow,
-          FlowDependencies{ports.timers, m_backends, m_paths, m_fleet, m_allowances, m_repeats, m_rollouts, m_quarantine, ports.headers, m_runNumbers,
-              ports.runs, ports.links, ports.journal}),
-      m_forwardReceiver(
-          ports.timers, m_backends, m_paths, m_fleet, m_rollouts, m_quarantine, ports.headers, m_runNumbers, ports.runs, ports.links, ports.journal),
+          FlowDependencies{ports.timers, m_backends, m_paths, m_restarts, m_fleet, m_allowances, m_repeats, m_rollouts, m_quarantine, ports.headers,
+              m_runNumbers, ports.runs, ports.links, ports.journal}),
+      m_forwardReceiver(ports.timers, m_backends, m_paths, m_restarts, m_fleet, m_rollouts, m_quarantine, ports.headers, m_runNumbers, ports.runs, ports.links,
+          ports.journal),
       m_regionPulseTimer(ports.timers.every(m_settings.regionPulsePeriod, [this] { sendRegionPulses(); })),
       m_otherRegionsPulseTimer(ports.timers.every(m_settings.otherRegionsPulsePeriod, [this] { sendPulses(false); })),
       m_lapsedServerTimer(ports.timers.every(LAPSED_SERVER_CHECK_PERIOD, [this] { removeLapsedServers(); })),
@@ -333,6 +335,9 @@
     if (m_paths.ownsRun(run)) {
         return m_paths;
     }
+    if (m_restarts.ownsRun(run)) {
+        return m_restarts;
+    }
     return m_forwardReceiver;
 }
 
--- a/source/gateway/gatewayevidence.cpp
+++ b/source/gateway/gatewayevidence.cpp
@@ -72,6 +72,9 @@
     if (fresh.isEmpty()) {
         return;
     }
+    for (const CrashReport &report : fresh.crashes) {
+        m_restarts.noteReport(report);
+    }
     // The sender has told all instances that it is linked to: in a small region all, of another region a few, in a large region the relays.
     const bool isFromOwnRegion = m_fleet.isInOwnRegion(from);
     if (isFromOwnRegion && !m_fleet.isRelay()) {
--- a/source/gateway/gatewayfleet.cpp
+++ b/source/gateway/gatewayfleet.cpp
@@ -37,7 +37,9 @@
                             .with("incarnation", absl::StrCat(peer.incarnation))
                             .with("boot", absl::StrCat(absl::Hex(peer.bootId))));
     m_ports.links.send(peer.id, addressPulse(buildPulse(m_fleet.isInOwnRegion(peer.id)), peer.id));
-    const PromptEvidence evidence = m_quarantine.summary();
+    PromptEvidence evidence = m_quarantine.summary();
+    const std::vector<CrashReport> ends = m_restarts.reports();
+    evidence.crashes.insert(evidence.crashes.end(), ends.begin(), ends.end());
     if (!evidence.isEmpty()) {
         m_ports.links.send(peer.id, evidence);
     }
--- a/source/gateway/gatewayrecords.cpp
+++ b/source/gateway/gatewayrecords.cpp
@@ -234,9 +234,14 @@
     if (known != nullptr && known->startedAtMs != server->startedAtMs) {
         m_quarantine.addEndOfProcess(id);
     }
+    const bool isFirst = known == nullptr;
     m_backends.announce(*server);
+    if (isFirst) {
+        m_restarts.noteFirstAnnouncement(*server);
+    }
     m_ports.journal.log(core::LogEvent{"server_announced", {}}
                             .with("server", id.value())
+                            .with("started_at_ms", absl::StrCat(server->startedAtMs))
                             .with("service", server->service.value())
                             .with("version", server->version.value())
                             .with("is_draining", server->isDraining ? "true" : "false")
--- a/source/gateway/promptquarantine.cpp
+++ b/source/gateway/promptquarantine.cpp
@@ -66,6 +66,14 @@
     }
 }
 
+void PromptQuarantine::addRefusedCheck(const BackendServer &server)
+{
+    if (!server.isDraining) {
+        evidenceChanged();
+        m_crashes.addRefusedConnection(server);
+    }
+}
+
 void PromptQuarantine::addEndedRun(const BackendServer &server, const RunContent &content, absl::Time startedAt, AnswerEnd end)
 {
     const absl::Time now = m_timers.now();
--- a/source/gateway/requestanswer.cpp
+++ b/source/gateway/requestanswer.cpp
@@ -26,6 +26,7 @@
     const RunReport report = m_dependencies.headers.decodeAnswer(head);
     if (!open->server.isEmpty()) {
         m_dependencies.paths.noteAnswer(open->service, open->server);
+        m_dependencies.restarts.noteAnswer(open->server);
         m_dependencies.backends.noteReport(
             open->server, report, report.hasReceipt && head.status >= 200 && head.status < 300, open->runStartedAt, m_dependencies.journal);
     }
@@ -111,6 +112,9 @@
         return;
     }
     const absl::Time now = m_dependencies.timers.now();
+    if (!open->server.isEmpty()) {
+        m_dependencies.restarts.noteAnswer(open->server);
+    }
     if (!open->isAnswering) {
         open->isAnswering = true;
         open->timeToFirstData = now - open->runStartedAt;
--- a/source/gateway/requestplacement.cpp
+++ b/source/gateway/requestplacement.cpp
@@ -59,6 +59,7 @@
         return;
     }
     m_dependencies.paths.noteFailedRun(*server, reason);
+    m_dependencies.restarts.noteFailedRun(*server, reason);
     // A refused connection is a sign of a crash only if it is not this instance's path that is lost.
     if (reason != REASON_CONNECT_REFUSED || !m_dependencies.paths.isInDoubt(open.service)) {
         m_dependencies.quarantine.addFailedRun(*server, open.content, open.progress, reason);
--- a/source/net/backendpool.cpp
+++ b/source/net/backendpool.cpp
@@ -81,6 +81,14 @@
     core::Subscription idleTimer;
 };
 
+/** Why a connection could not be established. */
+const char *connectFailure(ErrorCode error)
+{
+    // No process listens at the address.
+    const bool isRefused = error == asio::error::connection_refused || error == asio::error::connection_reset;
+    return isRefused ? gateway::REASON_CONNECT_REFUSED : gateway::REASON_CONNECT_FAILED;
+}
+
 /** Why an answer could not be read on; reasonIfEnded if the server has ended the connection. */
 const char *failureReason(ErrorCode error, ReadBound bound, const char *reasonIfEnded)
 {
@@ -128,9 +136,7 @@
             }
             self->m_timer.cancel();
             if (error) {
-                // No process listens at the address.
-                const bool isRefused = error == asio::error::connection_refused || error == asio::error::connection_reset;
-                self->fail(false, isRefused ? gateway::REASON_CONNECT_REFUSED : gateway::REASON_CONNECT_FAILED);
+                self->fail(false, connectFailure(error));
                 return;
             }
             const std::shared_ptr<BackendPool::Impl> owner = self->m_pool.lock();
@@ -458,7 +464,7 @@
         const std::shared_ptr<BackendPool::Impl> pool = m_pool.lock();
         m_timer = pool->loop.timers().after(pool->settings.connectTimeout,
             [self = shared_from_this()] { self->end(isEstablished(self->m_socket.native_handle()) ? std::string() : gateway::REASON_CONNECT_TIMEOUT); });
-        m_socket.async_connect(endpoint, [self = shared_from_this()](ErrorCode error) { self->end(error ? gateway::REASON_CONNECT_FAILED : std::string()); });
+        m_socket.async_connect(endpoint, [self = shared_from_this()](ErrorCode error) { self->end(error ? connectFailure(error) : std::string()); });
     }
 
 private:
--- a/tests/gateway/restartedservertest.cpp
+++ b/tests/gateway/restartedservertest.cpp
@@ -129,6 +129,24 @@
     }
 }
 
+// Guards against an instance that takes the end of all backend servers for lost paths of its own, and sends to them as before when it reaches them (FAILBACK).
+TEST_CASE("restarted backend servers get no more than cold ones bear from an instance that took their end for a lost path")
+{
+    constexpr std::size_t RESTARTED = 6;
+    const std::uint64_t seed = GENERATE(431, 432, 433);
+    RestartFleet restart(seed);
+    for (std::size_t engine = 0; engine < RESTARTED; ++engine) {
+        restart.fleet.restart(engine, DOWN_TIME, ANNOUNCE_DELAY);
+    }
+    const absl::Time startedAt = restart.fleet.now() + DOWN_TIME;
+    restart.play(absl::Seconds(6));
+    INFO("seed " << seed);
+    REQUIRE(restart.fleet.logLines("paths_lost") > 0);
+    for (std::size_t engine = 0; engine < RESTARTED; ++engine) {
+        restart.checkCold(engine, startedAt);
+    }
+}
+
 // Guards against a second restart that is taken for the first: each process is cold from its own start on (FAILBACK).
 TEST_CASE("a backend server that starts again twice gets no more than a cold one bears")
 {
