FAILBACK: ask a backend server that is reached again how long it remains cold

Change: a server that is reached again is asked at its health path how long it remains cold. Cold: it has started again, all instances are told. Not cold: the suspicion ends at once, so that a lost path costs no cold time. One instance after the other asks, in rendezvous order, as the question may count as a request. After a time without paths to a service all its servers are suspected and asked. Nothing is dropped for a neighbour's sake any more.

--- a/include/snipeferry/gateway/backendtable.h
+++ b/include/snipeferry/gateway/backendtable.h
@@ -173,6 +173,9 @@
     /** @brief How long a started process of a service is cold; zero if it bears as much as a warm one. */
     absl::Duration coldTime(const core::ServiceId &service) const;
 
+    /** @brief Path of a service's health check; empty if it has none. */
+    std::string healthPath(const core::ServiceId &service) const;
+
     /**
      * @brief Sets that a backend server may have started again since it was announced.
      * @param coldUntil until when it counts as cold beside what it announces; InfinitePast if it has not started again
--- a/include/snipeferry/gateway/crashhistory.h
+++ b/include/snipeferry/gateway/crashhistory.h
@@ -65,8 +65,8 @@
     /** @brief Whether a backend server may have crashed when a connection ended. */
     bool mayHaveCrashedAt(const BackendServer &server, absl::Time at) const;
 
-    /** @brief Records that a connection to a backend server was refused. */
-    void addRefusedConnection(const BackendServer &server);
+    /** @brief Records that a process has ended before a time: a connection to it was refused, or its successor has answered. */
+    void addEndedProcess(const BackendServer &server, absl::Time endedAt);
 
     /** @brief Records that the announcement of a backend server has ended or states a later start. */
     void addEndOfProcess(const core::BackendServerId &server);
--- a/include/snipeferry/gateway/fleetview.h
+++ b/include/snipeferry/gateway/fleetview.h
@@ -112,6 +112,9 @@
     /** @brief This instance and those of its region that were heard of recently. */
     std::vector<core::InstanceId> regionInstances() const;
 
+    /** @brief This instance and those of its region that were cut off from backend servers a short time ago. */
+    std::vector<core::InstanceId> instancesLatelyCutOff() const;
+
     /** @brief This instance and the members of its region that the store has announced, whether or not they were heard of. */
     std::vector<core::InstanceId> announcedRegionMembers() const;
 
@@ -172,6 +175,8 @@
         std::vector<ServiceRoom> rooms;
         /** Services that the peer is cut off from, from its last pulse or a relay's report. */
         std::vector<core::ServiceId> lostServices;
+        /** When the peer last reported such a service. */
+        absl::Time cutOffAt = absl::InfinitePast();
         /** Requests forwarded to the peer that have not ended. */
         int openForwards = 0;
         /** All requests forwarded to the peer. */
@@ -180,6 +185,7 @@
         absl::flat_hash_map<core::ServiceId, std::int64_t> unreportedTokens;
     };
 
+    void setLostServices(Peer &peer, const std::vector<core::ServiceId> &services);
     bool shouldLink(const Member &member) const;
     /** Decides to which members this instance keeps links, if the announcements or the relays have changed since the last time. */
     void refreshLinkTargets() const;
--- a/include/snipeferry/gateway/message.h
+++ b/include/snipeferry/gateway/message.h
@@ -116,9 +116,13 @@
     std::optional<double> brittleRate;
     /** The answer names such a rate that cannot be read. */
     bool isBrittleRateUnreadable = false;
+    /** How long the backend server remains cold; empty if the answer does not state it. */
+    std::optional<absl::Duration> coldLeft;
+    /** The answer names such a time that cannot be read. */
+    bool isColdTimeUnreadable = false;
 
     SNIPEFERRY_VALUE(RunReport, request, isNotRun, isWrongServer, hasReceipt, running, waiting, requestLimit, isLimitUnreadable, isLeaving, pauseSeconds,
-        isPauseUnreadable, brittleRate, isBrittleRateUnreadable)
+        isPauseUnreadable, brittleRate, isBrittleRateUnreadable, coldLeft, isColdTimeUnreadable)
 };
 
 /** Strategy that decodes and encodes the HTTP headers that the callers and backend servers of one deployment use. */
@@ -136,7 +140,10 @@
     /** @brief Adds the headers of a run to a request. */
     virtual void encodeRun(HttpRequest &request, const RunHeaders &run) const = 0;
 
-    /** @brief Decodes what the headers of an answer say about the run. */
+    /** @brief The question for a backend server's state, at its path for health checks. */
+    virtual HttpRequest stateQuestion(const core::BackendServerId &server, const std::string &path) const = 0;
+
+    /** @brief Decodes what the headers of an answer say about the run, or about the state that was asked for. */
     virtual RunReport decodeAnswer(const HttpHead &head) const = 0;
 
     /** @brief Headers of an error answer that the gateway itself sends. */
--- a/include/snipeferry/gateway/ports.h
+++ b/include/snipeferry/gateway/ports.h
@@ -70,6 +70,12 @@
      * RunEvents are told under the given number: runEnd() if it was established, runFailed() if not.
      */
     virtual void checkPath(Number run, const BackendServer &server) = 0;
+
+    /**
+     * @brief Asks a backend server for its state, on a new connection. The events go to RunEvents under the given number.
+     * @param request the question; it is no caller's request
+     */
+    virtual void askState(Number run, const BackendServer &server, const HttpRequest &request) = 0;
 };
 
 /** Reasons of runFailed() that tell what happened to the backend server's process. */
--- a/include/snipeferry/gateway/promptquarantine.h
+++ b/include/snipeferry/gateway/promptquarantine.h
@@ -40,8 +40,8 @@
      */
     void addEndedRun(const BackendServer &server, const RunContent &content, absl::Time startedAt, AnswerEnd end);
 
-    /** @brief Records that a backend server has refused a connection that was to carry no request. */
-    void addRefusedCheck(const BackendServer &server);
+    /** @brief Records that a backend server's process has certainly ended before a time, as something else than a run has shown. */
+    void addEndedProcess(const BackendServer &server, absl::Time endedAt);
 
     /** @brief Records that the announcement of a backend server has ended or states a later start. */
     void addEndOfProcess(const core::BackendServerId &server);
--- a/include/snipeferry/gateway/rendezvous.h
+++ b/include/snipeferry/gateway/rendezvous.h
@@ -2,6 +2,7 @@
 
 #include "snipeferry/core/ids.h"
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -16,4 +17,7 @@
 /** @brief The instance with the highest weight for a key; empty for an empty list. */
 core::InstanceId rendezvousFirst(const std::string &key, const std::vector<core::InstanceId> &instances);
 
+/** @brief Number of instances with a higher weight for a key than one of them has. */
+std::size_t rendezvousRank(const std::string &key, const core::InstanceId &instance, const std::vector<core::InstanceId> &instances);
+
 } // namespace snipeferry::gateway
--- a/include/snipeferry/net/backendpool.h
+++ b/include/snipeferry/net/backendpool.h
@@ -46,6 +46,7 @@
     void cancel(gateway::Number run) override;
     void setPaused(gateway::Number run, bool isPaused) override;
     void checkPath(gateway::Number run, const gateway::BackendServer &server) override;
+    void askState(gateway::Number run, const gateway::BackendServer &server, const gateway::HttpRequest &request) override;
 
     /** @brief Connections opened since the start. */
     std::uint64_t openedCount() const;
--- a/source/gateway/backendtable.cpp
+++ b/source/gateway/backendtable.cpp
@@ -251,6 +251,12 @@
     return isLimited ? configuration->second.coldTime : absl::ZeroDuration();
 }
 
+std::string BackendTable::healthPath(const core::ServiceId &service) const
+{
+    const auto configuration = m_serviceConfigurations.find(service);
+    return configuration == m_serviceConfigurations.end() ? std::string() : configuration->second.healthPath;
+}
+
 void BackendTable::setRestartSuspicion(const core::BackendServerId &id, absl::Time coldUntil, bool isOutOfReach)
 {
     ServerState *state = findState(id);
--- a/source/gateway/crashhistory.cpp
+++ b/source/gateway/crashhistory.cpp
@@ -141,10 +141,10 @@
     });
 }
 
-void CrashHistory::addRefusedConnection(const BackendServer &server)
+void CrashHistory::addEndedProcess(const BackendServer &server, absl::Time endedAt)
 {
     // The crash may have ended only runs of other instances, which need to know that it was one.
-    confirm(findOrAdd(server.id, server.startedAtMs, server.service, m_timers.now()));
+    confirm(findOrAdd(server.id, server.startedAtMs, server.service, endedAt));
 }
 
 void CrashHistory::addEndOfProcess(const core::BackendServerId &server)
--- a/source/gateway/fleetlinkchoice.cpp
+++ b/source/gateway/fleetlinkchoice.cpp
@@ -130,7 +130,7 @@
             it->second.reportedAliveAt = now - state.heardAgo;
             it->second.isReportedReady = state.isReady;
             if (!hasRecentPulse(it->second)) {
-                it->second.lostServices = state.lostServices;
+                setLostServices(it->second, state.lostServices);
             }
         }
     }
--- a/source/gateway/fleetview.cpp
+++ b/source/gateway/fleetview.cpp
@@ -14,6 +14,8 @@
 constexpr absl::Duration PULSE_TIMEOUT = absl::Milliseconds(2600);
 /** An announced instance to which no link exists yet counts as alive for this long after its announcement. */
 constexpr absl::Duration LINK_GRACE = absl::Seconds(3);
+/** Time for which it is kept that an instance was cut off from backend servers. */
+constexpr absl::Duration CUT_OFF_MEMORY = absl::Seconds(5);
 /** Network round trip to another region, including the connection setup there. */
 constexpr absl::Duration REGION_ROUND_TRIP = absl::Milliseconds(125);
 /** Prompt tokens that one backend server reads in a millisecond. BackendTable measures the speed of local ones, see ServiceState::tokensPerMs. */
@@ -112,7 +114,7 @@
     peer.lastHeardAt = m_timers.now();
     peer.isReady = pulse.isReady;
     peer.rooms = pulse.rooms;
-    peer.lostServices = pulse.lostServices;
+    setLostServices(peer, pulse.lostServices);
     peer.unreportedTokens.clear();
     peer.lastSentAt = pulse.sentAt;
     if (pulse.echo == 0) {
@@ -218,6 +220,25 @@
     return all;
 }
 
+std::vector<core::InstanceId> FleetView::instancesLatelyCutOff() const
+{
+    std::vector<core::InstanceId> all{m_self.id};
+    for (const auto &entry : m_peers) {
+        if (entry.second.member.region == m_self.region && m_timers.now() - entry.second.cutOffAt < CUT_OFF_MEMORY) {
+            all.push_back(entry.first);
+        }
+    }
+    return all;
+}
+
+void FleetView::setLostServices(Peer &peer, const std::vector<core::ServiceId> &services)
+{
+    peer.lostServices = services;
+    if (!services.empty()) {
+        peer.cutOffAt = m_timers.now();
+    }
+}
+
 std::vector<core::InstanceId> FleetView::announcedRegionMembers() const
 {
     std::vector<core::InstanceId> all{m_self.id};
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -56,8 +56,10 @@
           m_settings.flow.seed + 3, ports.timers, m_runNumbers, ports.runs, ports.journal,
           [this](const core::ServiceId &service) { return m_backends.acceptingServers(service); },
           [this](const core::ServiceId &service) { pathsChanged(service); }),
-      m_restarts(ports.timers, m_backends, m_paths, m_quarantine, m_runNumbers, ports.runs, ports.journal,
-          [this](const core::ServiceId &service) { return m_fleet.chooseNeighbour(service, {}).has_value(); }),
+      m_restarts(ports.timers, m_backends, m_paths, m_quarantine, ports.headers, m_runNumbers, ports.runs, ports.journal,
+          [this](const core::BackendServerId &server, bool isAfterCut) {
+              return rendezvousRank(server.value(), m_settings.self.id, isAfterCut ? m_fleet.instancesLatelyCutOff() : m_fleet.regionInstances());
+          }),
       m_requestFlow(m_settings.flow,
           FlowDependencies{ports.timers, m_backends, m_paths, m_restarts, m_fleet, m_allowances, m_repeats, m_rollouts, m_quarantine, ports.headers,
               m_runNumbers, ports.runs, ports.links, ports.journal}),
@@ -321,6 +323,8 @@
 {
     if (m_paths.isCutOff(service)) {
         m_backends.forgetFailures(service);
+    } else {
+        m_restarts.notePathsRegained(service);
     }
     // The others forward to this instance, or it to them, by what the pulses say.
     sendToRegion();
--- a/source/gateway/promptquarantine.cpp
+++ b/source/gateway/promptquarantine.cpp
@@ -60,17 +60,17 @@
     }
     evidenceChanged();
     if (reason == REASON_CONNECT_REFUSED) {
-        m_crashes.addRefusedConnection(server);
+        m_crashes.addEndedProcess(server, m_timers.now());
     } else if (reason == REASON_NO_ANSWER || reason == REASON_ANSWER_BROKEN_OFF) {
         m_crashes.addBrokenRun(server, content, progress);
     }
 }
 
-void PromptQuarantine::addRefusedCheck(const BackendServer &server)
+void PromptQuarantine::addEndedProcess(const BackendServer &server, absl::Time endedAt)
 {
     if (!server.isDraining) {
         evidenceChanged();
-        m_crashes.addRefusedConnection(server);
+        m_crashes.addEndedProcess(server, endedAt);
     }
 }
 
--- a/source/gateway/rendezvous.cpp
+++ b/source/gateway/rendezvous.cpp
@@ -2,6 +2,7 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <cmath>
 
 namespace snipeferry::gateway {
@@ -26,4 +27,13 @@
     return first;
 }
 
+std::size_t rendezvousRank(const std::string &key, const core::InstanceId &instance, const std::vector<core::InstanceId> &instances)
+{
+    const double own = rendezvousWeight(key, instance.value());
+    const auto isBefore = [&key, own](const core::InstanceId &other) {
+        return rendezvousWeight(key, other.value()) > own;
+    };
+    return static_cast<std::size_t>(std::count_if(instances.begin(), instances.end(), isBefore));
+}
+
 } // namespace snipeferry::gateway
--- a/source/gateway/serverrestarts.cpp
+++ b/source/gateway/serverrestarts.cpp
@@ -22,8 +22,11 @@
 constexpr absl::Duration HEARD_MEMORY = absl::Seconds(1);
 /** Time for which a report is kept of a backend server whose announcement this instance has not read. */
 constexpr absl::Duration EARLY_REPORT_MEMORY = absl::Seconds(10);
-/** Time in which the instances of a region hear which of them reach a service's backend servers, and which processes have ended. */
-constexpr absl::Duration LOST_PATHS_NEWS_TIME = absl::Milliseconds(500);
+/** Time in which an instance has asked and told the others the answer. */
+constexpr absl::Duration ASK_INTERVAL = absl::Milliseconds(200);
+/** Time in which a process has to answer how long it remains cold. */
+constexpr absl::Duration ANSWER_TIME = absl::Seconds(1);
+constexpr int STATUS_OK = 200;
 /** Why a process may have ended, beside the reasons of failed runs. */
 constexpr const char *REASON_REPORTED = "reported";
 
@@ -41,15 +44,16 @@
 } // namespace
 
 ServerRestarts::ServerRestarts(core::TimerService &timers, BackendTable &backends, const ServerPaths &paths, PromptQuarantine &quarantine,
-    RunNumbers &runNumbers, RunTransport &runs, Journal &journal, NeighbourReaches neighbourReaches)
+    const HeaderCodec &headers, RunNumbers &runNumbers, RunTransport &runs, Journal &journal, AskRank askRank)
     : m_timers(timers),
       m_backends(backends),
       m_paths(paths),
       m_quarantine(quarantine),
+      m_headers(headers),
       m_runNumbers(runNumbers),
       m_runs(runs),
       m_journal(journal),
-      m_neighbourReaches(std::move(neighbourReaches)),
+      m_askRank(std::move(askRank)),
       m_sweepTimer(timers.every(SWEEP_PERIOD, [this] { sweep(); }))
 {
 }
@@ -72,6 +76,17 @@
     m_heardAt[server] = m_timers.now();
 }
 
+void ServerRestarts::notePathsRegained(const core::ServiceId &service)
+{
+    for (const BackendServer &server : m_backends.acceptingServers(service)) {
+        suspect(server, REASON_CUT_OFF, absl::InfinitePast());
+        const auto it = m_suspicions.find(server.id);
+        if (it != m_suspicions.end()) {
+            it->second.isAfterCut = true;
+        }
+    }
+}
+
 void ServerRestarts::noteReport(const CrashReport &report)
 {
     const absl::Time now = m_timers.now();
@@ -103,7 +118,7 @@
     }
     const auto it = m_suspicions.find(server.id);
     if (it != m_suspicions.end()) {
-        it->second.isReported = true;
+        it->second.hasEnded = true;
     }
 }
 
@@ -149,47 +164,101 @@
     suspicion.check = m_runNumbers.next();
     suspicion.checkedAt = now;
     suspicion.nextCheckAt = now + CHECK_INTERVAL_FRACTION * suspicion.coldTime;
-    m_checks[suspicion.check] = suspicion.server.id;
+    m_openRuns[suspicion.check] = suspicion.server.id;
     m_journal.count("server_restart_checks_total", suspicion.server.service.value(), 1);
     m_runs.checkPath(suspicion.check, suspicion.server);
 }
 
-void ServerRestarts::checkEnded(Number run, bool isReached, const std::string &reason)
+void ServerRestarts::checkEnded(Suspicion &suspicion, bool isReached, const std::string &reason)
 {
-    const auto checked = m_checks.find(run);
-    if (checked == m_checks.end()) {
-        return;
-    }
-    const core::BackendServerId id = checked->second;
-    m_checks.erase(checked);
-    const auto it = m_suspicions.find(id);
-    if (it == m_suspicions.end() || it->second.check != run) {
-        return;
-    }
-    Suspicion &suspicion = it->second;
+    const core::BackendServerId id = suspicion.server.id;
+    const absl::Time now = m_timers.now();
     suspicion.check = 0;
     suspicion.isOutOfReach = !isReached;
-    const absl::Time now = m_timers.now();
     if (isReached && suspicion.checkedAt < suspicion.isSameUntil) {
-        dismiss(id, "same_process");
+        decide(id, "same_process");
         return;
     }
     m_backends.setRestartSuspicion(id, now + suspicion.coldTime, suspicion.isOutOfReach);
-    if (isReached) {
-        // A sign that came during the check may be newer than the process that was reached.
-        suspicion.reachedAt = suspicion.signAt <= suspicion.checkedAt ? now : absl::InfinitePast();
+    if (!isReached) {
+        suspicion.isSameUntil = absl::InfinitePast();
+        // A lost path of this instance says nothing about the process.
+        if (reason == REASON_CONNECT_REFUSED && !m_paths.isInDoubt(suspicion.server.service)) {
+            endProcess(suspicion, now);
+        }
+        return;
+    }
+    // A sign that came during the check may be newer than the process that was reached.
+    if (suspicion.signAt > suspicion.checkedAt) {
+        return;
+    }
+    suspicion.reachedAt = now;
+    suspicion.coldUntil = now + suspicion.coldTime;
+    suspicion.askAt = now + static_cast<double>(m_askRank(id, suspicion.isAfterCut)) * ASK_INTERVAL;
+    askIfDue(suspicion);
+}
+
+void ServerRestarts::endProcess(Suspicion &suspicion, absl::Time endedAt)
+{
+    if (!std::exchange(suspicion.hasEnded, true)) {
+        m_quarantine.addEndedProcess(suspicion.server, endedAt);
+    }
+}
+
+void ServerRestarts::askIfDue(Suspicion &suspicion)
+{
+    const std::string path = m_backends.healthPath(suspicion.server.service);
+    // The announcement of a process that has started for certain follows.
+    if (suspicion.hasEnded || m_timers.now() < suspicion.askAt || path.empty()) {
+        return;
+    }
+    suspicion.askAt = absl::InfiniteFuture();
+    stopQuestion(suspicion);
+    suspicion.askedAt = m_timers.now();
+    suspicion.question = m_runNumbers.next();
+    m_openRuns[suspicion.question] = suspicion.server.id;
+    m_journal.count("server_state_questions_total", suspicion.server.service.value(), 1);
+    m_runs.askState(suspicion.question, suspicion.server, m_headers.stateQuestion(suspicion.server.id, path));
+}
+
+void ServerRestarts::answered(Suspicion &suspicion, const HttpHead &head)
+{
+    stopQuestion(suspicion);
+    // A sign that came since is newer than the answer.
+    if (suspicion.reachedAt == absl::InfinitePast()) {
         return;
     }
-    suspicion.isSameUntil = absl::InfinitePast();
-    // A lost path of this instance says nothing about the process.
-    if (reason == REASON_CONNECT_REFUSED && !m_paths.isInDoubt(suspicion.server.service) && !std::exchange(suspicion.hasEnded, true)) {
-        m_quarantine.addRefusedCheck(suspicion.server);
+    const RunReport report = m_headers.decodeAnswer(head);
+    const absl::Duration coldLeft = report.coldLeft.value_or(absl::ZeroDuration());
+    if (coldLeft > absl::ZeroDuration()) {
+        const absl::Time now = m_timers.now();
+        suspicion.coldUntil = now + coldLeft;
+        m_backends.setRestartSuspicion(suspicion.server.id, suspicion.coldUntil, false);
+        endProcess(suspicion, std::min(now, suspicion.coldUntil - suspicion.coldTime) - MIN_RESTART_TIME);
+    } else if (head.status == STATUS_OK && !report.isColdTimeUnreadable) {
+        decide(suspicion.server.id, "not_cold");
+    }
+}
+
+void ServerRestarts::stopQuestion(Suspicion &suspicion)
+{
+    if (suspicion.question != 0) {
+        m_openRuns.erase(suspicion.question);
+        m_runs.cancel(std::exchange(suspicion.question, 0));
     }
 }
 
-void ServerRestarts::dismiss(const core::BackendServerId &server, const std::string &outcome)
+ServerRestarts::Suspicion *ServerRestarts::findByRun(Number run)
+{
+    const auto open = m_openRuns.find(run);
+    const auto it = open == m_openRuns.end() ? m_suspicions.end() : m_suspicions.find(open->second);
+    return it != m_suspicions.end() && (it->second.check == run || it->second.question == run) ? &it->second : nullptr;
+}
+
+void ServerRestarts::decide(const core::BackendServerId &server, const std::string &outcome)
 {
     const auto it = m_suspicions.find(server);
+    stopQuestion(it->second);
     const Suspicion suspicion = it->second;
     m_suspicions.erase(it);
     m_backends.setRestartSuspicion(server, absl::InfinitePast(), false);
@@ -201,13 +270,6 @@
                       .with("ago_ms", absl::StrCat(absl::ToInt64Milliseconds(m_timers.now() - suspicion.since))));
 }
 
-bool ServerRestarts::isExplainedByLostPaths(const Suspicion &suspicion) const
-{
-    const core::ServiceId &service = suspicion.server.service;
-    const bool isConfirmed = suspicion.hasEnded || suspicion.isReported;
-    return !isConfirmed && m_paths.isCutOff(service) && m_timers.now() - suspicion.since >= LOST_PATHS_NEWS_TIME && m_neighbourReaches(service);
-}
-
 std::string ServerRestarts::outcomeOf(const Suspicion &suspicion) const
 {
     const BackendServer *server = m_backends.find(suspicion.server.id);
@@ -217,10 +279,7 @@
     if (server->startedAtMs != suspicion.server.startedAtMs) {
         return "announced";
     }
-    if (isExplainedByLostPaths(suspicion)) {
-        return "path_lost";
-    }
-    return m_timers.now() - suspicion.reachedAt >= suspicion.coldTime && suspicion.reachedAt > absl::InfinitePast() ? "warm" : "";
+    return suspicion.reachedAt > absl::InfinitePast() && m_timers.now() >= suspicion.coldUntil ? "warm" : "";
 }
 
 void ServerRestarts::sweep()
@@ -232,15 +291,24 @@
         const std::string outcome = outcomeOf(suspicion);
         if (!outcome.empty()) {
             decided.emplace_back(entry.first, outcome);
-        } else if (suspicion.reachedAt == absl::InfinitePast()) {
-            m_backends.setRestartSuspicion(entry.first, now + suspicion.coldTime, suspicion.isOutOfReach);
-            if (suspicion.check == 0 && suspicion.nextCheckAt <= now) {
-                check(suspicion);
-            }
+            continue;
+        }
+        if (suspicion.question != 0 && now - suspicion.askedAt > ANSWER_TIME) {
+            stopQuestion(suspicion);
+        }
+        if (suspicion.reachedAt > absl::InfinitePast()) {
+            askIfDue(suspicion);
+            continue;
+        }
+        m_backends.setRestartSuspicion(entry.first, now + suspicion.coldTime, suspicion.isOutOfReach);
+        // While this instance is cut off, a check tells nothing. It is due when the paths are back.
+        suspicion.nextCheckAt = m_paths.isCutOff(suspicion.server.service) ? now + SWEEP_PERIOD : suspicion.nextCheckAt;
+        if (suspicion.check == 0 && suspicion.nextCheckAt <= now) {
+            check(suspicion);
         }
     }
     for (const std::pair<core::BackendServerId, std::string> &entry : decided) {
-        dismiss(entry.first, entry.second);
+        decide(entry.first, entry.second);
     }
     absl::erase_if(m_heardAt, [now](const auto &heard) { return now - heard.second > HEARD_MEMORY; });
     absl::erase_if(m_earlyReports, [now](const auto &report) { return now - report.second.second > EARLY_REPORT_MEMORY; });
@@ -265,27 +333,45 @@
 
 bool ServerRestarts::ownsRun(Number run) const
 {
-    return m_checks.contains(run);
+    return m_openRuns.contains(run);
 }
 
-void ServerRestarts::runHead(Number /*run*/, const HttpHead & /*head*/)
+void ServerRestarts::runHead(Number run, const HttpHead &head)
 {
-    // A check sends no request.
+    Suspicion *suspicion = findByRun(run);
+    if (suspicion != nullptr) {
+        answered(*suspicion, head);
+    }
 }
 
 void ServerRestarts::runData(Number /*run*/, const std::string & /*data*/)
 {
-    // A check sends no request.
+    // The head of an answer says all.
 }
 
 void ServerRestarts::runEnd(Number run, AnswerEnd /*end*/)
 {
-    checkEnded(run, true, "");
+    Suspicion *suspicion = findByRun(run);
+    m_openRuns.erase(run);
+    if (suspicion != nullptr && suspicion->check == run) {
+        checkEnded(*suspicion, true, "");
+    }
 }
 
 void ServerRestarts::runFailed(Number run, bool /*mayHaveRun*/, const std::string &reason)
 {
-    checkEnded(run, false, reason);
+    Suspicion *suspicion = findByRun(run);
+    m_openRuns.erase(run);
+    if (suspicion == nullptr) {
+        return;
+    }
+    if (suspicion->check == run) {
+        checkEnded(*suspicion, false, reason);
+        return;
+    }
+    // Without an answer, the process counts as cold for as long as one that has just started.
+    suspicion->question = 0;
+    m_journal.log(core::LogEvent{"server_state_unknown", {}}.with("server", suspicion->server.id.value()).with("reason", reason));
 }
 
 } // namespace snipeferry::gateway
--- a/source/net/backendpool.cpp
+++ b/source/net/backendpool.cpp
@@ -68,6 +68,8 @@
     }
 
     void dropOldIdle();
+    void startOnNewConnection(
+        gateway::Number run, const gateway::BackendServer &server, const core::RequestId &id, std::string bytes, bool isHead, absl::Time sendBy);
 
     EventLoop &loop;
     BackendPoolSettings settings;
@@ -514,6 +516,23 @@
     }
 }
 
+void BackendPool::Impl::startOnNewConnection(
+    gateway::Number run, const gateway::BackendServer &server, const core::RequestId &id, std::string bytes, bool isHead, absl::Time sendBy)
+{
+    // Failures are told later, never from within this call.
+    const std::optional<Tcp::endpoint> endpoint = endpointOf(server);
+    const bool isFull = open[server.id] >= settings.maxConnectionsPerServer;
+    if (!endpoint.has_value() || isFull) {
+        const std::string reason = isFull ? "too_many_connections" : REASON_BAD_ADDRESS;
+        asio::post(loop.context(), [impl = shared_from_this(), run, reason] { impl->events->runFailed(run, false, reason); });
+        return;
+    }
+    ++opened;
+    const std::shared_ptr<BackendConnection> connection = std::make_shared<BackendConnection>(shared_from_this(), server.id);
+    runs[run] = connection;
+    connection->connect(*endpoint, run, id, std::move(bytes), isHead, sendBy);
+}
+
 BackendPool::BackendPool(EventLoop &loop, BackendPoolSettings settings, AnsweredRequest answeredRequest)
     : m_impl(std::make_shared<Impl>(loop, std::move(settings), std::move(answeredRequest)))
 {
@@ -550,18 +569,12 @@
         return;
     }
 
-    // Otherwise open one. Failures are told later, never from within this call.
-    const std::optional<Tcp::endpoint> endpoint = endpointOf(server);
-    const bool isFull = m_impl->open[server.id] >= m_impl->settings.maxConnectionsPerServer;
-    if (!endpoint.has_value() || isFull) {
-        const std::string reason = isFull ? "too_many_connections" : REASON_BAD_ADDRESS;
-        asio::post(m_impl->loop.context(), [impl = m_impl, run, reason] { impl->events->runFailed(run, false, reason); });
-        return;
-    }
-    ++m_impl->opened;
-    const std::shared_ptr<BackendConnection> connection = std::make_shared<BackendConnection>(m_impl, server.id);
-    m_impl->runs[run] = connection;
-    connection->connect(*endpoint, run, id, std::move(bytes), isHead, sendBy);
+    m_impl->startOnNewConnection(run, server, id, std::move(bytes), isHead, sendBy);
+}
+
+void BackendPool::askState(gateway::Number run, const gateway::BackendServer &server, const gateway::HttpRequest &request)
+{
+    m_impl->startOnNewConnection(run, server, core::RequestId(), requestBytes(request, server.address), false, absl::InfiniteFuture());
 }
 
 void BackendPool::checkPath(gateway::Number run, const gateway::BackendServer &server)
--- a/tests/gateway/enginefleetcrashes.cpp
+++ b/tests/gateway/enginefleetcrashes.cpp
@@ -89,6 +89,7 @@
             engine.isUp = true;
             engine.isDark = false;
             engine.server.startedAtMs = absl::ToUnixMillis(m_clock.now());
+            engine.coldUntil = m_clock.now() + GatewayFixture::deployment().services.front().coldTime;
         }
     });
     at(downTime + announceDelay, [this, index, boot, announceDelay] {
--- a/tests/gateway/enginefleetengines.cpp
+++ b/tests/gateway/enginefleetengines.cpp
@@ -89,6 +89,30 @@
     });
 }
 
+void EngineFleet::Runs::askState(gateway::Number run, const gateway::BackendServer &server, const gateway::HttpRequest & /*request*/)
+{
+    Instance &instance = *m_fleet.m_instances[m_self];
+    const auto isAsked = [&server](const std::unique_ptr<Engine> &engine) {
+        return engine->server.id == server.id;
+    };
+    m_fleet.at(REGION_LATENCY, [this, &instance, run, server, isAsked] {
+        const auto it = std::find_if(m_fleet.m_engines.begin(), m_fleet.m_engines.end(), isAsked);
+        const bool isReached = it != m_fleet.m_engines.end() && (*it)->isUp && m_fleet.pathCut(instance, server.id) == PathCut::None;
+        if (!isReached) {
+            m_fleet.deliver(instance, [run](gateway::Gateway &gateway) { gateway.runFailed(run, false, gateway::REASON_CONNECT_REFUSED); });
+            return;
+        }
+        // It counts like any request.
+        m_fleet.m_arrivals.push_back({m_fleet.now(), server.id, instance.member.id, "", {}, ""});
+        const absl::Duration coldLeft = std::max(absl::ZeroDuration(), (*it)->coldUntil - m_fleet.now());
+        m_fleet.at(REGION_LATENCY, [this, &instance, run, coldLeft] {
+            m_fleet.deliver(instance, [run, coldLeft](gateway::Gateway &gateway) {
+                gateway.runHead(run, {200, {{"cold", absl::StrCat(absl::ToInt64Milliseconds(coldLeft))}}});
+            });
+        });
+    });
+}
+
 void EngineFleet::setCrashing(const std::string &part, bool isCrashing)
 {
     if (isCrashing) {
@@ -112,6 +136,7 @@
 {
     Engine &cold = *m_engines.at(engine);
     cold.server.coldLeft = time;
+    cold.coldUntil = m_clock.now() + time;
     announce(cold);
     cold.server.coldLeft = absl::ZeroDuration();
 }
--- a/tests/gateway/enginefleetparts.h
+++ b/tests/gateway/enginefleetparts.h
@@ -31,6 +31,8 @@
     /** Whether it has no power: connections are neither accepted nor refused. */
     bool isDark = false;
     bool isFaulty = false;
+    /** Until when the engine is cold, as it says itself. */
+    absl::Time coldUntil = absl::InfinitePast();
     /** Number of the engine's present process. */
     std::uint64_t boot = 0;
     std::optional<double> limit;
@@ -60,6 +62,7 @@
     void cancel(gateway::Number run) override;
     void setPaused(gateway::Number run, bool isPaused) override;
     void checkPath(gateway::Number run, const gateway::BackendServer &server) override;
+    void askState(gateway::Number run, const gateway::BackendServer &server, const gateway::HttpRequest &request) override;
 
 private:
     EngineFleet &m_fleet;
--- a/tests/gateway/fakecodecs.h
+++ b/tests/gateway/fakecodecs.h
@@ -50,6 +50,11 @@
         request.headers.push_back({"memory-source", run.memorySource});
     }
 
+    gateway::HttpRequest stateQuestion(const core::BackendServerId &server, const std::string &path) const override
+    {
+        return {"GET", path, {{"server", server.value()}}, ""};
+    }
+
     gateway::RunReport decodeAnswer(const gateway::HttpHead &head) const override
     {
         gateway::RunReport report;
@@ -67,6 +72,12 @@
             report.brittleRate = brittleRate;
         }
         report.isBrittleRateUnreadable = !brittle.empty() && !report.brittleRate.has_value();
+        double coldMs = 0;
+        const std::string cold = value(head.headers, "cold");
+        if (absl::SimpleAtod(cold, &coldMs)) {
+            report.coldLeft = absl::Milliseconds(coldMs);
+        }
+        report.isColdTimeUnreadable = !cold.empty() && !report.coldLeft.has_value();
         double pause = 0;
         if (absl::SimpleAtod(value(head.headers, "pause"), &pause)) {
             report.pauseSeconds = pause;
--- a/tests/gateway/fakeports.h
+++ b/tests/gateway/fakeports.h
@@ -45,9 +45,16 @@
         checks.emplace_back(run, server.id);
     }
 
+    void askState(gateway::Number run, const gateway::BackendServer &server, const gateway::HttpRequest & /*request*/) override
+    {
+        questions.emplace_back(run, server.id);
+    }
+
     std::vector<SentRun> sent;
     /** Checks of paths, by the number under which their outcome is expected. */
     std::vector<std::pair<gateway::Number, core::BackendServerId>> checks;
+    /** Questions for the state of backend servers, by the number under which the answer is expected. */
+    std::vector<std::pair<gateway::Number, core::BackendServerId>> questions;
     std::vector<gateway::Number> cancelled;
     /** Whether the reading of a run was last stopped or continued. */
     std::map<gateway::Number, bool> paused;
--- a/tests/gateway/fixture.h
+++ b/tests/gateway/fixture.h
@@ -77,6 +77,7 @@
         booking.id = core::ServiceId("booking");
         booking.coldTime = absl::Seconds(3);
         booking.coldRate = 2;
+        booking.healthPath = "/health";
         deployment.services = {booking};
         gateway::Customer bar;
         bar.id = core::CustomerId("bar");
