FAILBACK: take a reported server for the same process only if it was heard of here, and ask only who may get requests

A review of the fix found, by reading: a report names the first sign of an end, which may be a refusal long after it, and a server that came back within 250 ms of it would have been taken for the process before; and the question for the state would have gone to servers that are evacuated, leave, or have asked for a pause, where a request counts.

--- a/include/snipeferry/gateway/backendtable.h
+++ b/include/snipeferry/gateway/backendtable.h
@@ -173,8 +173,8 @@
     /** @brief How long a started process of a service is cold; zero if it bears as much as a warm one. */
     absl::Duration coldTime(const core::ServiceId &service) const;
 
-    /** @brief Path of a service's health check; empty if it has none. */
-    std::string healthPath(const core::ServiceId &service) const;
+    /** @brief Path at which a backend server may be asked for its state now; empty if it has none, or wants or may get no requests. */
+    std::string statePath(const core::BackendServerId &id) const;
 
     /**
      * @brief Sets that a backend server may have started again since it was announced.
--- a/include/snipeferry/gateway/serverrestarts.h
+++ b/include/snipeferry/gateway/serverrestarts.h
@@ -96,8 +96,9 @@
 
     /** @param runningAt when the announced process was running for certain; InfinitePast if that is not known */
     void suspect(const BackendServer &server, const std::string &reason, absl::Time runningAt);
-    /** @param endedAt when the process has ended at the latest */
-    void suspectReported(const BackendServer &server, absl::Time endedAt);
+    void suspectReported(const BackendServer &server);
+    /** When an answer of a backend server last arrived here; InfinitePast if that was long ago. */
+    absl::Time heardAt(const core::BackendServerId &server) const;
     void check(Suspicion &suspicion);
     void checkEnded(Suspicion &suspicion, bool isReached, const std::string &reason);
     /** Asks the process that was reached how long it remains cold, if it is this instance's turn. */
--- a/source/gateway/backendtable.cpp
+++ b/source/gateway/backendtable.cpp
@@ -251,9 +251,13 @@
     return isLimited ? configuration->second.coldTime : absl::ZeroDuration();
 }
 
-std::string BackendTable::healthPath(const core::ServiceId &service) const
+std::string BackendTable::statePath(const core::BackendServerId &id) const
 {
-    const auto configuration = m_serviceConfigurations.find(service);
+    const auto it = m_servers.find(id);
+    if (it == m_servers.end() || !acceptsRequests(it->second) || m_notices.pauseLeft(id) > absl::ZeroDuration()) {
+        return {};
+    }
+    const auto configuration = m_serviceConfigurations.find(it->second.server.service);
     return configuration == m_serviceConfigurations.end() ? std::string() : configuration->second.healthPath;
 }
 
--- a/source/gateway/serverrestarts.cpp
+++ b/source/gateway/serverrestarts.cpp
@@ -66,11 +66,16 @@
     if (isSilence(reason)) {
         suspect(server, reason, absl::InfinitePast());
     } else if (isEndOfConnection(reason)) {
-        const auto heard = m_heardAt.find(server.id);
-        suspect(server, reason, heard == m_heardAt.end() ? absl::InfinitePast() : heard->second);
+        suspect(server, reason, heardAt(server.id));
     }
 }
 
+absl::Time ServerRestarts::heardAt(const core::BackendServerId &server) const
+{
+    const auto heard = m_heardAt.find(server);
+    return heard == m_heardAt.end() ? absl::InfinitePast() : heard->second;
+}
+
 void ServerRestarts::noteAnswer(const core::BackendServerId &server)
 {
     m_heardAt[server] = m_timers.now();
@@ -94,7 +99,7 @@
     if (server == nullptr) {
         m_earlyReports[report.server] = {report, now};
     } else if (isRelevant(report, *server, now)) {
-        suspectReported(*server, now - report.ago);
+        suspectReported(*server);
     }
 }
 
@@ -107,14 +112,15 @@
     const std::pair<CrashReport, absl::Time> entry = early->second;
     m_earlyReports.erase(early);
     if (isRelevant(entry.first, server, entry.second)) {
-        suspectReported(server, entry.second - entry.first.ago);
+        suspectReported(server);
     }
 }
 
-void ServerRestarts::suspectReported(const BackendServer &server, absl::Time endedAt)
+void ServerRestarts::suspectReported(const BackendServer &server)
 {
     if (!m_suspicions.contains(server.id)) {
-        suspect(server, REASON_REPORTED, endedAt);
+        // The report names the first sign of the end, which may have come long after it.
+        suspect(server, REASON_REPORTED, heardAt(server.id));
     }
     const auto it = m_suspicions.find(server.id);
     if (it != m_suspicions.end()) {
@@ -207,7 +213,7 @@
 
 void ServerRestarts::askIfDue(Suspicion &suspicion)
 {
-    const std::string path = m_backends.healthPath(suspicion.server.service);
+    const std::string path = m_backends.statePath(suspicion.server.id);
     // The announcement of a process that has started for certain follows.
     if (suspicion.hasEnded || m_timers.now() < suspicion.askAt || path.empty()) {
         return;
--- a/tests/net/backendpooltest.cpp
+++ b/tests/net/backendpooltest.cpp
@@ -2,6 +2,7 @@
 
 #include "scriptedserver.h"
 
+#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 
@@ -209,6 +210,44 @@
     CHECK_FALSE(fixture.recorder.mayHaveRun);
 }
 
+TEST_CASE("a check tells whether a process accepts connections, and sends nothing")
+{
+    int requests = 0;
+    PoolFixture fixture([&requests](int /*request*/, const std::shared_ptr<ScriptedServer::Socket> & /*socket*/, const std::string & /*read*/) { ++requests; });
+    gateway::BackendServer target;
+    target.id = core::BackendServerId("s");
+    target.address = fixture.server.address();
+    fixture.pool.checkPath(++fixture.run, target);
+    fixture.turn(absl::Seconds(5));
+    CHECK(fixture.recorder.ends == 1);
+    CHECK(requests == 0);
+    target.address = "127.0.0.1:1";
+    fixture.pool.checkPath(++fixture.run, target);
+    fixture.turn(absl::Seconds(5));
+    CHECK(fixture.recorder.failures == 1);
+    CHECK(fixture.recorder.reason == gateway::REASON_CONNECT_REFUSED);
+}
+
+TEST_CASE("a question for a server's state gets a connection of its own and its answer, which names no request")
+{
+    std::string question;
+    PoolFixture fixture([&question](int /*request*/, const std::shared_ptr<ScriptedServer::Socket> &socket, const std::string &read) {
+        question = read;
+        const bool isQuestion = absl::StartsWith(read, "GET ");
+        ScriptedServer::send(socket, isQuestion ? "HTTP/1.1 200 OK\r\nCold: 5\r\nContent-Length: 0\r\n\r\n" : whole("r1", "answer"));
+    });
+    fixture.send("r1");
+    gateway::BackendServer target;
+    target.id = core::BackendServerId("s");
+    target.address = fixture.server.address();
+    fixture.pool.askState(++fixture.run, target, {"GET", "/health", {}, ""});
+    fixture.turn(absl::Seconds(5));
+    CHECK(absl::StartsWith(question, "GET /health HTTP/1.1\r\n"));
+    CHECK(fixture.recorder.statuses == std::vector<int>{200, 200});
+    CHECK(fixture.recorder.failures == 0);
+    CHECK(fixture.server.connections == 2);
+}
+
 TEST_CASE("a cancelled run closes its connection at once and reports nothing more")
 {
     PoolFixture fixture([](int, const std::shared_ptr<ScriptedServer::Socket> &, const std::string &) {});
--- a/tests/platform-adapter/adaptertest.cpp
+++ b/tests/platform-adapter/adaptertest.cpp
@@ -130,6 +130,20 @@
     CHECK(HEADERS.decodeAnswer({200, {{"Server-Brittle", "1"}, {"Server-Brittle", "2"}}}).isBrittleRateUnreadable);
 }
 
+TEST_CASE("the answer to a question for a backend server's state says how long it remains cold")
+{
+    const gateway::HttpRequest question = HEADERS.stateQuestion(core::BackendServerId("i-7"), "/health");
+    CHECK(question == gateway::HttpRequest{"GET", "/health", {{"Expect-Instance", "i-7"}}, ""});
+    CHECK_FALSE(HEADERS.decodeAnswer({200, {}}).coldLeft.has_value());
+    CHECK(HEADERS.decodeAnswer({200, {{"cold-ms", "2500"}}}).coldLeft == absl::Milliseconds(2500));
+    CHECK(HEADERS.decodeAnswer({503, {{"Cold-Ms", "0"}}}).coldLeft == absl::ZeroDuration());
+    for (const std::string text : {"", "-1", "long", "nan"}) {
+        const gateway::RunReport report = HEADERS.decodeAnswer({200, {{"Cold-Ms", text}}});
+        CHECK_FALSE(report.coldLeft.has_value());
+        CHECK(report.isColdTimeUnreadable);
+    }
+}
+
 // Guards against processes that end, or stop following the list, because another writer left one odd entry there (LOST).
 TEST_CASE("an odd entry among the announcements of backend servers is an error of its own")
 {
