--- a/include/snipeferry/gateway/serverrestarts.h
+++ b/include/snipeferry/gateway/serverrestarts.h
@@ -96,7 +96,8 @@
 
     /** @param runningAt when the announced process was running for certain; InfinitePast if that is not known */
     void suspect(const BackendServer &server, const std::string &reason, absl::Time runningAt);
-    void suspectReported(const BackendServer &server);
+    /** @param signAt when another instance saw the first sign of the process's end */
+    void suspectReported(const BackendServer &server, absl::Time signAt);
     /** When an answer of a backend server last arrived here; InfinitePast if that was long ago. */
     absl::Time heardAt(const core::BackendServerId &server) const;
     void check(Suspicion &suspicion);
--- a/source/gateway/serverrestarts.cpp
+++ b/source/gateway/serverrestarts.cpp
@@ -99,7 +99,7 @@
     if (server == nullptr) {
         m_earlyReports[report.server] = {report, now};
     } else if (isRelevant(report, *server, now)) {
-        suspectReported(*server);
+        suspectReported(*server, now - report.ago);
     }
 }
 
@@ -112,15 +112,15 @@
     const std::pair<CrashReport, absl::Time> entry = early->second;
     m_earlyReports.erase(early);
     if (isRelevant(entry.first, server, entry.second)) {
-        suspectReported(server);
+        suspectReported(server, entry.second - entry.first.ago);
     }
 }
 
-void ServerRestarts::suspectReported(const BackendServer &server)
+void ServerRestarts::suspectReported(const BackendServer &server, absl::Time signAt)
 {
     if (!m_suspicions.contains(server.id)) {
-        // The report names the first sign of the end, which may have come long after it.
-        suspect(server, REASON_REPORTED, heardAt(server.id));
+        // The first sign may have come long after the end, and what was heard here since may be the successor's.
+        suspect(server, REASON_REPORTED, std::min(signAt, heardAt(server.id)));
     }
     const auto it = m_suspicions.find(server.id);
     if (it != m_suspicions.end()) {
--- a/tests/gateway/serverrestartstest.cpp
+++ b/tests/gateway/serverrestartstest.cpp
@@ -179,6 +179,23 @@
     CHECK(isSuspected == (announcedStart == 7));
 }
 
+// Guards against an instance that takes the successor, of which it has just heard, for the process whose end is reported (FAILBACK).
+TEST_CASE("a report of an end some time ago counts although the backend server was heard of just now")
+{
+    RestartsFixture fixture;
+    const absl::Duration ago = GENERATE(absl::Milliseconds(50), absl::Milliseconds(400));
+    fixture.ask("/once/x");
+    const core::BackendServerId server = fixture.lastRun().server;
+    fixture.succeed("answer");
+    gateway::CrashReport report;
+    report.server = server;
+    report.service = core::ServiceId("booking");
+    report.ago = ago;
+    fixture.gateway.received(core::InstanceId("gw-2"), gateway::PromptEvidence{{report}, {}, {}});
+    fixture.endCheck(true);
+    CHECK(fixture.hasDecided("same_process") == (ago == absl::Milliseconds(50)));
+}
+
 // Guards against instances that all ask a cold server at once, or none.
 TEST_CASE("instances rank each other in the same order for a backend server")
 {
