--- a/include/snipeferry/gateway/backendtable.h
+++ b/include/snipeferry/gateway/backendtable.h
@@ -8,6 +8,7 @@
 #include "snipeferry/gateway/promptmemory.h"
 #include "snipeferry/gateway/serverlimits.h"
 #include "snipeferry/gateway/servernotices.h"
+#include "snipeferry/overload/urgency.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -21,10 +22,9 @@
 
 class Journal;
 
-/** Urgency levels that queues distinguish: priority 0, priority 1 and all others. */
-constexpr int URGENCY_LEVELS = 3;
+using overload::URGENCY_LEVELS;
 
-/** @brief The urgency level of a priority; level 0 is served first. */
+/** @brief The urgency level of a request's priority; level 0 is served first. Instances of earlier builds may send priorities out of range. */
 int urgencyOf(int priority);
 
 /** @brief How many requests an urgency level may be ahead of this instance's part of a limit that a backend server has named. */
@@ -35,7 +35,7 @@
 {
     core::BackendServerId server;
     int running = 0;
-    /** Prompt tokens that the backend server has yet to prefill, by urgency level. */
+    /** Prompt tokens that the backend server has yet to prefill, by urgency level. Levels that are left out at the end have none. */
     std::vector<std::int64_t> unreadTokens = std::vector<std::int64_t>(URGENCY_LEVELS, 0);
 
     SNIPEFERRY_VALUE(ServerWork, server, running, unreadTokens)
--- a/include/snipeferry/gateway/model.h
+++ b/include/snipeferry/gateway/model.h
@@ -66,6 +66,17 @@
         services, homeRegions)
 };
 
+/** How many backend servers of a service may be ordered from the platform for each data centre where it runs. */
+struct ServerScaling
+{
+    int min = 0;
+    int max = 0;
+    /** Time from an order until an ordered backend server takes requests. */
+    absl::Duration startTime;
+
+    SNIPEFERRY_VALUE(ServerScaling, min, max, startTime)
+};
+
 struct Service
 {
     core::ServiceId id;
@@ -83,8 +94,12 @@
     double memoryBytesPerToken = 0;
     /** Data rate at which an engine copies another one's KV cache, in Mbit/s; 0 if it cannot. */
     double memoryLinkMbps = 0;
+    /** Tokens that fit into an engine's KV cache, for running requests and cached prompt parts together; 0 if it is not stated. */
+    std::int64_t memoryTokens = 0;
+    /** Empty if the number of backend servers cannot be ordered. */
+    std::optional<ServerScaling> scaling;
 
-    SNIPEFERRY_VALUE(Service, id, healthPath, maxConnections, coldTime, coldRate, isModelEngine, memoryBytesPerToken, memoryLinkMbps)
+    SNIPEFERRY_VALUE(Service, id, healthPath, maxConnections, coldTime, coldRate, isModelEngine, memoryBytesPerToken, memoryLinkMbps, memoryTokens, scaling)
 };
 
 /** A customer with its keys and its fleet-wide rate limit. */
@@ -93,7 +108,7 @@
     core::CustomerId id;
     /** SHA-256 digests of the keys, in lower-case hexadecimal. */
     std::vector<std::string> keyDigests;
-    /** Replaces the route's priority. */
+    /** Goes before the route's priority, which orders the requests of customers with the same one. */
     std::optional<int> priority;
     /** Tokens, or requests if countsTokens is false; 0 for no limit. */
     double ratePerSecond = 0;
--- a/source/gateway/backendwork.cpp
+++ b/source/gateway/backendwork.cpp
@@ -61,6 +61,9 @@
         work.server = entry.first;
         work.running = state.running;
         work.unreadTokens.assign(state.ownUnread.begin(), state.ownUnread.end());
+        while (!work.unreadTokens.empty() && work.unreadTokens.back() == 0) {
+            work.unreadTokens.pop_back();
+        }
         all.push_back(std::move(work));
     }
     return all;
--- a/source/gateway/requestadmission.cpp
+++ b/source/gateway/requestadmission.cpp
@@ -1,4 +1,5 @@
 #include "snipeferry/gateway/requestflow.h"
+#include "snipeferry/overload/urgency.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -43,7 +44,7 @@
     }
     open.customer = customer->id;
     open.customerHomeRegions = customer->homeRegions;
-    open.priority = customer->priority.value_or(open.route.priority);
+    open.priority = overload::urgencyOf(customer->priority, open.route.priority);
     open.cost = 1;
     if (customer->countsTokens) {
         const double tokens = static_cast<double>(open.request.promptTokens + open.request.outputTokens);
@@ -78,7 +79,7 @@
         return tl::make_unexpected(core::makeError(core::ErrorKind::UnknownService, "No route matches the host and path."));
     }
     open.route = *route;
-    open.priority = route->priority;
+    open.priority = overload::urgencyOf(std::nullopt, route->priority);
     open.deadline = open.arrivedAt + std::min(route->timeout, open.request.timeLimit);
     open.events = EventStream(open.request.lastEventId);
 
