--- a/include/snipeferry/gateway/message.h
+++ b/include/snipeferry/gateway/message.h
@@ -102,6 +102,14 @@
     int running = -1;
     /** Requests in the backend server's queue; -1 if the answer does not state it. */
     int waiting = -1;
+    /** Requests that the backend server can process at once; -1 if the answer does not state it. */
+    int slots = -1;
+    /** How long work takes on the backend server now in proportion to what is usual there, as it states it; 1 is usual. Empty if it does not state it. */
+    std::optional<double> momentaryCost;
+    /** The answer states a load that cannot be read; no part of it is used. */
+    bool isLoadUnreadable = false;
+    /** Why the load cannot be read, as a word for the log; empty if it can be. */
+    std::string loadFault;
     /** Requests per second that the backend server takes from all instances together; empty if it names no limit. */
     std::optional<double> requestLimit;
     /** The answer names a limit that cannot be read. */
@@ -121,8 +129,8 @@
     /** The answer names such a time that cannot be read. */
     bool isColdTimeUnreadable = false;
 
-    SNIPEFERRY_VALUE(RunReport, request, isNotRun, isWrongServer, hasReceipt, running, waiting, requestLimit, isLimitUnreadable, isLeaving, pauseSeconds,
-        isPauseUnreadable, brittleRate, isBrittleRateUnreadable, coldLeft, isColdTimeUnreadable)
+    SNIPEFERRY_VALUE(RunReport, request, isNotRun, isWrongServer, hasReceipt, running, waiting, slots, momentaryCost, isLoadUnreadable, loadFault, requestLimit,
+        isLimitUnreadable, isLeaving, pauseSeconds, isPauseUnreadable, brittleRate, isBrittleRateUnreadable, coldLeft, isColdTimeUnreadable)
 };
 
 /** Strategy that decodes and encodes the HTTP headers that the callers and backend servers of one deployment use. */
--- a/tests/platform-adapter/adaptertest.cpp
+++ b/tests/platform-adapter/adaptertest.cpp
@@ -116,6 +116,29 @@
     CHECK(HEADERS.decodeAnswer({200, {{"Server-Limit", "1"}, {"Server-Limit", "2"}}}).isLimitUnreadable);
 }
 
+// Guards against a load header with a figure for the momentary cost being ignored as a whole, and against odd figures that change the load.
+TEST_CASE("an answer's head states the load with or without the momentary cost")
+{
+    const gateway::RunReport three = HEADERS.decodeAnswer({200, {{"Runner-Load", "3,1,8"}}});
+    CHECK((three.running == 3 && three.waiting == 1 && three.slots == 8));
+    CHECK_FALSE((three.momentaryCost.has_value() || three.isLoadUnreadable));
+    for (const auto &figure : std::vector<std::pair<std::string, double>>{{"100", 1.0}, {"250", 2.5}, {"0", 0.0}, {"1", 0.01}, {"10000", 100.0}}) {
+        const gateway::RunReport four = HEADERS.decodeAnswer({200, {{"runner-load", "3,1,8," + figure.first}}});
+        CHECK((four.running == 3 && four.waiting == 1 && four.slots == 8 && !four.isLoadUnreadable));
+        CHECK(four.momentaryCost.value() == Approx(figure.second));
+    }
+    const std::vector<std::pair<std::string, std::string>> odd = {{"", "figures"}, {"3,1", "figures"}, {"3,1,8,100,7", "figures"}, {"3,1,8,", "no_number"},
+        {"3,x,8", "no_number"}, {"3,1,8,fast", "no_number"}, {"3,1,8,nan", "no_number"}, {"3,1,8,inf", "no_number"}, {"3,1,99999999999,100", "no_number"},
+        {"3,1,8,-100", "negative"}, {"-3,1,8,100", "negative"}};
+    for (const auto &text : odd) {
+        const gateway::RunReport report = HEADERS.decodeAnswer({200, {{"Runner-Load", text.first}}});
+        CHECK((report.isLoadUnreadable && report.loadFault == text.second));
+        CHECK((report.running == -1 && report.waiting == -1 && report.slots == -1 && !report.momentaryCost.has_value()));
+    }
+    CHECK(HEADERS.decodeAnswer({200, {{"Runner-Load", "3,1,8"}, {"Runner-Load", "4,1,8"}}}).loadFault == "repeated");
+    CHECK_FALSE(HEADERS.decodeAnswer({200, {}}).isLoadUnreadable);
+}
+
 TEST_CASE("an answer's head states how many refusals a brittle backend server bears")
 {
     CHECK_FALSE(HEADERS.decodeAnswer({200, {}}).brittleRate.has_value());
