Learn how fast each engine reads, use its momentary cost, and choose among similar engines at random

Cause: every engine counted as reading 45 tokens per ms, corrected only by a moving average that is clamped to 0.5 to 4. Engines read 57 or 157 tokens per ms at speeds of 0.6 to 1.6. Among similar costs requests without shared prompt parts went to the first backend server of the list. Among costs within the margin, requests without shared parts go to a random backend server in proportion to the rates. BackendTable::readRate() and leastLoadedReadRate() are for other regions.

--- a/include/snipeferry/gateway/backendtable.h
+++ b/include/snipeferry/gateway/backendtable.h
@@ -9,6 +9,7 @@
 #include "snipeferry/gateway/serverlimits.h"
 #include "snipeferry/gateway/servernotices.h"
 #include "snipeferry/overload/urgency.h"
+#include "snipeferry/serverload/serverspeed.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -201,10 +202,22 @@
     /** @brief Shortest expected wait of a request without prompt, by urgency level; empty if no backend server is usable. */
     std::vector<absl::Duration> leastWaits(const core::ServiceId &service);
 
-    /** @brief Records that a run was dispatched to a backend server. */
-    void started(const core::BackendServerId &id, int priority, std::int64_t unreadTokens, const std::vector<PromptPart> &parts);
-    /** @brief Records the first data of a run's answer and the time that it took. */
-    void answered(const core::BackendServerId &id, int priority, std::int64_t unreadTokens, absl::Duration latency);
+    /** @brief Prompt tokens per millisecond that the usable backend servers of a service read together; 0 without any, or if it is not a model engine's. */
+    double readRate(const core::ServiceId &service) const;
+
+    /** @brief Prompt tokens per millisecond that the least loaded usable backend server of a service reads; 0 as for readRate(). */
+    double leastLoadedReadRate(const core::ServiceId &service);
+
+    /**
+     * @brief Records that a run was dispatched to a backend server.
+     * @return what answered() needs to learn from the run how fast the backend server is
+     */
+    serverload::RunStart started(const core::BackendServerId &id, int priority, std::int64_t unreadTokens, const std::vector<PromptPart> &parts);
+    /**
+     * @brief Records the first data of a run's answer and the time that it took.
+     * @param start what started() returned for the run; without it the run says nothing about the backend server's reading rate
+     */
+    void answered(const core::BackendServerId &id, int priority, std::int64_t unreadTokens, absl::Duration latency, const serverload::RunStart &start = {});
     /**
      * @brief Records the end of a run.
      * @param unreadTokens 0 if answered() was called before
@@ -214,6 +227,9 @@
     /** @brief Records what an answer says about the backend server: its load and the limit that it names. */
     void noteReport(const core::BackendServerId &id, const RunReport &report, bool isSuccess, absl::Time runStartedAt, Journal &journal);
 
+    /** @brief Records the load that an answer states; a load that cannot be read changes nothing. */
+    void noteLoad(const core::BackendServerId &id, const RunReport &report, Journal &journal);
+
     /** @brief The limits that backend servers of this region name. */
     ServerLimits &limits();
 
@@ -244,8 +260,12 @@
         std::array<std::int64_t, URGENCY_LEVELS> ownUnread{};
         int peerRunning = 0;
         std::array<std::int64_t, URGENCY_LEVELS> peerUnread{};
-        /** Ratio of the actual to the expected time to the first answer, as a moving average. */
+        /** How fast it reads prompts, and how long work takes there now. */
+        serverload::ServerSpeed speed;
+        /** Ratio of the actual to the expected time to the first answer, as a moving average. The reading rate and the momentary cost are not part of it. */
         double slowness = 1.0;
+        /** When a line about its load was last written, so that there is one a second at most. */
+        absl::Time loadLoggedAt = absl::InfinitePast();
         /** Fraction of failed runs, as a moving average. */
         double failureShare = 0.0;
         int consecutiveFailures = 0;
@@ -260,8 +280,8 @@
     struct ServiceState
     {
         std::vector<core::BackendServerId> servers;
-        /** Prompt tokens that an engine prefills per millisecond. */
-        double prefillTokensPerMs = 45.0;
+        /** How fast its engines read prompts; a backend server that is not known yet counts as one of them. */
+        serverload::ServiceSpeed speed;
         /** Duration of a run, as a moving average. */
         double runMs = 30.0;
         /** Fraction of failed runs at all of its backend servers, as a moving average. No single one is blamed for failures that are common to all. */
@@ -288,6 +308,8 @@
 
     /** Backend servers to compare for a request. If there are many, only a sample, so that instances with outdated reports do not all choose the same one. */
     std::vector<core::BackendServerId> candidates(const ServiceState &service, const ServerQuery &query, const std::string &affinityKey);
+    /** Whether the backend server may get a request of the most urgent level now. */
+    bool isUsable(const ServerState &state, absl::Time now) const;
     /** Whether the backend server is neither draining nor in an evacuated data centre. */
     bool acceptsRequests(const ServerState &state) const;
     /** Whether the backend server is not one that fails of a refusal and may have to refuse. */
@@ -300,11 +322,17 @@
     /** Backend servers that have the shared parts of a prompt in their KV cache now. */
     std::vector<CacheSource> cacheSources(const ServerQuery &query) const;
     ScoredChoice score(const core::BackendServerId &id, const ServiceState &service, const ServerQuery &query, const std::vector<CacheSource> &sources) const;
+    /** Chooses for a request without shared prompt parts: at random among similar costs, in proportion to the reading rates; empty if none may get it. */
+    ServerChoice chooseByRate(const ServiceState &service, const ServerQuery &query, const std::vector<CacheSource> &sources);
     bool isEngineService(const core::ServiceId &service) const;
     /** Runs for each slot of the backend server, including a new one; at least 1. */
     double runsPerSlot(const ServerState &state) const;
     /** Penalty for the events that come later because an engine reads prompts beside running streams: this request's events, and those of others. */
     double streamPenaltyMs(const ServerState &state, const ServiceState &service, int level, std::int64_t unreadTokens) const;
+    /** Milliseconds that the backend server works on the request and on those before it, in its usual state and if all its runs succeed. */
+    double usualMs(const ServerState &state, const ServiceState &service, int level, std::int64_t unreadTokens, double tokensPerMs) const;
+    /** Factor by which the usual time is longer now: the backend server's slowness, its failures and its momentary cost. */
+    double currentFactor(const ServerState &state, const ServiceState &service, double usualMs) const;
     /** Expected time to the first event, or to the whole answer of a service that is not a model engine. */
     absl::Duration estimate(const ServerState &state, const ServiceState &service, int level, std::int64_t unreadTokens) const;
     ServerState *findState(const core::BackendServerId &id);
--- a/include/snipeferry/gateway/requestflow.h
+++ b/include/snipeferry/gateway/requestflow.h
@@ -169,6 +169,8 @@
         core::VersionId version;
         /** Prompt tokens that the backend server still had to read when the run started. */
         std::int64_t unreadTokens = 0;
+        /** What was known of a local run's work at its start. */
+        serverload::RunStart serverStart;
         /** Whether the run has sent the first data of its answer. */
         bool isAnswering = false;
         /** Expected time to the first data at a backend server that is as fast as its service. */
--- a/source/gateway/backendchoice.cpp
+++ b/source/gateway/backendchoice.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <utility>
 
 // Chooses a backend server for a request by its expected time there and by what the choice costs other requests.
@@ -12,8 +13,6 @@
 
 /** Prefilling a shared prompt part again keeps a backend server from other requests. Each such token counts as this much waiting time. */
 constexpr double REPEATED_PREFILL_PENALTY_MS_PER_TOKEN = 0.05;
-/** Part of the time to the first event that does not depend on the prompt: connection, scheduling and one decoding step. */
-constexpr double BASE_LATENCY_MS = 15.0;
 /** Waiting time that each token copied from another backend server counts as. Its ratio to the prefill penalty is the users' relative price of the two. */
 constexpr double TRANSFER_PENALTY_MS_PER_TOKEN = 0.007;
 /** Duration of a KV cache transfer in addition to the time for the data itself. */
@@ -89,19 +88,29 @@
     return std::max(1.0, (state.running + state.peerRunning + 1.0) / std::max(1, state.server.slots));
 }
 
-absl::Duration BackendTable::estimate(const ServerState &state, const ServiceState &service, int level, std::int64_t unreadTokens) const
+double BackendTable::usualMs(const ServerState &state, const ServiceState &service, int level, std::int64_t unreadTokens, double tokensPerMs) const
 {
     const int running = state.running + state.peerRunning;
-    double ms = 0;
-    if (isEngineService(state.server.service)) {
-        ms = BASE_LATENCY_MS + static_cast<double>(unreadTokensAhead(state, level) + unreadTokens) / service.prefillTokensPerMs;
-        // Requests that exceed the batch size wait until another one ends.
-        ms += running >= state.server.slots ? service.runMs * (1.0 + running - state.server.slots) / state.server.slots : 0.0;
-    } else {
-        ms = service.runMs * runsPerSlot(state);
+    if (!isEngineService(state.server.service)) {
+        return service.runMs * runsPerSlot(state);
     }
+    const double readMs = static_cast<double>(unreadTokensAhead(state, level) + unreadTokens) / tokensPerMs;
+    // Requests that exceed the batch size wait until another one ends.
+    const double slotMs = running >= state.server.slots ? service.runMs * (1.0 + running - state.server.slots) / state.server.slots : 0.0;
+    return serverload::BASE_LATENCY_MS + readMs + slotMs;
+}
+
+double BackendTable::currentFactor(const ServerState &state, const ServiceState &service, double usualMs) const
+{
     const double ownFailures = std::max(0.0, state.failureShare - service.failureShare);
-    return absl::Milliseconds(ms * state.slowness * (1.0 + FAILURE_WEIGHT * ownFailures));
+    const double momentary = state.speed.isUsual() ? 1.0 : state.speed.meanFactor(m_timers.now(), usualMs);
+    return state.slowness * momentary * (1.0 + FAILURE_WEIGHT * ownFailures);
+}
+
+absl::Duration BackendTable::estimate(const ServerState &state, const ServiceState &service, int level, std::int64_t unreadTokens) const
+{
+    const double ms = usualMs(state, service, level, unreadTokens, state.speed.readRate(service.speed));
+    return absl::Milliseconds(ms * currentFactor(state, service, ms));
 }
 
 double BackendTable::streamPenaltyMs(const ServerState &state, const ServiceState &service, int level, std::int64_t unreadTokens) const
@@ -112,7 +121,7 @@
     const std::int64_t laterTokens = unreadTokensAhead(state, URGENCY_LEVELS - 1) - unreadTokensAhead(state, level);
     const double takenSlots = std::min(1.0, static_cast<double>(state.running + state.peerRunning) / std::max(1, state.server.slots));
     const double slowedMs = LATER_PREFILL_WEIGHT * static_cast<double>(laterTokens) + SLOWED_STREAMS_WEIGHT * takenSlots * static_cast<double>(unreadTokens);
-    return slowedMs / service.prefillTokensPerMs * state.slowness;
+    return slowedMs / state.speed.readRate(service.speed) * state.slowness;
 }
 
 std::vector<core::BackendServerId> BackendTable::candidates(const ServiceState &service, const ServerQuery &query, const std::string &affinityKey)
@@ -205,10 +214,8 @@
     scored.choice.server = id;
     scored.choice.unreadTokens = std::max<std::int64_t>(0, query.promptTokens - ownCachedTokens - transferredTokens);
     scored.choice.estimate = estimate(state, service, level, scored.choice.unreadTokens) + absl::Milliseconds(cacheTransferMs);
-    ServerState nominal = state;
-    nominal.slowness = 1;
-    nominal.failureShare = 0;
-    scored.choice.nominalEstimate = estimate(nominal, service, level, scored.choice.unreadTokens) + absl::Milliseconds(cacheTransferMs);
+    const double nominalMs = usualMs(state, service, level, scored.choice.unreadTokens, service.speed.readRate());
+    scored.choice.nominalEstimate = absl::Milliseconds(nominalMs + cacheTransferMs);
     scored.choice.wait = estimate(state, service, level, 0);
 
     std::int64_t sharedTokens = 0;
@@ -221,6 +228,39 @@
     return scored;
 }
 
+ServerChoice BackendTable::chooseByRate(const ServiceState &service, const ServerQuery &query, const std::vector<CacheSource> &sources)
+{
+    const absl::Time now = m_timers.now();
+    const bool isEngine = isEngineService(query.service);
+    std::vector<ScoredChoice> usable;
+    usable.reserve(MAX_FULLY_COMPARED);
+    ServerChoice bestEjected;
+    double leastCost = std::numeric_limits<double>::infinity();
+    for (const core::BackendServerId &id : candidates(service, query, {})) {
+        ScoredChoice scored = score(id, service, query, sources);
+        if (m_servers.at(id).ejectedUntil <= now) {
+            leastCost = std::min(leastCost, scored.cost);
+            usable.push_back(std::move(scored));
+        } else if (scored.choice.estimate < bestEjected.estimate) {
+            bestEjected = std::move(scored.choice);
+        }
+    }
+    // Instances that see the same figures at the same time would otherwise all choose the same backend server.
+    ServerChoice chosen = std::move(bestEjected);
+    double rates = 0;
+    for (ScoredChoice &scored : usable) {
+        if (scored.cost > leastCost + SIMILAR_COST_MS) {
+            continue;
+        }
+        const double rate = isEngine ? m_servers.at(scored.choice.server).speed.readRate(service.speed) : 1.0;
+        rates += rate;
+        if (rates == rate || std::uniform_real_distribution<double>(0, rates)(m_random) < rate) {
+            chosen = std::move(scored.choice);
+        }
+    }
+    return chosen;
+}
+
 core::Expected<ServerChoice> BackendTable::choose(const ServerQuery &query)
 {
     refreshPeerWork();
@@ -238,6 +278,13 @@
     const std::string affinityKey = sharedParts == 0 ? std::string() : query.promptParts[sharedParts - 1].id;
     const std::vector<CacheSource> sources = cacheSources(query);
 
+    if (affinityKey.empty()) {
+        ServerChoice choice = chooseByRate(service->second, query, sources);
+        if (choice.server.isEmpty()) {
+            return tl::make_unexpected(noServerError(service->second, limitLeadOf(urgencyOf(query.priority))));
+        }
+        return choice;
+    }
     ServerChoice best;
     double bestCost = 0;
     double bestWeight = 0;
@@ -250,7 +297,7 @@
             }
             continue;
         }
-        const double weight = affinityKey.empty() ? 0.0 : rendezvousWeight(affinityKey, id.value());
+        const double weight = rendezvousWeight(affinityKey, id.value());
         // Among similar costs, the highest rendezvous weight decides, so that all instances choose the same backend server.
         const bool isBetter
             = best.server.isEmpty() || scored.cost < bestCost - SIMILAR_COST_MS || (scored.cost < bestCost + SIMILAR_COST_MS && weight > bestWeight);
--- a/source/gateway/backendtable.cpp
+++ b/source/gateway/backendtable.cpp
@@ -21,6 +21,14 @@
 /** Weights of a new sample in the moving averages of a backend server and of a service. */
 constexpr double SERVER_SMOOTHING = 0.1;
 constexpr double SERVICE_SMOOTHING = 0.02;
+/** Least time between two lines about the load that one backend server states: it comes with each answer, up to hundreds a second. */
+constexpr absl::Duration LOAD_LOG_INTERVAL = absl::Seconds(1);
+
+/** Milliseconds to the first event of a run that gets a slot at once. */
+double usualReadMs(std::int64_t tokens, double tokensPerMs)
+{
+    return serverload::BASE_LATENCY_MS + static_cast<double>(tokens) / tokensPerMs;
+}
 
 } // namespace
 
@@ -69,6 +77,9 @@
         entry.suspectedColdUntil = absl::InfinitePast();
         entry.isOutOfReach = false;
     }
+    if (isRestarted || isMoved) {
+        entry.speed = serverload::ServerSpeed();
+    }
     if (isRestarted && server.startedAtMs > entry.server.startedAtMs) {
         m_notices.restarted(server.id);
     }
@@ -228,8 +239,11 @@
     }
     const ServerState &state = it->second;
     const auto service = m_services.find(state.server.service);
-    return absl::StrFormat("running=%d peers=%d slowness=%.2f failures=%.2f run_ms=%.1f", state.running, state.peerRunning, state.slowness, state.failureShare,
-        service == m_services.end() ? 0.0 : service->second.runMs);
+    if (service == m_services.end()) {
+        return "gone";
+    }
+    return absl::StrFormat("running=%d peers=%d slowness=%.2f failures=%.2f run_ms=%.1f read_rate=%.1f momentary=%.2f", state.running, state.peerRunning,
+        state.slowness, state.failureShare, service->second.runMs, state.speed.readRate(service->second.speed), state.speed.momentaryFactor(m_timers.now()));
 }
 
 const BackendServer *BackendTable::find(const core::BackendServerId &id) const
@@ -335,6 +349,13 @@
     return all;
 }
 
+bool BackendTable::isUsable(const ServerState &state, absl::Time now) const
+{
+    const core::BackendServerId &id = state.server.id;
+    return acceptsRequests(state) && state.ejectedUntil <= now && coldUntil(state) <= now && m_notices.pauseLeft(id) == absl::ZeroDuration()
+        && m_limits.mayDispatch(id, limitLeadOf(0)) && hasRoom(state);
+}
+
 std::vector<absl::Duration> BackendTable::leastWaits(const core::ServiceId &service)
 {
     refreshPeerWork();
@@ -346,8 +367,7 @@
     const absl::Time now = m_timers.now();
     for (const core::BackendServerId &id : it->second.servers) {
         const ServerState &state = m_servers.at(id);
-        if (!acceptsRequests(state) || state.ejectedUntil > now || coldUntil(state) > now || m_notices.pauseLeft(id) > absl::ZeroDuration()
-            || !m_limits.mayDispatch(id, limitLeadOf(0)) || !hasRoom(state)) {
+        if (!isUsable(state, now)) {
             continue;
         }
         least.resize(URGENCY_LEVELS, absl::InfiniteDuration());
@@ -365,17 +385,61 @@
     return least;
 }
 
-void BackendTable::started(const core::BackendServerId &id, int priority, std::int64_t unreadTokens, const std::vector<PromptPart> &parts)
+double BackendTable::readRate(const core::ServiceId &service) const
+{
+    const auto it = m_services.find(service);
+    double sum = 0;
+    if (it == m_services.end() || !isEngineService(service)) {
+        return sum;
+    }
+    const absl::Time now = m_timers.now();
+    for (const core::BackendServerId &id : it->second.servers) {
+        const ServerState &state = m_servers.at(id);
+        sum += isUsable(state, now) ? state.speed.readRate(it->second.speed) : 0.0;
+    }
+    return sum;
+}
+
+double BackendTable::leastLoadedReadRate(const core::ServiceId &service)
+{
+    refreshPeerWork();
+    const auto it = m_services.find(service);
+    double rate = 0;
+    if (it == m_services.end() || !isEngineService(service)) {
+        return rate;
+    }
+    const absl::Time now = m_timers.now();
+    absl::Duration least = absl::InfiniteDuration();
+    for (const core::BackendServerId &id : it->second.servers) {
+        const ServerState &state = m_servers.at(id);
+        const absl::Duration wait = estimate(state, it->second, URGENCY_LEVELS - 1, 0);
+        if (isUsable(state, now) && wait < least) {
+            least = wait;
+            rate = state.speed.readRate(it->second.speed);
+        }
+    }
+    return rate;
+}
+
+serverload::RunStart BackendTable::started(const core::BackendServerId &id, int priority, std::int64_t unreadTokens, const std::vector<PromptPart> &parts)
 {
     refreshPeerWork();
     ServerState *target = findState(id);
     if (target == nullptr) {
-        return;
+        return {};
     }
     const absl::Time now = m_timers.now();
     const ServiceState &service = m_services[target->server.service];
     const int level = urgencyOf(priority);
     target->lastEstimate = estimate(*target, service, level, unreadTokens);
+    serverload::RunStart start;
+    // How a cold backend server answers says nothing about its usual speed.
+    if (isEngineService(target->server.service) && coldUntil(*target) <= now) {
+        start.ownTokens = unreadTokens;
+        start.tokensToRead = unreadTokensAhead(*target, level) + unreadTokens;
+        start.hasWaitedForSlot = target->running + target->peerRunning >= target->server.slots;
+        start.momentaryFactor = target->speed.momentaryFactor(now);
+    }
     ++target->running;
     m_limits.dispatched(id);
     target->ownUnread[level] += unreadTokens;
@@ -384,6 +448,7 @@
         target->nextColdRunAt = now + m_coldPacing.interval(configuration->second.coldRate);
     }
     m_promptCache.noteDispatched(id, parts, target->lastEstimate);
+    return start;
 }
 
 PromptCacheIndex &BackendTable::promptCache()
@@ -391,7 +456,7 @@
     return m_promptCache;
 }
 
-void BackendTable::answered(const core::BackendServerId &id, int priority, std::int64_t unreadTokens, absl::Duration latency)
+void BackendTable::answered(const core::BackendServerId &id, int priority, std::int64_t unreadTokens, absl::Duration latency, const serverload::RunStart &start)
 {
     refreshPeerWork();
     ServerState *target = findState(id);
@@ -400,11 +465,17 @@
     }
     std::int64_t &ownUnread = target->ownUnread[urgencyOf(priority)];
     ownUnread = std::max<std::int64_t>(0, ownUnread - unreadTokens);
+    const absl::Time now = m_timers.now();
+    ServiceState &service = m_services[target->server.service];
+    double expected = std::max(5.0, absl::ToDoubleMilliseconds(target->lastEstimate) / std::max(0.5, target->slowness));
     if (!isEngineService(target->server.service)) {
-        double &runMs = m_services[target->server.service].runMs;
-        runMs += SERVER_SMOOTHING * (absl::ToDoubleMilliseconds(latency) / runsPerSlot(*target) - runMs);
+        const double usualMs = absl::ToDoubleMilliseconds(latency) / target->speed.momentaryFactor(now);
+        service.runMs += SERVER_SMOOTHING * (usualMs / runsPerSlot(*target) - service.runMs);
+    } else if (start.tokensToRead > 0 && !start.hasWaitedForSlot) {
+        // The rate and the momentary cost are known by themselves, so that slowness has only what they do not explain.
+        target->speed.noteAnswer(start, latency, now, service.speed);
+        expected = usualReadMs(start.tokensToRead, target->speed.readRate(service.speed)) * (start.momentaryFactor + target->speed.momentaryFactor(now)) / 2;
     }
-    const double expected = std::max(5.0, absl::ToDoubleMilliseconds(target->lastEstimate) / std::max(0.5, target->slowness));
     const double ratio = std::clamp(absl::ToDoubleMilliseconds(latency) / expected, 0.3, 6.0);
     target->slowness = std::clamp(target->slowness + SERVER_SMOOTHING * (ratio - target->slowness), 0.5, 4.0);
 }
@@ -459,7 +530,7 @@
 
 void BackendTable::noteReport(const core::BackendServerId &id, const RunReport &report, bool isSuccess, absl::Time runStartedAt, Journal &journal)
 {
-    reportLoad(id, report.running, report.waiting);
+    noteLoad(id, report, journal);
     if (report.isLimitUnreadable) {
         journal.log(core::LogEvent{"limit_unreadable", {}}.with("server", id.value()));
     }
@@ -484,6 +555,33 @@
     }
 }
 
+void BackendTable::noteLoad(const core::BackendServerId &id, const RunReport &report, Journal &journal)
+{
+    ServerState *state = findState(id);
+    // The load in the answer of another process says nothing about this backend server.
+    if (state == nullptr || report.isWrongServer) {
+        return;
+    }
+    reportLoad(id, report.running, report.waiting);
+    const absl::Time now = m_timers.now();
+    const bool isClamped = report.momentaryCost.has_value() && !state->speed.noteMomentaryCost(*report.momentaryCost, now);
+    if (report.isLoadUnreadable || isClamped) {
+        journal.count(report.isLoadUnreadable ? "loads_unreadable_total" : "loads_clamped_total", state->server.service.value(), 1);
+    }
+    if (!(report.isLoadUnreadable || isClamped) || now - state->loadLoggedAt < LOAD_LOG_INTERVAL) {
+        return;
+    }
+    state->loadLoggedAt = now;
+    if (report.isLoadUnreadable) {
+        journal.log(core::LogEvent{"load_unreadable", {}}.with("server", id.value()).with("reason", report.loadFault));
+        return;
+    }
+    journal.log(core::LogEvent{"load_clamped", {}}
+                    .with("server", id.value())
+                    .with("stated", absl::StrCat(*report.momentaryCost))
+                    .with("used", absl::StrCat(state->speed.momentaryFactor(now))));
+}
+
 void BackendTable::noteFurtherWork(const core::BackendServerId &id, const RunReport &report, bool isSuccess, absl::Time runStartedAt, Journal &journal)
 {
     ServerState *state = findState(id);
--- a/source/gateway/forwardreceiver.cpp
+++ b/source/gateway/forwardreceiver.cpp
@@ -17,6 +17,8 @@
 constexpr absl::Duration SWEEP_PERIOD = absl::Milliseconds(100);
 /** Time for the answer's way back to the origin. A request with less time left is refused. */
 constexpr absl::Duration RETURN_TIME = absl::Milliseconds(60);
+/** Lowest HTTP status of an error answer. */
+constexpr int MIN_ERROR_STATUS = 400;
 /** Lowest HTTP status that means a failure of the server. */
 constexpr int MIN_SERVER_ERROR_STATUS = 500;
 constexpr int EVENT_STREAM_STATUS = 200;
@@ -155,7 +157,10 @@
     headers.memorySource = choice->memorySource;
     HttpRequest request = message.request.http;
     m_headers.encodeRun(request, headers);
-    m_backends.started(choice->server, message.priority, choice->unreadTokens, message.request.promptParts);
+    const serverload::RunStart start = m_backends.started(choice->server, message.priority, choice->unreadTokens, message.request.promptParts);
+    if (choice->memorySource.empty()) {
+        m_forwardedRuns.at(run).serverStart = start;
+    }
     m_journal.log(core::LogEvent{"forward_started", {}}
                       .with("request", message.request.id.value())
                       .with("from", from.value())
@@ -331,7 +336,9 @@
     if (!forwardedRun.isAnswering) {
         forwardedRun.isAnswering = true;
         forwardedRun.timeToFirstData = m_timers.now() - forwardedRun.startedAt;
-        m_backends.answered(forwardedRun.server, forwardedRun.priority, forwardedRun.unreadTokens, forwardedRun.timeToFirstData);
+        // An error answer comes without the prompt being read.
+        const serverload::RunStart start = forwardedRun.status < MIN_ERROR_STATUS ? forwardedRun.serverStart : serverload::RunStart();
+        m_backends.answered(forwardedRun.server, forwardedRun.priority, forwardedRun.unreadTokens, forwardedRun.timeToFirstData, start);
         m_rollouts.observeFirstData(forwardedRun.service, forwardedRun.version, forwardedRun.timeToFirstData, forwardedRun.expectedTime);
     }
 }
--- a/source/gateway/requestanswer.cpp
+++ b/source/gateway/requestanswer.cpp
@@ -12,6 +12,8 @@
 
 /** Name of the bound of one event of a stream in the log. */
 constexpr const char *EVENT_BOUND = "event";
+/** Lowest HTTP status of an error answer. */
+constexpr int MIN_ERROR_STATUS = 400;
 /** Lowest HTTP status that means a failure of the server. */
 constexpr int MIN_SERVER_ERROR_STATUS = 500;
 
@@ -120,7 +122,9 @@
         open->timeToFirstData = now - open->runStartedAt;
         m_dependencies.journal.observe("first_answer_seconds", open->route.name, now - open->arrivedAt);
         if (!open->server.isEmpty()) {
-            m_dependencies.backends.answered(open->server, open->priority, open->unreadTokens, now - open->runStartedAt);
+            // An error answer comes without the prompt being read.
+            const serverload::RunStart start = open->head.status < MIN_ERROR_STATUS ? open->serverStart : serverload::RunStart();
+            m_dependencies.backends.answered(open->server, open->priority, open->unreadTokens, now - open->runStartedAt, start);
             m_dependencies.rollouts.observeFirstData(open->service, open->version, now - open->runStartedAt, open->expectedTime);
         }
     }
--- a/source/gateway/requestplacement.cpp
+++ b/source/gateway/requestplacement.cpp
@@ -200,7 +200,11 @@
     headers.memorySource = choice.memorySource;
     HttpRequest request = open.request.http;
     m_dependencies.headers.encodeRun(request, headers);
-    m_dependencies.backends.started(choice.server, open.priority, choice.unreadTokens, open.request.promptParts);
+    open.serverStart = m_dependencies.backends.started(choice.server, open.priority, choice.unreadTokens, open.request.promptParts);
+    if (!choice.memorySource.empty()) {
+        // The time to the first data contains that for copying, so it says nothing about the reading rate.
+        open.serverStart = {};
+    }
     m_dependencies.journal.log(makeLogEvent("run_started", open)
                                    .with("server", choice.server.value())
                                    .with("send", absl::StrCat(open.sendCount))
--- a/source/gateway/serverrestarts.cpp
+++ b/source/gateway/serverrestarts.cpp
@@ -235,6 +235,7 @@
         return;
     }
     const RunReport report = m_headers.decodeAnswer(head);
+    m_backends.noteLoad(suspicion.server.id, report, m_journal);
     const absl::Duration coldLeft = report.coldLeft.value_or(absl::ZeroDuration());
     if (coldLeft > absl::ZeroDuration()) {
         const absl::Time now = m_timers.now();
