--- a/include/snipeferry/gateway/backendtable.h
+++ b/include/snipeferry/gateway/backendtable.h
@@ -5,10 +5,10 @@
 #include "snipeferry/gateway/coldpacing.h"
 #include "snipeferry/gateway/message.h"
 #include "snipeferry/gateway/model.h"
-#include "snipeferry/gateway/promptmemory.h"
 #include "snipeferry/gateway/serverlimits.h"
 #include "snipeferry/gateway/servernotices.h"
 #include "snipeferry/overload/urgency.h"
+#include "snipeferry/promptcache/promptcacheindex.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -23,6 +23,8 @@
 class Journal;
 
 using overload::URGENCY_LEVELS;
+using promptcache::PromptCacheIndex;
+using promptcache::ReadPart;
 
 /** @brief The urgency level of a request's priority; level 0 is served first. Instances of earlier builds may send priorities out of range. */
 int urgencyOf(int priority);
--- a/include/snipeferry/gateway/promptmemory.h
+++ b/include/snipeferry/promptcache/promptcacheindex.h
@@ -2,7 +2,6 @@
 
 #include "snipeferry/core/timerservice.h"
 #include "snipeferry/gateway/message.h"
-#include "snipeferry/gateway/model.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -11,7 +10,10 @@
 #include <string>
 #include <vector>
 
-namespace snipeferry::gateway {
+/** Which prompt parts backend servers still have in their caches. The code in this namespace uses no sockets, threads or system clocks. */
+namespace snipeferry::promptcache {
+
+using gateway::PromptPart;
 
 /** A shared prompt part that a backend server has prefilled and keeps in its KV cache until other parts displace it. */
 struct ReadPart
@@ -103,4 +105,4 @@
     core::Subscription m_expiryTimer;
 };
 
-} // namespace snipeferry::gateway
+} // namespace snipeferry::promptcache
--- a/source/gateway/promptmemory.cpp
+++ b/source/promptcache/promptcacheindex.cpp
@@ -1,9 +1,9 @@
-#include "snipeferry/gateway/promptmemory.h"
+#include "snipeferry/promptcache/promptcacheindex.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace snipeferry::gateway {
+namespace snipeferry::promptcache {
 
 namespace {
 
@@ -183,4 +183,4 @@
     return all;
 }
 
-} // namespace snipeferry::gateway
+} // namespace snipeferry::promptcache
