Backend choice: weigh what an engine still holds against the wait, if the settings ask for it

With prompt_cache.memory_aware the stated memory of engines decides how likely they still hold a part and whether they have room for a request. A full engine keeps a request exactly as long as its wait does not exceed what is saved; beyond, the next engine reads the part or copies it. Before, the penalty for reading a part again and the margin for similar costs kept requests in the queue of a full holder. run_started and forward_started name saved_ms and wait_ms. Off by default: decisions are then as before. The benefit, the cost of a decision and the memory are not measured.

--- a/include/snipeferry/gateway/backendtable.h
+++ b/include/snipeferry/gateway/backendtable.h
@@ -54,10 +54,15 @@
     int priority = 5;
     std::int64_t promptTokens = 0;
     std::vector<PromptPart> promptParts;
+    /** Tokens in an engine's memory that only this request uses, by ownTokensOf(). */
+    std::int64_t ownTokens = 0;
     /** Backend servers at which this request has already failed. */
     std::vector<core::BackendServerId> excluded;
 };
 
+/** @brief Tokens that only this request occupies in an engine's memory: those of its prompt without the shared parts, and those to generate. */
+std::int64_t ownTokensOf(const CallerRequest &request);
+
 struct ServerChoice
 {
     core::BackendServerId server;
@@ -71,6 +76,10 @@
     absl::Duration wait = absl::InfiniteDuration();
     /** Address of a backend server from which it can copy the KV cache of the prompt; empty for none. */
     std::string memorySource;
+    /** Time that the backend server is expected to save because it still holds the beginning of the prompt. */
+    absl::Duration saved;
+    /** How much longer the request is expected to wait there than at the backend server with the shortest wait of those compared. */
+    absl::Duration waitCost;
 };
 
 /** How a run ended, for the health statistics of its backend server. */
@@ -149,6 +158,9 @@
      */
     void setRegionWork(const std::vector<ServerWork> &sums, const std::vector<ServerWork> &ownReported);
 
+    /** @brief Sets whether known memory of the engines decides what they still hold and whether they have room; false until it is called. */
+    void setMemoryAware(bool isMemoryAware);
+
     /** @brief Index of the prompt parts in the backend servers' caches. */
     PromptCacheIndex &promptCache();
 
@@ -204,15 +216,16 @@
     std::vector<absl::Duration> leastWaits(const core::ServiceId &service);
 
     /** @brief Records that a run was dispatched to a backend server. */
-    void started(const core::BackendServerId &id, int priority, std::int64_t unreadTokens, const std::vector<PromptPart> &parts);
+    void started(const core::BackendServerId &id, int priority, std::int64_t unreadTokens, const std::vector<PromptPart> &parts, std::int64_t ownTokens = 0);
     /** @brief Records the first data of a run's answer and the time that it took. */
     void answered(const core::BackendServerId &id, int priority, std::int64_t unreadTokens, absl::Duration latency);
     /**
      * @brief Records the end of a run.
      * @param unreadTokens 0 if answered() was called before
      * @param duration time from the start of the run to its end
+     * @param ownTokens as passed to started()
      */
-    void finished(const core::BackendServerId &id, int priority, std::int64_t unreadTokens, RunEnd end, absl::Duration duration);
+    void finished(const core::BackendServerId &id, int priority, std::int64_t unreadTokens, RunEnd end, absl::Duration duration, std::int64_t ownTokens = 0);
     /** @brief Records what an answer says about the backend server: its load and the limit that it names. */
     void noteReport(const core::BackendServerId &id, const RunReport &report, bool isSuccess, absl::Time runStartedAt, Journal &journal);
 
@@ -246,6 +259,8 @@
         std::array<std::int64_t, URGENCY_LEVELS> ownUnread{};
         int peerRunning = 0;
         std::array<std::int64_t, URGENCY_LEVELS> peerUnread{};
+        /** Tokens that this instance's runs occupy in the memory, without the shared parts of their prompts. */
+        std::int64_t ownTokens = 0;
         /** Ratio of the actual to the expected time to the first answer, as a moving average. */
         double slowness = 1.0;
         /** Fraction of failed runs, as a moving average. */
@@ -266,6 +281,8 @@
         double prefillTokensPerMs = 45.0;
         /** Duration of a run, as a moving average. */
         double runMs = 30.0;
+        /** Tokens that a run occupies without the shared parts of its prompt, as a moving average; 0 before the first run. */
+        double tokensPerRun = 0;
         /** Fraction of failed runs at all of its backend servers, as a moving average. No single one is blamed for failures that are common to all. */
         double failureShare = 0.0;
     };
@@ -286,6 +303,8 @@
         ServerChoice choice;
         /** Estimated time plus penalties for the load that the choice puts on other requests, in milliseconds. */
         double cost = 0;
+        /** Whether the request has to wait until running ones have ended there. Always false while memory is not taken into account. */
+        bool isFull = false;
     };
 
     /** Backend servers to compare for a request. If there are many, only a sample, so that instances with outdated reports do not all choose the same one. */
@@ -303,6 +322,16 @@
     std::vector<CacheSource> cacheSources(const ServerQuery &query) const;
     ScoredChoice score(const core::BackendServerId &id, const ServiceState &service, const ServerQuery &query, const std::vector<CacheSource> &sources) const;
     bool isEngineService(const core::ServiceId &service) const;
+    /** Tokens that fit into the backend server's memory; 0 if that is not known or not to be taken into account. */
+    std::int64_t memoryCapacity(const ServerState &state) const;
+    /** Tokens of all instances' runs, without the shared parts of their prompts. */
+    std::int64_t runningTokens(const ServerState &state, const ServiceState &service) const;
+    /** Wait until enough running requests have ended that the memory has room for a new one, beyond the wait for a slot. */
+    absl::Duration memoryWait(const ServerState &state, const ServiceState &service, std::int64_t ownTokens) const;
+    /** Tells the prompt cache index what the backend server's memory has to hold. */
+    void updateMemoryUse(const ServerState &state);
+    /** Tells the prompt cache index what the backend server's memory takes in with a run of this instance, and with those of others meanwhile. */
+    void noteTakenIn(const ServerState &state, std::int64_t tokens);
     /** Runs for each slot of the backend server, including a new one; at least 1. */
     double runsPerSlot(const ServerState &state) const;
     /** Penalty for the events that come later because an engine reads prompts beside running streams: this request's events, and those of others. */
@@ -331,6 +360,7 @@
     absl::flat_hash_map<core::ServiceId, Service> m_serviceConfigurations;
     absl::flat_hash_set<core::DataCentreId> m_evacuatedDataCentres;
     PromptCacheIndex m_promptCache;
+    bool m_isMemoryAware = false;
     struct PeerReport
     {
         std::vector<ServerWork> work;
--- a/include/snipeferry/gateway/forwardreceiver.h
+++ b/include/snipeferry/gateway/forwardreceiver.h
@@ -95,6 +95,8 @@
         absl::Duration expectedTime = absl::InfiniteDuration();
         /** Prompt tokens that the backend server still had to read when the run started. */
         std::int64_t unreadTokens = 0;
+        /** Tokens that only this request occupies in an engine's memory. */
+        std::int64_t ownTokens = 0;
         absl::Time startedAt;
         absl::Time deadline;
         /** Whether the first data of the answer has arrived. */
--- a/include/snipeferry/gateway/gateway.h
+++ b/include/snipeferry/gateway/gateway.h
@@ -26,6 +26,8 @@
     AllowanceSettings allowances;
     RolloutSettings rollouts;
     ColdBounds cold;
+    /** Whether the stated memory of engines decides what they still hold of prompts and whether they have room. */
+    bool isPromptCacheMemoryAware = false;
     /** Longest time for which a backend server may get requests after the store accepted that it leaves. */
     absl::Duration serverDrainTime = absl::Seconds(3);
     /** Interval at which backend servers renew their announcements. */
--- a/source/gateway/backendchoice.cpp
+++ b/source/gateway/backendchoice.cpp
@@ -210,6 +210,13 @@
     nominal.failureShare = 0;
     scored.choice.nominalEstimate = estimate(nominal, service, level, scored.choice.unreadTokens) + absl::Milliseconds(cacheTransferMs);
     scored.choice.wait = estimate(state, service, level, 0);
+    if (memoryCapacity(state) > 0) {
+        const absl::Duration wait = memoryWait(state, service, query.ownTokens);
+        scored.choice.estimate += wait;
+        scored.choice.nominalEstimate += wait;
+        scored.choice.wait += wait;
+        scored.isFull = wait > absl::ZeroDuration() || state.running + state.peerRunning >= state.server.slots;
+    }
 
     std::int64_t sharedTokens = 0;
     for (std::size_t index = 0; index + 1 < query.promptParts.size(); ++index) {
@@ -238,9 +245,16 @@
     const std::string affinityKey = sharedParts == 0 ? std::string() : query.promptParts[sharedParts - 1].id;
     const std::vector<CacheSource> sources = cacheSources(query);
 
-    ServerChoice best;
-    double bestCost = 0;
-    double bestWeight = 0;
+    /** The best of some candidates. */
+    struct Best
+    {
+        ServerChoice choice;
+        double cost = 0;
+        double weight = 0;
+    };
+    Best bestWithRoom;
+    Best bestFull;
+    absl::Duration shortestWait = absl::InfiniteDuration();
     ServerChoice bestEjected;
     for (const core::BackendServerId &id : candidates(service->second, query, affinityKey)) {
         ScoredChoice scored = score(id, service->second, query, sources);
@@ -250,16 +264,28 @@
             }
             continue;
         }
+        shortestWait = std::min(shortestWait, scored.choice.wait);
+        Best &best = scored.isFull ? bestFull : bestWithRoom;
         const double weight = affinityKey.empty() ? 0.0 : rendezvousWeight(affinityKey, id.value());
         // Among similar costs, the highest rendezvous weight decides, so that all instances choose the same backend server.
         const bool isBetter
-            = best.server.isEmpty() || scored.cost < bestCost - SIMILAR_COST_MS || (scored.cost < bestCost + SIMILAR_COST_MS && weight > bestWeight);
+            = best.choice.server.isEmpty() || scored.cost < best.cost - SIMILAR_COST_MS || (scored.cost < best.cost + SIMILAR_COST_MS && weight > best.weight);
         if (isBetter) {
-            best = std::move(scored.choice);
-            bestCost = scored.cost;
-            bestWeight = weight;
+            best = Best{std::move(scored.choice), scored.cost, weight};
         }
     }
+    // A full backend server is worth its wait only as long as the prompt parts that it holds save more. No penalty for reading them again applies: other
+    // requests that share them could not run there either.
+    const bool isFullBetter
+        = bestWithRoom.choice.server.isEmpty() || (!bestFull.choice.server.isEmpty() && bestFull.choice.estimate < bestWithRoom.choice.estimate);
+    ServerChoice best = std::move(isFullBetter ? bestFull.choice : bestWithRoom.choice);
+    if (!best.server.isEmpty()) {
+        const ServerState &state = m_servers.at(best.server);
+        const int level = urgencyOf(query.priority);
+        const std::int64_t unreadTokens = std::max<std::int64_t>(0, query.promptTokens - m_promptCache.expectedTokens(best.server, query.promptParts));
+        best.saved = estimate(state, service->second, level, query.promptTokens) - estimate(state, service->second, level, unreadTokens);
+        best.waitCost = best.wait - shortestWait;
+    }
     if (best.server.isEmpty()) {
         best = bestEjected;
     }
--- a/source/gateway/backendtable.cpp
+++ b/source/gateway/backendtable.cpp
@@ -365,7 +365,8 @@
     return least;
 }
 
-void BackendTable::started(const core::BackendServerId &id, int priority, std::int64_t unreadTokens, const std::vector<PromptPart> &parts)
+void BackendTable::started(
+    const core::BackendServerId &id, int priority, std::int64_t unreadTokens, const std::vector<PromptPart> &parts, std::int64_t ownTokens)
 {
     refreshPeerWork();
     ServerState *target = findState(id);
@@ -373,16 +374,23 @@
         return;
     }
     const absl::Time now = m_timers.now();
-    const ServiceState &service = m_services[target->server.service];
+    ServiceState &service = m_services[target->server.service];
     const int level = urgencyOf(priority);
     target->lastEstimate = estimate(*target, service, level, unreadTokens);
     ++target->running;
     m_limits.dispatched(id);
     target->ownUnread[level] += unreadTokens;
+    target->ownTokens += ownTokens;
+    noteTakenIn(*target, std::max(unreadTokens, ownTokens));
     const auto configuration = m_serviceConfigurations.find(target->server.service);
     if (coldUntil(*target) > now && configuration != m_serviceConfigurations.end() && configuration->second.coldRate > 0) {
         target->nextColdRunAt = now + m_coldPacing.interval(configuration->second.coldRate);
     }
+    if (ownTokens > 0) {
+        const double tokens = static_cast<double>(ownTokens);
+        service.tokensPerRun += service.tokensPerRun == 0 ? tokens : SERVICE_SMOOTHING * (tokens - service.tokensPerRun);
+    }
+    updateMemoryUse(*target);
     m_promptCache.noteDispatched(id, parts, target->lastEstimate);
 }
 
@@ -409,13 +417,16 @@
     target->slowness = std::clamp(target->slowness + SERVER_SMOOTHING * (ratio - target->slowness), 0.5, 4.0);
 }
 
-void BackendTable::finished(const core::BackendServerId &id, int priority, std::int64_t unreadTokens, RunEnd end, absl::Duration duration)
+void BackendTable::finished(
+    const core::BackendServerId &id, int priority, std::int64_t unreadTokens, RunEnd end, absl::Duration duration, std::int64_t ownTokens)
 {
     ServerState *target = findState(id);
     if (target == nullptr) {
         return;
     }
     target->running = std::max(0, target->running - 1);
+    target->ownTokens = std::max<std::int64_t>(0, target->ownTokens - ownTokens);
+    updateMemoryUse(*target);
     std::int64_t &ownUnread = target->ownUnread[urgencyOf(priority)];
     ownUnread = std::max<std::int64_t>(0, ownUnread - unreadTokens);
     if (end == RunEnd::Cancelled || end == RunEnd::OwnFailure) {
@@ -514,6 +525,7 @@
     }
     // All runs that the backend server reports beyond this instance's own come from other instances, even if their reports were lost.
     target->peerRunning = std::max(0, running + waiting - target->running);
+    updateMemoryUse(*target);
 }
 
 BackendTable::ServerState *BackendTable::findState(const core::BackendServerId &id)
--- a/source/gateway/backendwork.cpp
+++ b/source/gateway/backendwork.cpp
@@ -47,6 +47,11 @@
         }
         ++it;
     }
+    if (m_isMemoryAware) {
+        for (const auto &entry : m_servers) {
+            updateMemoryUse(entry.second);
+        }
+    }
 }
 
 std::vector<ServerWork> BackendTable::ownWork() const
--- a/source/gateway/forwardreceiver.cpp
+++ b/source/gateway/forwardreceiver.cpp
@@ -121,6 +121,7 @@
     query.priority = message.priority;
     query.promptTokens = message.request.promptTokens;
     query.promptParts = message.request.promptParts;
+    query.ownTokens = ownTokensOf(message.request);
     const core::Expected<ServerChoice> choice = m_backends.choose(query);
     if (!choice) {
         refuse(origin, message.request.id, core::errorAnswer(choice.error().kind).name);
@@ -137,6 +138,7 @@
     forwardedRun.version = m_backends.find(choice->server)->version;
     forwardedRun.priority = message.priority;
     forwardedRun.unreadTokens = choice->unreadTokens;
+    forwardedRun.ownTokens = query.ownTokens;
     forwardedRun.expectedTime = choice->nominalEstimate;
     forwardedRun.isStream = message.isStream;
     forwardedRun.promptParts = message.request.promptParts;
@@ -155,12 +157,14 @@
     headers.memorySource = choice->memorySource;
     HttpRequest request = message.request.http;
     m_headers.encodeRun(request, headers);
-    m_backends.started(choice->server, message.priority, choice->unreadTokens, message.request.promptParts);
+    m_backends.started(choice->server, message.priority, choice->unreadTokens, message.request.promptParts, query.ownTokens);
     m_journal.log(core::LogEvent{"forward_started", {}}
                       .with("request", message.request.id.value())
                       .with("from", from.value())
                       .with("server", choice->server.value())
                       .with("estimate_ms", absl::StrCat(absl::ToInt64Milliseconds(choice->estimate)))
+                      .with("saved_ms", absl::StrCat(absl::ToInt64Milliseconds(choice->saved)))
+                      .with("wait_ms", absl::StrCat(absl::ToInt64Milliseconds(choice->waitCost)))
                       .with("cold_ms", absl::StrCat(absl::ToInt64Milliseconds(m_backends.coldLeft(choice->server))))
                       .with("version", forwardedRun.version.value()));
     m_runs.start(run, *m_backends.find(choice->server), request, message.request.id, message.isRepeatable, m_backends.sendBy(choice->server));
@@ -176,8 +180,8 @@
     if (end == RunEnd::Unreachable && m_paths.isInDoubt(forwardedRun.service)) {
         end = RunEnd::OwnFailure;
     }
-    m_backends.finished(
-        forwardedRun.server, forwardedRun.priority, forwardedRun.isAnswering ? 0 : forwardedRun.unreadTokens, end, m_timers.now() - forwardedRun.startedAt);
+    m_backends.finished(forwardedRun.server, forwardedRun.priority, forwardedRun.isAnswering ? 0 : forwardedRun.unreadTokens, end,
+        m_timers.now() - forwardedRun.startedAt, forwardedRun.ownTokens);
     if (saysOfVersion(forwardedRun, end)) {
         const absl::Duration latency = forwardedRun.isAnswering ? forwardedRun.timeToFirstData : m_timers.now() - forwardedRun.startedAt;
         m_rollouts.observe(forwardedRun.service, forwardedRun.route, forwardedRun.version, end != RunEnd::Success, latency);
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -81,6 +81,7 @@
     m_backends.limits().setAnnouncementLifetime(m_settings.announcementLifetime);
     m_backends.coldPacing().setAnnouncementLifetime(m_settings.announcementLifetime);
     m_backends.coldPacing().setBounds(m_settings.cold);
+    m_backends.setMemoryAware(m_settings.isPromptCacheMemoryAware);
     updateInstances();
 }
 
--- a/source/gateway/requestplacement.cpp
+++ b/source/gateway/requestplacement.cpp
@@ -85,6 +85,7 @@
     query.priority = open.priority;
     query.promptTokens = open.request.promptTokens;
     query.promptParts = open.request.promptParts;
+    query.ownTokens = ownTokensOf(open.request);
     query.excluded = open.excludedServers;
     const VersionChoice versions = m_dependencies.rollouts.choose(
         open.service, [this, &open](const core::VersionId &version) { return m_dependencies.backends.hasVersion(open.service, version); });
@@ -200,12 +201,14 @@
     headers.memorySource = choice.memorySource;
     HttpRequest request = open.request.http;
     m_dependencies.headers.encodeRun(request, headers);
-    m_dependencies.backends.started(choice.server, open.priority, choice.unreadTokens, open.request.promptParts);
+    m_dependencies.backends.started(choice.server, open.priority, choice.unreadTokens, open.request.promptParts, ownTokensOf(open.request));
     m_dependencies.journal.log(makeLogEvent("run_started", open)
                                    .with("server", choice.server.value())
                                    .with("send", absl::StrCat(open.sendCount))
                                    .with("estimate_ms", absl::StrCat(absl::ToInt64Milliseconds(choice.estimate)))
                                    .with("unread_tokens", absl::StrCat(choice.unreadTokens))
+                                   .with("saved_ms", absl::StrCat(absl::ToInt64Milliseconds(choice.saved)))
+                                   .with("wait_ms", absl::StrCat(absl::ToInt64Milliseconds(choice.waitCost)))
                                    .with("cold_ms", absl::StrCat(absl::ToInt64Milliseconds(m_dependencies.backends.coldLeft(choice.server))))
                                    .with("version", open.version.value())
                                    .with("memory_source", choice.memorySource));
@@ -272,7 +275,7 @@
             end = RunEnd::OwnFailure;
         }
         const absl::Duration duration = m_dependencies.timers.now() - open.runStartedAt;
-        m_dependencies.backends.finished(open.server, open.priority, open.isAnswering ? 0 : open.unreadTokens, end, duration);
+        m_dependencies.backends.finished(open.server, open.priority, open.isAnswering ? 0 : open.unreadTokens, end, duration, ownTokensOf(open.request));
         if (saysOfVersion(open, end)) {
             const absl::Duration latency = open.isAnswering ? open.timeToFirstData : duration;
             m_dependencies.rollouts.observe(open.service, open.route.name, open.version, end != RunEnd::Success, latency);
--- a/source/net/gatewaysettings.cpp
+++ b/source/net/gatewaysettings.cpp
@@ -80,6 +80,10 @@
     settings.stopGrace = promises.duration("stop_grace", absl::ZeroDuration(), LONGEST, settings.stopGrace);
     promises.finish();
 
+    YamlMap promptCache = root.map("prompt_cache");
+    gateway.isPromptCacheMemoryAware = promptCache.flag("memory_aware", gateway.isPromptCacheMemoryAware);
+    promptCache.finish();
+
     YamlMap store = root.map("store");
     settings.store.address = store.address("address");
     settings.store.leaseTime = store.duration("lease_time", absl::Seconds(1), absl::Minutes(10), settings.store.leaseTime);
@@ -156,6 +160,7 @@
         {"promises.rollback", before.rollouts.judgingTime == after.rollouts.judgingTime},
         {"promises.cold_excess", before.cold.excess == after.cold.excess},
         {"promises.cold_slack", before.cold.slack == after.cold.slack},
+        {"prompt_cache.memory_aware", before.isPromptCacheMemoryAware == after.isPromptCacheMemoryAware},
         {"promises.allowance_excess", before.allowances.excess == after.allowances.excess},
     };
     SettingsChange change;
--- a/tests/net/gatewaysettingstest.cpp
+++ b/tests/net/gatewaysettingstest.cpp
@@ -39,6 +39,20 @@
     CHECK(net::applyReload(settings, fresh).applied.empty());
 }
 
+// Guards against a deployment that gets the weighing unasked, and against a value that is silently not understood.
+TEST_CASE("the prompt cache is memory-aware only if the settings say so, from the next start on")
+{
+    net::GatewayProcessSettings settings = parse("");
+    CHECK_FALSE(settings.gateway.isPromptCacheMemoryAware);
+    const net::GatewayProcessSettings fresh = parse("prompt_cache: {memory_aware: true}\n");
+    CHECK(fresh.gateway.isPromptCacheMemoryAware);
+    CHECK(net::applyReload(settings, fresh).kept == std::vector<std::string>{"prompt_cache.memory_aware"});
+    const core::Expected<net::GatewayProcessSettings> wrong = net::parseGatewaySettings("test.yaml", SETTINGS + "prompt_cache: {memory_aware: 1, limit: 2}\n");
+    REQUIRE_FALSE(wrong);
+    CHECK(wrong.error().message.find("prompt_cache.memory_aware: found") != std::string::npos);
+    CHECK(wrong.error().message.find("prompt_cache.limit: found") != std::string::npos);
+}
+
 TEST_CASE("a settings file of the gateway tells all its faults at once")
 {
     const core::Expected<net::GatewayProcessSettings> settings
