--- a/include/snipeferry/gateway/forwardreceiver.h
+++ b/include/snipeferry/gateway/forwardreceiver.h
@@ -97,6 +97,8 @@
         std::int64_t unreadTokens = 0;
         /** What was known of the run's work at its start. */
         serverload::RunStart serverStart;
+        /** Tokens that only this request occupies in an engine's memory. */
+        std::int64_t ownTokens = 0;
         absl::Time startedAt;
         absl::Time deadline;
         /** Whether the first data of the answer has arrived. */
