Backend answers: no part of an answer passes for the whole, and no status outside 100 to 599

A server answered a long upload with a head without a length, sent part of the body and reset the connection while the request was still being written. The write got the error of the reset and the read saw an end of the connection, so the part was a complete answer. An answer that ends with its connection is now complete only if the request was written whole and the server's side has acknowledged all of it (SIOCOUTQ). A status such as 000 was passed on; it now fails the run with answer_status_invalid, and the request may have run.

--- a/include/snipeferry/gateway/ports.h
+++ b/include/snipeferry/gateway/ports.h
@@ -83,6 +83,8 @@
 /** The connection ended before the head of the answer, or within its body. */
 constexpr const char *REASON_NO_ANSWER = "no_answer";
 constexpr const char *REASON_ANSWER_BROKEN_OFF = "answer_broken_off";
+/** The status of the answer is none of HTTP, so nothing that the answer says is used. */
+constexpr const char *REASON_BAD_STATUS = "answer_status_invalid";
 /** Bytes that are no whole part of an answer were more than a bound: in the head, in the head of a chunk or a trailer, or on all connections together. */
 constexpr const char *REASON_HEAD_TOO_LARGE = "head_too_large";
 constexpr const char *REASON_CHUNK_HEAD_TOO_LARGE = "chunk_head_too_large";
@@ -110,6 +112,12 @@
         || reason == REASON_SENT_TOO_LATE;
 }
 
+/** @brief Whether a status is one that an HTTP answer may have. */
+inline bool isAnswerStatus(int status)
+{
+    return status >= 100 && status <= 599;
+}
+
 /** @brief Why a backend server did not run a request, by its answer. */
 inline const char *refusalReason(const RunReport &report)
 {
--- a/source/net/backendpool.cpp
+++ b/source/net/backendpool.cpp
@@ -224,7 +224,7 @@
     {
         m_hasSent = true;
         asio::async_write(m_socket, asio::buffer(m_bytes), [self = shared_from_this()](ErrorCode error, std::size_t /*bytes*/) {
-            // A server may answer and close before it has read everything; reading tells.
+            // A server may answer and close before it has read everything. If it resets the connection, this gets the error, and the read only sees an end.
             if (!self->m_isClosed && !error) {
                 self->m_isWritten = true;
                 self->m_bytes = std::string();
@@ -270,6 +270,10 @@
         }
         gateway::HttpHead head;
         head.status = static_cast<int>(message.result_int());
+        if (!gateway::isAnswerStatus(head.status)) {
+            fail(true, gateway::REASON_BAD_STATUS);
+            return;
+        }
         head.headers = passedHeaders(message);
         readIdleLimit(std::string(message[http::field::keep_alive]));
 
@@ -312,6 +316,11 @@
             return;
         }
         if (m_reader.parser().is_done()) {
+            // An end of the connection ends an answer in order only behind a request that was sent whole.
+            if (m_reader.parser().need_eof() && !(m_isWritten && hasOtherEndReceivedAll(m_socket.native_handle()))) {
+                fail(true, gateway::REASON_ANSWER_BROKEN_OFF);
+                return;
+            }
             answerRead();
             return;
         }
--- a/source/net/socketstate.cpp
+++ b/source/net/socketstate.cpp
@@ -1,6 +1,8 @@
 #include "socketstate.h"
 
+#include <linux/sockios.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -30,6 +32,12 @@
     return ::poll(&state, 1, 0) == 1 && (state.revents & (POLLERR | POLLHUP | POLLNVAL)) == 0 && (state.revents & POLLOUT) != 0;
 }
 
+bool hasOtherEndReceivedAll(int socket)
+{
+    int unacknowledged = 0;
+    return ::ioctl(socket, SIOCOUTQ, &unacknowledged) != 0 || unacknowledged == 0;
+}
+
 bool hasOtherEndClosed(int socket)
 {
     return haveOtherEndsClosed({socket}).front();
--- a/source/net/socketstate.h
+++ b/source/net/socketstate.h
@@ -13,4 +13,7 @@
 /** @brief Whether a connection that is being opened is established, also if the event loop has not reported that yet. */
 bool isEstablished(int socket);
 
+/** @brief Whether the other end has received all bytes that were written to a TCP connection; true if that cannot be found out. */
+bool hasOtherEndReceivedAll(int socket);
+
 } // namespace snipeferry::net
--- a/tests/net/backendpooltest.cpp
+++ b/tests/net/backendpooltest.cpp
@@ -89,7 +89,7 @@
         gateway::BackendServer target;
         target.id = core::BackendServerId("s");
         target.address = address.empty() ? server.address() : address;
-        pool.start(++run, target, {method, "/x", {}, method == "POST" ? "body" : ""}, core::RequestId(id), mayReuse, sendBy);
+        pool.start(++run, target, {method, "/x", {}, method == "POST" ? upload : ""}, core::RequestId(id), mayReuse, sendBy);
         turn(absl::Seconds(5));
     }
 
@@ -106,6 +106,7 @@
     Recorder recorder{loop};
     std::string address;
     std::string method = "POST";
+    std::string upload = "body";
     absl::Time sendBy = absl::InfiniteFuture();
     ScriptedServer server;
     net::BackendPool pool;
@@ -514,6 +515,111 @@
     }
 }
 
+// Failure: a server answers a long upload before it has read it, without a length, and resets the connection. The write gets the error of the reset, the
+// read sees an end, and part of an answer passes for the whole.
+TEST_CASE("an answer without a length to a request that was not written whole is broken off, however its connection ends")
+{
+    constexpr std::size_t UPLOAD_BYTES = 32U << 20U;
+    constexpr std::size_t READ_BYTES = 1U << 20U;
+    const bool isReset = GENERATE(true, false);
+    const bool isKeptConnection = GENERATE(false, true);
+    // Whether the head and part of the body are read some time before the connection ends.
+    const bool isEarly = GENERATE(false, true);
+    const std::string headers = GENERATE(std::string("Server-Seal: x\r\n"), std::string(), std::string("Content-Type: text/event-stream\r\n"));
+    bool hasEnded = false;
+    PoolFixture fixture([&](int request, const std::shared_ptr<ScriptedServer::Socket> &socket, const std::string &read) {
+        const std::string part = absl::StrCat("HTTP/1.1 200 OK\r\nId: r2\r\n", headers, "\r\ndata: part\n\n");
+        if (isKeptConnection && request == 1) {
+            ScriptedServer::send(socket, whole("r1", ""));
+            return;
+        }
+        const bool isFirst = request == (isKeptConnection ? 2 : 1);
+        if (isFirst && isEarly) {
+            ScriptedServer::send(socket, part);
+        }
+        if (hasEnded || (isEarly && read.size() < READ_BYTES)) {
+            return;
+        }
+        hasEnded = true;
+        if (!isEarly) {
+            ScriptedServer::send(socket, part);
+        }
+        if (isReset) {
+            endConnection(socket, true);
+        } else {
+            boost::system::error_code ignored;
+            socket->shutdown(ScriptedServer::Socket::shutdown_send, ignored);
+        }
+    });
+    if (isKeptConnection) {
+        fixture.send("r1");
+    }
+    const int before = fixture.recorder.ends;
+    fixture.upload = std::string(UPLOAD_BYTES, 'x');
+    fixture.send("r2");
+    INFO("reset " << isReset << ", kept connection " << isKeptConnection << ", early " << isEarly << ", headers " << headers);
+    CHECK(fixture.server.connections == 1);
+    CHECK(fixture.recorder.ends == before);
+    CHECK(fixture.recorder.failures == 1);
+    CHECK(fixture.recorder.mayHaveRun);
+}
+
+// Failure: the request fits into the buffers of the kernel, so its write has ended, but the server closed its side before it had received all of it.
+TEST_CASE("an answer without a length is broken off if the server has closed before it received the whole request")
+{
+    constexpr int RECEIVE_BYTES = 4096;
+    constexpr std::size_t UPLOAD_BYTES = 1U << 20U;
+    net::EventLoop loop;
+    boost::asio::ip::tcp::acceptor acceptor(loop.context());
+    const boost::asio::ip::tcp::endpoint endpoint(boost::asio::ip::make_address("127.0.0.1"), 0);
+    acceptor.open(endpoint.protocol());
+    acceptor.set_option(boost::asio::socket_base::receive_buffer_size(RECEIVE_BYTES));
+    acceptor.bind(endpoint);
+    acceptor.listen();
+    std::shared_ptr<ScriptedServer::Socket> accepted;
+    PoolFixture fixture([](int, const std::shared_ptr<ScriptedServer::Socket> &, const std::string &) {});
+    fixture.address = absl::StrCat("127.0.0.1:", acceptor.local_endpoint().port());
+    const core::Subscription answering = fixture.loop.timers().after(absl::Milliseconds(100), [&] {
+        accepted = std::make_shared<ScriptedServer::Socket>(acceptor.accept());
+        ScriptedServer::send(accepted, "HTTP/1.1 200 OK\r\nId: r1\r\n\r\npart");
+        boost::system::error_code ignored;
+        accepted->shutdown(ScriptedServer::Socket::shutdown_send, ignored);
+    });
+    fixture.upload = std::string(UPLOAD_BYTES, 'x');
+    fixture.send("r1");
+    CHECK(fixture.recorder.body == "part");
+    CHECK(fixture.recorder.ends == 0);
+    CHECK(fixture.recorder.failures == 1);
+    CHECK(fixture.recorder.mayHaveRun);
+}
+
+// Failure: a status that is no status of HTTP reaches the caller.
+TEST_CASE("an answer whose status is outside 100 to 599 is no answer, on a new and on a kept connection")
+{
+    const std::string status = GENERATE(std::string("000"), std::string("001"), std::string("099"), std::string("600"), std::string("999"));
+    const bool isKeptConnection = GENERATE(false, true);
+    const std::string rest = GENERATE(std::string("Content-Length: 4\r\n\r\nbody"), std::string("\r\nbody"));
+    PoolFixture fixture([&](int request, const std::shared_ptr<ScriptedServer::Socket> &socket, const std::string & /*read*/) {
+        if (isKeptConnection && request == 1) {
+            ScriptedServer::send(socket, whole("r1", ""));
+            return;
+        }
+        ScriptedServer::send(socket, absl::StrCat("HTTP/1.1 ", status, " Odd\r\nId: r2\r\n", rest));
+        endConnection(socket, false);
+    });
+    if (isKeptConnection) {
+        fixture.send("r1");
+    }
+    const std::size_t before = fixture.recorder.statuses.size();
+    fixture.send("r2");
+    INFO("status " << status << ", kept connection " << isKeptConnection);
+    CHECK(fixture.recorder.statuses.size() == before);
+    CHECK(fixture.recorder.body.empty());
+    CHECK(fixture.recorder.failures == 1);
+    CHECK(fixture.recorder.reason == "answer_status_invalid");
+    CHECK(fixture.recorder.mayHaveRun);
+}
+
 // Failure (LOST): a server that never ended the head of a chunk, or a trailer, filled the memory of the process that had called it.
 TEST_CASE("bytes without end where the head of a chunk or a trailer is due end the run as a broken answer")
 {
