Answers with an invalid status: not used at the origin or at the instance that runs a forwarded request

An instance of an earlier build passes such a status on, and its headers counted as statements of the server, also that the request was not run. The run fails and may have run.

Seen failing with the code before (both cases: 126 of 290 checks). The case on answers that broke off passed before as well: the decision code never took such a part for a whole answer.

--- a/source/gateway/forwardreceiver.cpp
+++ b/source/gateway/forwardreceiver.cpp
@@ -342,6 +342,10 @@
     if (it == m_forwardedRuns.end()) {
         return;
     }
+    if (!isAnswerStatus(head.status)) {
+        breakOff(run, RunEnd::ServerError, REASON_BAD_STATUS);
+        return;
+    }
     const RunReport report = m_headers.decodeAnswer(head);
     m_paths.noteAnswer(it->second.service, it->second.server);
     m_restarts.noteAnswer(it->second.server);
--- a/source/gateway/requestanswer.cpp
+++ b/source/gateway/requestanswer.cpp
@@ -23,6 +23,12 @@
     if (open == nullptr) {
         return;
     }
+    // An instance of an earlier build passes such a status on.
+    if (!isAnswerStatus(head.status)) {
+        stopTransport(*open);
+        retryOrFail(open->number, true, RunEnd::ServerError, REASON_BAD_STATUS);
+        return;
+    }
     const RunReport report = m_dependencies.headers.decodeAnswer(head);
     if (!open->server.isEmpty()) {
         m_dependencies.paths.noteAnswer(open->service, open->server);
--- a/tests/gateway/answertest.cpp
+++ b/tests/gateway/answertest.cpp
@@ -455,3 +455,98 @@
     fixture.timers.advance(absl::Seconds(7));
     CHECK(fixture.runs.cancelled == std::vector<gateway::Number>{run});
 }
+
+// Failure: an answer whose status is no status of HTTP reaches the caller, or its headers count as a statement that the request was not run.
+TEST_CASE("an answer with a status outside 100 to 599 is no answer, for streams and plain answers, here and forwarded")
+{
+    const int status = GENERATE(0, 99, 600, 999);
+    const gateway::Headers headers = GENERATE(gateway::Headers{}, gateway::Headers{{"receipt", "x"}}, gateway::Headers{{"not-run", "1"}});
+    const std::string target = GENERATE(std::string("/once/x"), std::string("/stream/x"));
+    const bool isForwarded = GENERATE(false, true);
+    GatewayFixture fixture;
+    fixture.start();
+    std::shared_ptr<Answer> answer;
+    if (isForwarded) {
+        // An instance of an earlier build passes the status on.
+        fixture.linkRemote("gw-9", "south");
+        answer = fixture.ask("/south/x");
+        const std::vector<gateway::ForwardRequest> sent = fixture.links.all<gateway::ForwardRequest>();
+        REQUIRE(sent.size() == 1);
+        fixture.gateway.received(core::InstanceId("gw-9"), gateway::ForwardHead{sent[0].number, {status, headers}});
+        fixture.gateway.received(core::InstanceId("gw-9"), gateway::ForwardData{sent[0].number, 0, "body"});
+        fixture.gateway.received(core::InstanceId("gw-9"), gateway::ForwardEnd{sent[0].number, 1});
+    } else {
+        answer = fixture.ask(target);
+        const gateway::Number run = fixture.lastRun().run;
+        fixture.gateway.runHead(run, {status, headers});
+        fixture.gateway.runData(run, "body");
+        fixture.gateway.runEnd(run, gateway::AnswerEnd::Framed);
+        CHECK(fixture.runs.cancelled == std::vector<gateway::Number>{run});
+    }
+    CHECK(answer->status == 502);
+    CHECK(answer->finalCount == 1);
+    CHECK(answer->body != "body");
+    CHECK(fixture.runs.sent.size() == (isForwarded ? 0 : 1));
+}
+
+TEST_CASE("an answer with a status outside 100 to 599 is told to the origin of a forwarded request as failed")
+{
+    const bool isStream = GENERATE(false, true);
+    const gateway::Headers headers = GENERATE(gateway::Headers{}, gateway::Headers{{"receipt", "x"}}, gateway::Headers{{"not-run", "1"}});
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.linkRemote("gw-9", "south");
+    gateway::ForwardRequest request;
+    request.number = 5;
+    request.request.id = core::RequestId("r1");
+    request.request.http = {"POST", "/x", {}, ""};
+    request.service = core::ServiceId("booking");
+    request.isStream = isStream;
+    request.timeLeft = absl::Seconds(5);
+    fixture.gateway.received(core::InstanceId("gw-9"), request);
+    const gateway::Number run = fixture.lastRun().run;
+    fixture.gateway.runHead(run, {0, headers});
+    fixture.gateway.runEnd(run, gateway::AnswerEnd::Framed);
+    CHECK(fixture.links.all<gateway::ForwardHead>().empty());
+    CHECK(fixture.links.all<gateway::ForwardEnd>().empty());
+    const std::vector<gateway::ForwardFailed> failed = fixture.links.all<gateway::ForwardFailed>();
+    REQUIRE(failed.size() == 1);
+    CHECK(failed[0].mayHaveRun);
+}
+
+// Failure: what a run that broke off had sent reaches the caller as a whole answer.
+TEST_CASE("what came of an answer that broke off is no whole answer, for streams and plain answers, here and forwarded")
+{
+    const gateway::Headers headers = GENERATE(gateway::Headers{}, gateway::Headers{{"receipt", "x"}});
+    const bool isStream = GENERATE(false, true);
+    const bool isForwarded = GENERATE(false, true);
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.linkRemote("gw-9", "south");
+    if (!isForwarded) {
+        const std::shared_ptr<Answer> answer = fixture.ask(isStream ? "/stream/x" : "/once/x");
+        const gateway::Number run = fixture.lastRun().run;
+        fixture.gateway.runHead(run, {200, headers});
+        fixture.gateway.runData(run, event(1));
+        fixture.gateway.runFailed(run, true, gateway::REASON_ANSWER_BROKEN_OFF);
+        CHECK(answer->finalCount == 1);
+        CHECK_FALSE(answer->isComplete);
+        CHECK((answer->isBrokenOff || answer->status == 502));
+        return;
+    }
+    gateway::ForwardRequest request;
+    request.number = 5;
+    request.request.id = core::RequestId("r1");
+    request.request.http = {"POST", "/x", {}, ""};
+    request.service = core::ServiceId("booking");
+    request.isStream = isStream;
+    request.timeLeft = absl::Seconds(5);
+    fixture.gateway.received(core::InstanceId("gw-9"), request);
+    const gateway::Number run = fixture.lastRun().run;
+    fixture.gateway.runHead(run, {200, headers});
+    fixture.gateway.runData(run, event(1));
+    fixture.gateway.runFailed(run, true, gateway::REASON_ANSWER_BROKEN_OFF);
+    CHECK(fixture.links.all<gateway::ForwardEnd>().empty());
+    REQUIRE(fixture.links.all<gateway::ForwardFailed>().size() == 1);
+    CHECK(fixture.links.all<gateway::ForwardFailed>()[0].mayHaveRun);
+}
