Duties of one instance at a time: holder of the duties, counts of usage, calls of the store and the interface

Usage reports were not sent at all on deployments that ask for them. One record in the store, changed by compare-and-swap, says which instance has the duties; it reports the usage of each window, whose counts the store has confirmed before the first call. Regions sum up the counts of their instances. Nothing of it runs where the settings have no duties.

--- a/apps/snipeferry-gateway/main.cpp
+++ b/apps/snipeferry-gateway/main.cpp
@@ -1,4 +1,5 @@
 #include "directorycodec.h"
+#include "dutyformat.h"
 #include "headercodec.h"
 #include "recordcodec.h"
 #include "snipeferry/net/gatewayprocess.h"
@@ -32,7 +33,8 @@
     const fleetplatform::RecordCodec records;
     const fleetplatform::StoreFormat store;
     const fleetplatform::DirectoryCodec directory;
-    net::GatewayProcess process(std::move(*settings), settingsFile, net::Adapter{headers, records, store, directory});
+    const fleetplatform::DutyFormat duties;
+    net::GatewayProcess process(std::move(*settings), settingsFile, net::Adapter{headers, records, store, directory, duties});
     const core::Expected<void> result = process.run();
     if (!result) {
         std::cerr << result.error().message << '\n';
--- a/include/snipeferry/gateway/fleetmessages.h
+++ b/include/snipeferry/gateway/fleetmessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "snipeferry/duties/usage.h"
 #include "snipeferry/gateway/backendtable.h"
 #include "snipeferry/gateway/message.h"
 #include "snipeferry/gateway/model.h"
@@ -269,6 +270,6 @@
 /** All messages. New ones are added at the end, because a message's index in the list is its type number on the wire. */
 using FleetMessage = std::variant<Greeting, Pulse, AllowanceTransfer, RecordsRequest, RecordsTransfer, ForwardRequest, ForwardHead, ForwardData, ForwardEnd,
     ForwardFailed, ForwardCancel, RecordsUpdate, AllowanceRequest, RelayReport, RegionSummary, MessagePiece, ForwardFlow, ForwardResume, PromptEvidence,
-    ServerLimitsNotice>;
+    ServerLimitsNotice, duties::UsageNotice>;
 
 } // namespace snipeferry::gateway
--- a/include/snipeferry/gateway/fleetview.h
+++ b/include/snipeferry/gateway/fleetview.h
@@ -118,6 +118,12 @@
     /** @brief This instance and the members of its region that the store has announced, whether or not they were heard of. */
     std::vector<core::InstanceId> announcedRegionMembers() const;
 
+    /** @brief This instance and those of all regions that may be alive: heard of, or announced and not known to be gone. */
+    std::vector<core::InstanceId> possiblyLiveInstances() const;
+
+    /** @brief Regions of these instances, each once. */
+    std::vector<core::RegionId> liveRegions() const;
+
     /** @brief Whether another instance of a region was heard of recently and accepts callers. */
     bool hasReadyInstance(const core::RegionId &region) const;
 
--- a/include/snipeferry/gateway/forwardreceiver.h
+++ b/include/snipeferry/gateway/forwardreceiver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "snipeferry/duties/usagecounter.h"
 #include "snipeferry/gateway/answerprogress.h"
 #include "snipeferry/gateway/backendtable.h"
 #include "snipeferry/gateway/fleetview.h"
@@ -45,6 +46,9 @@
     void runEnd(Number run, AnswerEnd end) override;
     void runFailed(Number run, bool mayHaveRun, const std::string &reason) override;
 
+    /** @brief Sets the counter of runs that began; null counts none. It must outlive this object. */
+    void setUsageCounter(duties::UsageCounter *usage);
+
     /** @brief Number of forwarded requests that are running. */
     std::size_t openCount() const;
 
@@ -86,6 +90,10 @@
         core::ServiceId service;
         std::string route;
         core::VersionId version;
+        core::CustomerId customer;
+        /** Whether an engine runs it, whose runs begin with the first token. */
+        bool isEngineRun = false;
+        bool isUsageCounted = false;
         /** HTTP status of the backend server's answer; 0 before its head has arrived. */
         int status = 0;
         /** Time from the start of the run to the first data of the answer. */
@@ -135,6 +143,8 @@
     bool saysOfVersion(const ForwardedRun &forwardedRun, RunEnd end) const;
     /** Records when the first data of the answer arrived. */
     void noteFirstData(ForwardedRun &forwardedRun);
+    /** Counts the run, once: it has begun at its backend server. */
+    void countUsage(ForwardedRun &forwardedRun);
     /** Tells the quarantine that a run has failed. */
     void noteFailedRun(const ForwardedRun &forwardedRun, const std::string &reason);
     /** Cancels runs at their deadline. */
@@ -152,6 +162,7 @@
     RunTransport &m_runs;
     FleetLinks &m_links;
     Journal &m_journal;
+    duties::UsageCounter *m_usage = nullptr;
     absl::flat_hash_map<Number, ForwardedRun> m_forwardedRuns;
     std::vector<EndedRun> m_endedRuns;
     absl::Time m_refuseNewFrom = absl::InfiniteFuture();
--- a/include/snipeferry/gateway/gateway.h
+++ b/include/snipeferry/gateway/gateway.h
@@ -1,6 +1,9 @@
 #pragma once
 
 #include "snipeferry/core/signal.h"
+#include "snipeferry/duties/dutysettings.h"
+#include "snipeferry/duties/usageaggregator.h"
+#include "snipeferry/duties/usagecounter.h"
 #include "snipeferry/gateway/forwardreceiver.h"
 #include "snipeferry/gateway/reading.h"
 #include "snipeferry/gateway/records.h"
@@ -25,6 +28,8 @@
     RepeatBudgetSettings repeats;
     AllowanceSettings allowances;
     RolloutSettings rollouts;
+    /** Bounds of the duties of one instance at a time; without duties nothing of them runs. */
+    duties::DutySettings duties;
     ColdBounds cold;
     /** Longest time for which a backend server may get requests after the store accepted that it leaves. */
     absl::Duration serverDrainTime = absl::Seconds(3);
@@ -63,6 +68,13 @@
     Record record;
 };
 
+/** Emitted for the usage of this instance's region in a window that is over, which this instance has to write to the store. */
+struct RegionUsageClosed
+{
+    core::RegionId region;
+    duties::WindowUsage usage;
+};
+
 /** Emitted when a new deployment sets the limits for callers. */
 struct LimitsChanged
 {
@@ -151,6 +163,21 @@
     /** @brief Emitted for each record about a quarantined prompt part that this instance has to write. */
     core::Signal<RecordToStore> &recordToStore();
 
+    /** @brief Emitted for each window of usage that this instance has to write for its region. */
+    core::Signal<RegionUsageClosed> &regionUsageClosed();
+
+    /** @brief Clock of the usage windows; null if the settings have no duties. */
+    const duties::WallClock *usageClock() const;
+
+    /** @brief Sums of usage that were written may be lost with the history of the store. */
+    void usageStoreReturned();
+
+    /** @brief Number of live instances of the fleet that look after the holder of the duties before this one. */
+    std::size_t dutyWatchRank() const;
+
+    /** @brief Regions with at least one instance that may be alive. */
+    std::vector<core::RegionId> liveRegions() const;
+
     core::Signal<MembersChanged> &membersChanged();
     core::Signal<LimitsChanged> &limitsChanged();
 
@@ -245,6 +272,14 @@
     void handle(const core::InstanceId &from, const MessagePiece &message);
     void handle(const core::InstanceId &from, const PromptEvidence &message);
     void handle(const core::InstanceId &from, const ServerLimitsNotice &message);
+    void handle(const core::InstanceId &from, const duties::UsageNotice &message);
+
+    /** The instances of this region that sum up its usage, the first one first. */
+    std::vector<core::InstanceId> usageAggregators() const;
+    /** Tells this instance's usage to the aggregators of the region. */
+    void sendUsage();
+    /** Writes the region's usage of windows that are over, if this instance is the first aggregator. */
+    void closeUsageWindows();
 
     /** Checks the relays of this region and tells the components if they have changed. */
     void updateRelays();
@@ -284,6 +319,9 @@
     RunNumbers m_runNumbers;
     ServerPaths m_paths;
     ServerRestarts m_restarts;
+    /** Null if the settings have no duties. */
+    std::unique_ptr<duties::UsageCounter> m_usage;
+    std::unique_ptr<duties::UsageAggregator> m_usageAggregator;
     RequestFlow m_requestFlow;
     ForwardReceiver m_forwardReceiver;
     std::shared_ptr<const RouteTable> m_routes;
@@ -328,6 +366,9 @@
     core::Subscription m_lapsedServerTimer;
     core::Subscription m_newsTimer;
     core::Subscription m_quarantineStoreTimer;
+    core::Signal<RegionUsageClosed> m_regionUsageClosed;
+    core::Subscription m_usageTimer;
+    core::Subscription m_usageCloseTimer;
 };
 
 } // namespace snipeferry::gateway
--- a/include/snipeferry/gateway/requestflow.h
+++ b/include/snipeferry/gateway/requestflow.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "snipeferry/duties/usagecounter.h"
 #include "snipeferry/gateway/answermemory.h"
 #include "snipeferry/gateway/answerprogress.h"
 #include "snipeferry/gateway/backendtable.h"
@@ -56,6 +57,8 @@
     RunTransport &runs;
     FleetLinks &links;
     Journal &journal;
+    /** Counts the runs that began; null if the deployment reports no usage. */
+    duties::UsageCounter *usage = nullptr;
 };
 
 /**
@@ -171,6 +174,8 @@
         std::int64_t unreadTokens = 0;
         /** Whether the run has sent the first data of its answer. */
         bool isAnswering = false;
+        /** Whether the request counts as begun at a backend server of this instance; a repeated run does not count again. */
+        bool isUsageCounted = false;
         /** Expected time to the first data at a backend server that is as fast as its service. */
         absl::Duration expectedTime = absl::InfiniteDuration();
         /** Time from the start of the run to the first data of the answer. */
@@ -248,6 +253,10 @@
     void retryOrFail(Number number, bool mayHaveRun, RunEnd end, const std::string &reason);
     /** Continues an interrupted stream with a new run, after the last complete event. Returns false if that is not possible. */
     bool resumeStream(OpenRequest &open);
+    /** Counts a request that its backend server has begun to run, once. */
+    void countUsage(OpenRequest &open);
+    /** Whether an engine runs the request: such a run begins with its first token, one of a plain service when it is sent. */
+    static bool isEngineRun(const OpenRequest &open);
 
     // Answers, in requestanswer.cpp; close(), sweep() and findByRun() are in requestflow.cpp
 
--- a/include/snipeferry/net/gatewayprocess.h
+++ b/include/snipeferry/net/gatewayprocess.h
@@ -2,6 +2,7 @@
 
 #include "snipeferry/net/backendpool.h"
 #include "snipeferry/net/directorycodec.h"
+#include "snipeferry/net/dutyformat.h"
 #include "snipeferry/net/gatewaysettings.h"
 #include "snipeferry/net/httpserver.h"
 #include "snipeferry/net/peerlinks.h"
@@ -22,8 +23,11 @@
     const gateway::RecordCodec &records;
     const StoreFormat &store;
     const DirectoryCodec &directory;
+    const DutyFormat &duties;
 };
 
+class DutyClient;
+
 /** One gateway process: supervises the transport and the decision parts from start to stop. */
 class GatewayProcess
 {
@@ -62,6 +66,8 @@
     std::unique_ptr<PeerLinks> m_links;
     std::unique_ptr<gateway::Gateway> m_gateway;
     std::unique_ptr<StoreClient> m_store;
+    /** Null if the settings have no duties that the platform knows. */
+    std::shared_ptr<DutyClient> m_duties;
     HttpServer m_callers;
     HttpServer m_directory;
     HttpServer m_readiness;
--- a/include/snipeferry/net/storeclient.h
+++ b/include/snipeferry/net/storeclient.h
@@ -50,6 +50,9 @@
     /** @brief Starts to follow the topics and to announce this instance under a record. */
     void start(gateway::Record announcement);
 
+    /** @brief The store's era, for others that call the store. */
+    StoreEra &era();
+
     /** @brief Takes the announcement back. */
     void withdraw();
 
--- a/include/snipeferry/net/storeformat.h
+++ b/include/snipeferry/net/storeformat.h
@@ -62,6 +62,18 @@
     /** @brief Reads which record stood in the way of a guard. */
     virtual core::Expected<gateway::Record> decodeConflict(const std::string &body) const = 0;
 
+    /** @brief Reads records whose keys begin so, at most one page. @param mayBeOld takes an answer that is seconds old */
+    virtual gateway::HttpRequest readPrefix(const std::string &prefix, bool mayBeOld) const = 0;
+
+    /**
+     * @brief Writes a record if its key still has a revision, and removes others with it, all or nothing.
+     * @param expected the store's own revision of the key; 0 if there must be none
+     */
+    virtual gateway::HttpRequest swapRecord(const gateway::Record &record, core::Revision expected, const std::vector<std::string> &removedKeys) const = 0;
+
+    /** @brief Reads the store's own revision of a write. */
+    virtual core::Expected<core::Revision> decodeWritten(const std::string &body) const = 0;
+
     /** @brief Writes a record that goes with the lease. */
     virtual gateway::HttpRequest writeRecord(const gateway::Record &record, const Lease &lease) const = 0;
 };
--- a/source/gateway/fleetview.cpp
+++ b/source/gateway/fleetview.cpp
@@ -220,6 +220,30 @@
     return all;
 }
 
+std::vector<core::InstanceId> FleetView::possiblyLiveInstances() const
+{
+    std::vector<core::InstanceId> all{m_self.id};
+    for (const auto &entry : m_peers) {
+        if (mayBeAlive(entry.second)) {
+            all.push_back(entry.first);
+        }
+    }
+    return all;
+}
+
+std::vector<core::RegionId> FleetView::liveRegions() const
+{
+    std::vector<core::RegionId> regions{m_self.region};
+    for (const auto &entry : m_peers) {
+        if (mayBeAlive(entry.second)) {
+            regions.push_back(entry.second.member.region);
+        }
+    }
+    std::sort(regions.begin(), regions.end());
+    regions.erase(std::unique(regions.begin(), regions.end()), regions.end());
+    return regions;
+}
+
 std::vector<core::InstanceId> FleetView::instancesLatelyCutOff() const
 {
     std::vector<core::InstanceId> all{m_self.id};
--- a/source/gateway/forwardreceiver.cpp
+++ b/source/gateway/forwardreceiver.cpp
@@ -136,6 +136,8 @@
     forwardedRun.route = message.route;
     forwardedRun.version = m_backends.find(choice->server)->version;
     forwardedRun.priority = message.priority;
+    forwardedRun.customer = message.customer;
+    forwardedRun.isEngineRun = message.isStream || !message.request.promptParts.empty() || message.request.promptTokens > 0;
     forwardedRun.unreadTokens = choice->unreadTokens;
     forwardedRun.expectedTime = choice->nominalEstimate;
     forwardedRun.isStream = message.isStream;
@@ -172,6 +174,10 @@
     if (it == m_forwardedRuns.end()) {
         return;
     }
+    // A plain service runs what was sent to it, whether or not the answer is waited for.
+    if (end == RunEnd::Cancelled && !it->second.isEngineRun) {
+        countUsage(it->second);
+    }
     const ForwardedRun &forwardedRun = it->second;
     if (end == RunEnd::Unreachable && m_paths.isInDoubt(forwardedRun.service)) {
         end = RunEnd::OwnFailure;
@@ -326,8 +332,23 @@
     m_stopAt = stopAt;
 }
 
+void ForwardReceiver::setUsageCounter(duties::UsageCounter *usage)
+{
+    m_usage = usage;
+}
+
+void ForwardReceiver::countUsage(ForwardedRun &forwardedRun)
+{
+    if (m_usage == nullptr || forwardedRun.isUsageCounted || forwardedRun.customer.isEmpty()) {
+        return;
+    }
+    forwardedRun.isUsageCounted = true;
+    m_usage->began(forwardedRun.customer.value(), forwardedRun.isEngineRun ? m_timers.now() : forwardedRun.startedAt);
+}
+
 void ForwardReceiver::noteFirstData(ForwardedRun &forwardedRun)
 {
+    countUsage(forwardedRun);
     if (!forwardedRun.isAnswering) {
         forwardedRun.isAnswering = true;
         forwardedRun.timeToFirstData = m_timers.now() - forwardedRun.startedAt;
@@ -434,6 +455,10 @@
     if (it == m_forwardedRuns.end()) {
         return;
     }
+    // A request that was handed over and not refused may have begun; its answer is lost.
+    if (mayHaveRun && !isUnreached(reason)) {
+        countUsage(it->second);
+    }
     const ForwardedRun forwardedRun = it->second;
     noteFailedRun(forwardedRun, reason);
     end(run, endOfFailedRun(reason));
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -37,6 +37,10 @@
 constexpr absl::Duration NEWS_PERIOD = absl::Milliseconds(100);
 /** Interval at which records of quarantined parts that the store lacks are written again. News of a write take some seconds. */
 constexpr absl::Duration QUARANTINE_STORE_PERIOD = absl::Seconds(8);
+/** Interval at which the usage of this instance is told: an instance that dies takes at most the counts of one second with it, a fifth of a window. */
+constexpr absl::Duration USAGE_PERIOD = absl::Seconds(1);
+/** Interval at which windows that are over are looked for. */
+constexpr absl::Duration USAGE_CLOSE_PERIOD = absl::Milliseconds(250);
 
 } // namespace
 
@@ -60,9 +64,11 @@
           [this](const core::BackendServerId &server, bool isAfterCut) {
               return rendezvousRank(server.value(), m_settings.self.id, isAfterCut ? m_fleet.instancesLatelyCutOff() : m_fleet.regionInstances());
           }),
+      m_usage(m_settings.duties.duties.empty() ? nullptr : std::make_unique<duties::UsageCounter>(ports.timers, m_settings.duties.windowLength)),
+      m_usageAggregator(m_settings.duties.duties.empty() ? nullptr : std::make_unique<duties::UsageAggregator>(ports.timers, m_settings.duties.windowLength)),
       m_requestFlow(m_settings.flow,
           FlowDependencies{ports.timers, m_backends, m_paths, m_restarts, m_fleet, m_allowances, m_repeats, m_rollouts, m_quarantine, ports.headers,
-              m_runNumbers, ports.runs, ports.links, ports.journal}),
+              m_runNumbers, ports.runs, ports.links, ports.journal, m_usage.get()}),
       m_forwardReceiver(ports.timers, m_backends, m_paths, m_restarts, m_fleet, m_rollouts, m_quarantine, ports.headers, m_runNumbers, ports.runs, ports.links,
           ports.journal),
       m_regionPulseTimer(ports.timers.every(m_settings.regionPulsePeriod, [this] { sendRegionPulses(); })),
@@ -81,6 +87,11 @@
     m_backends.limits().setAnnouncementLifetime(m_settings.announcementLifetime);
     m_backends.coldPacing().setAnnouncementLifetime(m_settings.announcementLifetime);
     m_backends.coldPacing().setBounds(m_settings.cold);
+    if (m_usage != nullptr) {
+        m_forwardReceiver.setUsageCounter(m_usage.get());
+        m_usageTimer = ports.timers.every(USAGE_PERIOD, [this] { sendUsage(); });
+        m_usageCloseTimer = ports.timers.every(USAGE_CLOSE_PERIOD, [this] { closeUsageWindows(); });
+    }
     updateInstances();
 }
 
--- a/source/gateway/requestanswer.cpp
+++ b/source/gateway/requestanswer.cpp
@@ -114,6 +114,7 @@
     const absl::Time now = m_dependencies.timers.now();
     if (!open->server.isEmpty()) {
         m_dependencies.restarts.noteAnswer(open->server);
+        countUsage(*open);
     }
     if (!open->isAnswering) {
         open->isAnswering = true;
@@ -127,6 +128,20 @@
     relayData(*open, data);
 }
 
+void RequestFlow::countUsage(OpenRequest &open)
+{
+    if (m_dependencies.usage == nullptr || open.isUsageCounted || open.server.isEmpty() || open.customer.isEmpty()) {
+        return;
+    }
+    open.isUsageCounted = true;
+    m_dependencies.usage->began(open.customer.value(), isEngineRun(open) ? m_dependencies.timers.now() : open.runStartedAt);
+}
+
+bool RequestFlow::isEngineRun(const OpenRequest &open)
+{
+    return open.route.isStream || !open.request.promptParts.empty() || open.request.promptTokens > 0;
+}
+
 void RequestFlow::relayData(OpenRequest &open, const std::string &data)
 {
     if (!isEventStream(open)) {
@@ -252,6 +267,7 @@
     if (hasEndedWell) {
         noteEndedRun(*open, end);
     }
+    countUsage(*open);
     if (!open->isAnswering && !open->server.isEmpty()) {
         open->isAnswering = true;
         open->timeToFirstData = m_dependencies.timers.now() - open->runStartedAt;
@@ -289,6 +305,10 @@
 {
     OpenRequest *open = findByRun(run);
     if (open != nullptr) {
+        // A request that was handed over and not refused may have begun; its answer is lost.
+        if (mayHaveRun && !isUnreached(reason)) {
+            countUsage(*open);
+        }
         noteFailedRun(*open, reason);
         retryOrFail(open->number, mayHaveRun, endOfFailedRun(reason), reason);
     }
--- a/source/gateway/requestplacement.cpp
+++ b/source/gateway/requestplacement.cpp
@@ -267,6 +267,10 @@
         return;
     }
     if (!open.server.isEmpty()) {
+        // A plain service runs what was sent to it, whether or not the answer is waited for.
+        if (end == RunEnd::Cancelled && !isEngineRun(open)) {
+            countUsage(open);
+        }
         // What an instance that is cut off does not reach says nothing about the backend servers.
         if (end == RunEnd::Unreachable && m_dependencies.paths.isInDoubt(open.service)) {
             end = RunEnd::OwnFailure;
--- a/source/net/fleetcodec.cpp
+++ b/source/net/fleetcodec.cpp
@@ -54,7 +54,7 @@
     const bool isNews = std::holds_alternative<gateway::Pulse>(message) || std::holds_alternative<gateway::AllowanceTransfer>(message)
         || std::holds_alternative<gateway::RecordsTransfer>(message) || std::holds_alternative<gateway::RecordsUpdate>(message)
         || std::holds_alternative<gateway::RelayReport>(message) || std::holds_alternative<gateway::RegionSummary>(message)
-        || std::holds_alternative<gateway::PromptEvidence>(message);
+        || std::holds_alternative<gateway::PromptEvidence>(message) || std::holds_alternative<duties::UsageNotice>(message);
     return isNews && size >= MIN_COMPRESSED_BYTES;
 }
 
--- a/source/net/gatewayprocess.cpp
+++ b/source/net/gatewayprocess.cpp
@@ -1,5 +1,6 @@
 #include "snipeferry/net/gatewayprocess.h"
 
+#include "dutyclient.h"
 #include "snipeferry/net/processname.h"
 
 #include <absl/strings/str_cat.h>
@@ -154,6 +155,13 @@
         m_gateway->received(from, message);
     };
     m_links = std::make_unique<PeerLinks>(m_loop, self, std::move(events), m_journal);
+    duties::DutySettings &duties = m_settings.gateway.duties;
+    if (!m_adapter.duties.reportsUsage(duties.duties)) {
+        if (!duties.duties.empty()) {
+            m_journal.log(core::LogEvent{"duties_unknown", {}}.with("duties", absl::StrJoin(duties.duties, ",")));
+        }
+        duties.duties.clear();
+    }
     m_gateway = std::make_unique<gateway::Gateway>(
         m_settings.gateway, gateway::GatewayPorts{m_loop.timers(), m_adapter.headers, m_adapter.records, m_pool, *m_links, m_journal});
     m_pool.setEvents(*m_gateway);
@@ -161,6 +169,9 @@
     m_gateway->limitsChanged().subscribe([this](const gateway::LimitsChanged &change) { m_callers.setLimits(change.limits); });
     m_settings.store.readMemory = m_readMemory;
     m_store = std::make_unique<StoreClient>(m_loop, m_settings.store, m_adapter.store, m_adapter.records, *m_gateway, m_journal);
+    if (!duties.duties.empty()) {
+        m_duties = std::make_shared<DutyClient>(m_loop, m_settings.store, duties, m_adapter.store, m_adapter.duties, m_store->era(), *m_gateway, m_journal);
+    }
 }
 
 GatewayProcess::~GatewayProcess() = default;
@@ -238,6 +249,9 @@
     announcement.key = m_adapter.records.memberKey(self.id);
     announcement.value = m_adapter.records.encodeMember(self);
     m_store->start(announcement);
+    if (m_duties != nullptr) {
+        m_duties->start(self);
+    }
     m_loopCheckDue = m_loop.timers().now() + LOOP_CHECK_PERIOD;
     m_loopCheckTimer = m_loop.timers().every(LOOP_CHECK_PERIOD, [this] { checkLoopDelay(); });
 }
--- a/source/net/gatewaysettings.cpp
+++ b/source/net/gatewaysettings.cpp
@@ -26,6 +26,21 @@
 constexpr double MIN_CPU_SHARE = 0.001;
 constexpr double MAX_CPU_SHARE = 1024.0;
 
+/** Shorter ones cannot be kept; a deployment that states them is served, and its duties are not. */
+constexpr absl::Duration MIN_DUTY_TIME = absl::Milliseconds(100);
+
+/** The bounds of the duties, which a deployment may state without having any. */
+void readDutyBounds(YamlMap &promises, duties::DutySettings &settings)
+{
+    settings.callsPerSecond = promises.number("duty_calls_per_second", 0.0, MAX_QUANTITY, settings.callsPerSecond);
+    settings.leaseTime = std::max(MIN_DUTY_TIME, promises.duration("duty_lease", absl::ZeroDuration(), LONGEST, settings.leaseTime));
+    settings.resumeTime = promises.duration("duty_resume", absl::ZeroDuration(), LONGEST, settings.resumeTime);
+    settings.windowLength = std::max(MIN_DUTY_TIME, promises.duration("usage_window", absl::ZeroDuration(), LONGEST, settings.windowLength));
+    settings.reportTime = std::max(MIN_DUTY_TIME, promises.duration("usage_report_time", absl::ZeroDuration(), LONGEST, settings.reportTime));
+    settings.tolerance = promises.number("usage_tolerance", 0.0, MAX_RATIO, settings.tolerance);
+    settings.isFenceRequired = promises.flag("duty_require_fence", settings.isFenceRequired);
+}
+
 core::Expected<GatewayProcessSettings> read(YamlDocument &document)
 {
     GatewayProcessSettings settings;
@@ -78,6 +93,7 @@
     gateway.cold.slack = promises.number("cold_slack", 0.0, MAX_QUANTITY, gateway.cold.slack);
     settings.directoryTimeToLive = promises.duration("directory_time_to_live", absl::ZeroDuration(), LONGEST, settings.directoryTimeToLive);
     settings.stopGrace = promises.duration("stop_grace", absl::ZeroDuration(), LONGEST, settings.stopGrace);
+    readDutyBounds(promises, gateway.duties);
     promises.finish();
 
     YamlMap store = root.map("store");
@@ -92,6 +108,13 @@
     settings.store.memberWait = store.duration("member_wait", MIN_STORE_WAIT, absl::Seconds(30), settings.store.memberWait);
     store.finish();
 
+    if (root.has("duties")) {
+        YamlMap duties = root.map("duties");
+        gateway.duties.address = duties.address("address");
+        gateway.duties.duties = duties.texts("list");
+        duties.finish();
+    }
+
     YamlMap log = root.map("log");
     settings.journal.linesPerSecond = static_cast<int>(log.integer("lines_per_second", 0, 100000, settings.journal.linesPerSecond));
     log.finish();
@@ -142,6 +165,7 @@
         {"store.operator_wait", settings.store.operatorWait == fresh.store.operatorWait},
         {"store.backend_server_wait", settings.store.backendServerWait == fresh.store.backendServerWait},
         {"store.member_wait", settings.store.memberWait == fresh.store.memberWait},
+        {"duties", before.duties == after.duties},
         {"promises.key_withdrawal", before.flow.keyWithdrawalTime == after.flow.keyWithdrawalTime},
         {"machine.memory_mb", settings.machine.memoryMb == fresh.machine.memoryMb},
         {"machine.cpu_share", settings.machine.cpuShare == fresh.machine.cpuShare},
--- a/source/net/storeclient.cpp
+++ b/source/net/storeclient.cpp
@@ -285,6 +285,11 @@
     m_announcer->start(std::move(announcement));
 }
 
+StoreEra &StoreClient::era()
+{
+    return *m_era;
+}
+
 void StoreClient::withdraw()
 {
     m_announcer->withdraw();
--- a/tests/net/gatewaytemplatetest.cpp
+++ b/tests/net/gatewaytemplatetest.cpp
@@ -111,7 +111,8 @@
 TEST_CASE("a process starts with every form of number that a deployment may state for a bound")
 {
     const std::string path = GENERATE("bounds.revokeMs", "bounds.drainMs", "bounds.retryRatio", "bounds.quotaSlack", "bounds.quotaExcess", "bounds.retrySlack",
-        "bounds.budgetWindowS", "bounds.graceS", "beatIntervalMs", "limits.memoryMb", "limits.cpuShare");
+        "bounds.budgetWindowS", "bounds.graceS", "bounds.leaseMs", "bounds.thawMs", "bounds.reportWindowS", "bounds.usageLateS", "bounds.usageTolerance",
+        "beatIntervalMs", "limits.memoryMb", "limits.cpuShare");
     const std::vector<std::string> parts = absl::StrSplit(path, '.');
     const bool isBound = parts[0] == "bounds" || parts.size() == 1;
     Json fields = deploymentFields();
@@ -135,6 +136,34 @@
     }
 }
 
+TEST_CASE("a deployment with duties has their address, list and bounds in the settings, and one without has none")
+{
+    Json fields = deploymentFields();
+    REQUIRE(settingsOf(fields));
+    CHECK(settingsOf(fields)->gateway.duties == duties::DutySettings());
+    fields["cloudApi"] = {{"address", "10.9.0.2:81"}, {"duties", {"metering", "autoscale"}}, {"dutyPerS", 40}};
+    fields["bounds"]["leaseMs"] = 2000;
+    fields["bounds"]["thawMs"] = 250;
+    fields["bounds"]["reportWindowS"] = 4;
+    fields["bounds"]["usageLateS"] = 9;
+    fields["bounds"]["usageTolerance"] = 0.1;
+    fields["bounds"]["requireFence"] = true;
+    core::Expected<net::GatewayProcessSettings> settings = settingsOf(fields);
+    INFO((settings ? "" : settings.error().message));
+    REQUIRE(settings);
+    const duties::DutySettings expected{
+        "10.9.0.2:81", {"metering", "autoscale"}, 40, absl::Seconds(2), absl::Milliseconds(250), absl::Seconds(4), absl::Seconds(9), 0.1, true};
+    CHECK(settings->gateway.duties == expected);
+    // An address without duties: the process starts, and has none.
+    fields["cloudApi"].erase("duties");
+    settings = settingsOf(fields);
+    INFO((settings ? "" : settings.error().message));
+    REQUIRE(settings);
+    CHECK(settings->gateway.duties.duties.empty());
+    fields["cloudApi"]["duties"] = Json::array();
+    CHECK(settingsOf(fields));
+}
+
 TEST_CASE("a tolerance is a quantity and need not be whole")
 {
     Json fields = deploymentFields();
