--- a/tests/duties/dutyholdertest.cpp
+++ b/tests/duties/dutyholdertest.cpp
@@ -177,6 +177,10 @@
     for (std::uint64_t seed = 1; seed <= 400; ++seed) {
         DutyWorld world(seed, 4);
         world.changedUsage = 0.5;
+        for (const std::unique_ptr<DutyNode> &node : world.nodes) {
+            node->timers.skew = world.chance(0.3) ? world.between(-2000, 2000) : absl::ZeroDuration();
+            node->restart();
+        }
         for (int step = 0; step < 40; ++step) {
             world.lostRequest = world.chance(0.3) ? 0.3 : 0.02;
             world.lostAnswer = world.chance(0.3) ? 0.4 : 0.02;
@@ -197,7 +201,7 @@
                 }
             }
             if (world.chance(0.04)) {
-                world.restore(world.between(0, 20000));
+                world.restore(world.chance(0.2) ? absl::Hours(1) : world.between(0, 20000));
             }
             world.run(world.between(200, 5000));
         }
