--- a/tests/users-platform/usersfixture.cpp
+++ b/tests/users-platform/usersfixture.cpp
@@ -112,11 +112,11 @@
     return m_thread.loop();
 }
 
-void UsersFixture::startGateway(const std::string &storeAddress)
+void UsersFixture::startGateway(const std::string &storeAddress, const std::string &moreSettings)
 {
     const std::string settings
         = gatewaySettingsText({"gw-1", "north-1", "north"}, m_addresses, storeAddress.empty() ? m_wayToStore->address() : storeAddress, {{"north-1", "north"}});
-    const std::string file = m_folder.write("gw-1.yaml", settings);
+    const std::string file = m_folder.write("gw-1.yaml", settings + moreSettings);
     m_gateway = std::make_unique<Process>(PROGRAM, std::vector<std::string>{"--settings", file}, m_folder.path("gw-1.log"));
 }
 
--- a/tests/users-platform/usersfixture.h
+++ b/tests/users-platform/usersfixture.h
@@ -32,8 +32,9 @@
     /**
      * @brief Starts the gateway; does not wait.
      * @param storeAddress where it finds its store; empty: the fixture's
+     * @param moreSettings text behind the settings that every gateway gets
      */
-    void startGateway(const std::string &storeAddress = "");
+    void startGateway(const std::string &storeAddress = "", const std::string &moreSettings = "");
 
     /** @brief Waits until the platform's readiness check is answered with 200. */
     bool isReadyWithin(absl::Duration limit) const;
