--- a/include/snipeferry/gateway/backendtable.h
+++ b/include/snipeferry/gateway/backendtable.h
@@ -226,7 +226,8 @@
      * @brief Records that a run was dispatched to a backend server.
      * @return what answered() needs to learn from the run how fast the backend server is
      */
-    serverload::RunStart started(const core::BackendServerId &id, int priority, std::int64_t unreadTokens, const std::vector<PromptPart> &parts, std::int64_t ownTokens = 0);
+    serverload::RunStart started(
+        const core::BackendServerId &id, int priority, std::int64_t unreadTokens, const std::vector<PromptPart> &parts, std::int64_t ownTokens = 0);
     /**
      * @brief Records the first data of a run's answer and the time that it took.
      * @param start what started() returned for the run; without it the run says nothing about the backend server's reading rate
--- a/source/gateway/forwardreceiver.cpp
+++ b/source/gateway/forwardreceiver.cpp
@@ -139,6 +139,8 @@
     forwardedRun.route = message.route;
     forwardedRun.version = m_backends.find(choice->server)->version;
     forwardedRun.priority = message.priority;
+    forwardedRun.customer = message.customer;
+    forwardedRun.isEngineRun = message.isStream || !message.request.promptParts.empty() || message.request.promptTokens > 0;
     forwardedRun.unreadTokens = choice->unreadTokens;
     forwardedRun.ownTokens = query.ownTokens;
     forwardedRun.expectedTime = choice->nominalEstimate;
@@ -159,8 +161,7 @@
     headers.memorySource = choice->memorySource;
     HttpRequest request = message.request.http;
     m_headers.encodeRun(request, headers);
-    const serverload::RunStart start
-        = m_backends.started(choice->server, message.priority, choice->unreadTokens, message.request.promptParts, query.ownTokens);
+    const serverload::RunStart start = m_backends.started(choice->server, message.priority, choice->unreadTokens, message.request.promptParts, query.ownTokens);
     if (choice->memorySource.empty()) {
         m_forwardedRuns.at(run).serverStart = start;
     }
@@ -182,6 +183,10 @@
     if (it == m_forwardedRuns.end()) {
         return;
     }
+    // A plain service runs what was sent to it, whether or not the answer is waited for.
+    if (end == RunEnd::Cancelled && !it->second.isEngineRun) {
+        countUsage(it->second);
+    }
     const ForwardedRun &forwardedRun = it->second;
     if (end == RunEnd::Unreachable && m_paths.isInDoubt(forwardedRun.service)) {
         end = RunEnd::OwnFailure;
@@ -336,8 +341,23 @@
     m_stopAt = stopAt;
 }
 
+void ForwardReceiver::setUsageCounter(duties::UsageCounter *usage)
+{
+    m_usage = usage;
+}
+
+void ForwardReceiver::countUsage(ForwardedRun &forwardedRun)
+{
+    if (m_usage == nullptr || forwardedRun.isUsageCounted || forwardedRun.customer.isEmpty()) {
+        return;
+    }
+    forwardedRun.isUsageCounted = true;
+    m_usage->began(forwardedRun.customer.value(), forwardedRun.isEngineRun ? m_timers.now() : forwardedRun.startedAt);
+}
+
 void ForwardReceiver::noteFirstData(ForwardedRun &forwardedRun)
 {
+    countUsage(forwardedRun);
     if (!forwardedRun.isAnswering) {
         forwardedRun.isAnswering = true;
         forwardedRun.timeToFirstData = m_timers.now() - forwardedRun.startedAt;
@@ -450,6 +470,10 @@
     if (it == m_forwardedRuns.end()) {
         return;
     }
+    // A request that was handed over and not refused may have begun; its answer is lost.
+    if (mayHaveRun && !isUnreached(reason)) {
+        countUsage(it->second);
+    }
     const ForwardedRun forwardedRun = it->second;
     noteFailedRun(forwardedRun, reason);
     end(run, endOfFailedRun(reason));
--- a/source/gateway/requestplacement.cpp
+++ b/source/gateway/requestplacement.cpp
@@ -201,8 +201,7 @@
     headers.memorySource = choice.memorySource;
     HttpRequest request = open.request.http;
     m_dependencies.headers.encodeRun(request, headers);
-    open.serverStart
-        = m_dependencies.backends.started(choice.server, open.priority, choice.unreadTokens, open.request.promptParts, ownTokensOf(open.request));
+    open.serverStart = m_dependencies.backends.started(choice.server, open.priority, choice.unreadTokens, open.request.promptParts, ownTokensOf(open.request));
     if (!choice.memorySource.empty()) {
         // The time to the first data contains that for copying, so it says nothing about the reading rate.
         open.serverStart = {};
@@ -275,6 +274,10 @@
         return;
     }
     if (!open.server.isEmpty()) {
+        // A plain service runs what was sent to it, whether or not the answer is waited for.
+        if (end == RunEnd::Cancelled && !isEngineRun(open)) {
+            countUsage(open);
+        }
         // What an instance that is cut off does not reach says nothing about the backend servers.
         if (end == RunEnd::Unreachable && m_dependencies.paths.isInDoubt(open.service)) {
             end = RunEnd::OwnFailure;
