--- a/include/snipeferry/duties/dutyholder.h
+++ b/include/snipeferry/duties/dutyholder.h
@@ -86,7 +86,7 @@
     std::optional<HolderReading> m_seen;
     absl::Time m_seenSince;
     bool m_isReadingHolder = false;
-    absl::Time m_holderReadAt = absl::InfinitePast();
+    absl::Time m_nextHolderRead = absl::InfinitePast();
     /** Whether the answer to an acquiring write was lost. */
     bool m_isAcquisitionUnknown = false;
     /** Until when this instance leaves the duties to others, because it did not reach the interface. */
--- a/source/duties/dutyholder.cpp
+++ b/source/duties/dutyholder.cpp
@@ -105,11 +105,11 @@
     if (m_isSwapping || m_isReadingHolder) {
         return;
     }
-    const absl::Duration period = m_isAcquisitionUnknown ? MIN_SWAP_INTERVAL : m_fleet.watchRank() < NEAR_WATCHERS ? NEAR_WATCH_PERIOD : FAR_WATCH_PERIOD;
-    if (now - m_holderReadAt < period) {
+    if (now < m_nextHolderRead) {
         return;
     }
-    m_holderReadAt = now;
+    // The rank costs a hash for each instance, so it is determined once for each read.
+    m_nextHolderRead = now + (m_isAcquisitionUnknown ? MIN_SWAP_INTERVAL : m_fleet.watchRank() < NEAR_WATCHERS ? NEAR_WATCH_PERIOD : FAR_WATCH_PERIOD);
     m_isReadingHolder = true;
     m_port.readHolder();
 }
@@ -188,6 +188,9 @@
 {
     const absl::Time now = m_timers.now();
     m_isAcquisitionUnknown = answer.outcome == SwapAnswer::Outcome::Unknown;
+    if (m_isAcquisitionUnknown) {
+        m_nextHolderRead = std::min(m_nextHolderRead, now + MIN_SWAP_INTERVAL);
+    }
     if (answer.outcome == SwapAnswer::Outcome::Conflict) {
         m_seen = answer.stored;
         m_seenSince = now;
@@ -252,7 +255,7 @@
     m_isHolding = false;
     m_seen.reset();
     m_usage.clear();
-    m_holderReadAt = absl::InfinitePast();
+    m_nextHolderRead = absl::InfinitePast();
     m_journal.count("duty_losses_total", reason, 1);
     m_journal.log(core::LogEvent{"duty_lost", {}}
                       .with("reason", reason)
