--- a/tests/gateway/fixture.h
+++ b/tests/gateway/fixture.h
@@ -21,7 +21,12 @@
 /** A gateway in region "north" with test doubles around it. */
 struct GatewayFixture
 {
-    explicit GatewayFixture(const gateway::GatewaySettings &own = settings())
+    GatewayFixture()
+        : GatewayFixture(settings())
+    {
+    }
+
+    explicit GatewayFixture(const gateway::GatewaySettings &own)
         : gateway(own, gateway::GatewayPorts{timers, headers, records, runs, links, journal})
     {
         timers.advance(absl::Seconds(1));
