Uneven regions: stated read rates, spread of forwards, room for bound requests, forwards to unconfirmed instances

Forwards were estimated with 45 and 120 tokens per ms for every region, each sender counted its own forwards alone and for one instance of the region, and equal estimates went to the first instance by name. Pulses now state the read rates (45 for each accepting server until servers' own rates are known); forwards count at each instance of the region until its next pulse, as often as the own region has live instances; equal estimates are decided by open forwards and at random. A request that may run anywhere makes room for bound requests that wait long.

With the store in trouble no instance of an idle region was found, because instances whose deployment is not confirmed say that they are not ready and FleetView::choose left them out. Pulses now state apart that an instance runs forwarded requests.

Effect on a fleet: not measured.

--- a/include/snipeferry/core/value.h
+++ b/include/snipeferry/core/value.h
@@ -63,6 +63,28 @@
         nlohmann_json_t.added = nlohmann_json_j.value(#added, decltype(nlohmann_json_t.added)());                                                              \
     }
 
+/** As SNIPEFERRY_EXTENDED_VALUE, with a bool that earlier builds do not know either. It is left out where it is false, and false where it is missing. */
+#define SNIPEFERRY_EXTENDED_FLAG_VALUE(Type, added, flag, ...)                                                                                                 \
+    SNIPEFERRY_COMPARED_BY(Type, __VA_ARGS__, added, flag)                                                                                                     \
+    template<typename BasicJson>                                                                                                                               \
+    friend void to_json(BasicJson &nlohmann_json_j, const Type &nlohmann_json_t)                                                                               \
+    {                                                                                                                                                          \
+        NLOHMANN_JSON_EXPAND(NLOHMANN_JSON_PASTE(NLOHMANN_JSON_TO, __VA_ARGS__))                                                                               \
+        if (!nlohmann_json_t.added.empty()) {                                                                                                                  \
+            nlohmann_json_j[#added] = nlohmann_json_t.added;                                                                                                   \
+        }                                                                                                                                                      \
+        if (nlohmann_json_t.flag) {                                                                                                                            \
+            nlohmann_json_j[#flag] = true;                                                                                                                     \
+        }                                                                                                                                                      \
+    }                                                                                                                                                          \
+    template<typename BasicJson>                                                                                                                               \
+    friend void from_json(const BasicJson &nlohmann_json_j, Type &nlohmann_json_t)                                                                             \
+    {                                                                                                                                                          \
+        NLOHMANN_JSON_EXPAND(NLOHMANN_JSON_PASTE(NLOHMANN_JSON_FROM, __VA_ARGS__))                                                                             \
+        nlohmann_json_t.added = nlohmann_json_j.value(#added, decltype(nlohmann_json_t.added)());                                                              \
+        nlohmann_json_t.flag = nlohmann_json_j.value(#flag, false);                                                                                            \
+    }
+
 namespace nlohmann {
 
 template<typename Tag>
--- a/include/snipeferry/gateway/backendtable.h
+++ b/include/snipeferry/gateway/backendtable.h
@@ -201,6 +201,12 @@
     /** @brief Shortest expected wait of a request without prompt, by urgency level; empty if no backend server is usable. */
     std::vector<absl::Duration> leastWaits(const core::ServiceId &service);
 
+    /**
+     * @brief Prompt tokens that the service's backend servers read in a millisecond: the least loaded usable one, and all usable ones together.
+     * @return empty if no backend server is usable
+     */
+    std::vector<double> readRates(const core::ServiceId &service);
+
     /** @brief Records that a run was dispatched to a backend server. */
     void started(const core::BackendServerId &id, int priority, std::int64_t unreadTokens, const std::vector<PromptPart> &parts);
     /** @brief Records the first data of a run's answer and the time that it took. */
--- a/include/snipeferry/gateway/fleetmessages.h
+++ b/include/snipeferry/gateway/fleetmessages.h
@@ -30,8 +30,12 @@
     core::ServiceId service;
     /** Expected wait at the least loaded backend server, one entry per urgency level. */
     std::vector<absl::Duration> waits;
+    /**
+     * Prompt tokens that are read in a millisecond: by the least loaded usable backend server, and by all usable ones together. Empty from earlier builds.
+     */
+    std::vector<double> readRates = {};
 
-    SNIPEFERRY_VALUE(ServiceRoom, service, waits)
+    SNIPEFERRY_EXTENDED_VALUE(ServiceRoom, readRates, service, waits)
 };
 
 /** State of the sender's copy of one topic. */
@@ -66,8 +70,13 @@
     std::vector<RolloutReport> rollouts;
     /** Services none of whose backend servers the sender can reach. */
     std::vector<core::ServiceId> lostServices;
+    /**
+     * Whether the sender runs forwarded requests although it does not accept callers, because its deployment was not confirmed lately. Only their origin
+     * checks keys. Earlier builds do not send it: they run forwarded requests only while they accept callers.
+     */
+    bool takesForwards = false;
 
-    SNIPEFERRY_EXTENDED_VALUE(Pulse, lostServices, sentAt, echo, isReady, topics, rooms, work, readParts, allowances, rollouts)
+    SNIPEFERRY_EXTENDED_FLAG_VALUE(Pulse, lostServices, takesForwards, sentAt, echo, isReady, topics, rooms, work, readParts, allowances, rollouts)
 };
 
 /** Transfers customers' tokens to the receiver. The sender has already debited them. */
--- a/include/snipeferry/gateway/fleetview.h
+++ b/include/snipeferry/gateway/fleetview.h
@@ -8,11 +8,15 @@
 #include <absl/container/flat_hash_set.h>
 
 #include <map>
+#include <random>
 #include <string>
 #include <vector>
 
 namespace snipeferry::gateway {
 
+/** Network round trip to another region, including the connection setup there. */
+constexpr absl::Duration REGION_ROUND_TRIP = absl::Milliseconds(125);
+
 /** Requirements for the choice of an instance of another region. */
 struct RemoteQuery
 {
@@ -133,7 +137,12 @@
     std::vector<std::string> callerAddresses(
         const core::RegionId &region, const core::DataCentreId &dataCentre, bool isSelfReady, bool isSelfCutOff = false) const;
 
-    /** @brief Chooses the instance of another region with the shortest expected time for a request. */
+    /**
+     * @brief Chooses the instance of another region with the shortest expected time for a request.
+     *
+     * What was forwarded since a region's last pulse is added to its waits, as if each instance of this region had forwarded as much as this one. Between
+     * instances with equal estimates the one with the fewest open forwarded requests is chosen, and between those a random one.
+     */
     core::Expected<RemoteChoice> choose(const RemoteQuery &query) const;
 
     /**
@@ -143,7 +152,7 @@
      */
     core::Expected<RemoteChoice> chooseNeighbour(const core::ServiceId &service, const std::vector<core::InstanceId> &excluded) const;
 
-    /** @brief Counts a forwarded request until forwardEnded(), and its prompt tokens until the next pulse. */
+    /** @brief Counts a forwarded request until forwardEnded(), and its prompt tokens until each instance of the region has sent a later pulse. */
     void forwardStarted(const core::InstanceId &id, const core::ServiceId &service, std::int64_t promptTokens);
     void forwardEnded(const core::InstanceId &id);
 
@@ -159,6 +168,8 @@
         ProcessId linkedProcess;
         /** Whether the last pulse said that the instance accepts callers. */
         bool isReady = false;
+        /** Whether the last pulse said that the instance runs forwarded requests. */
+        bool takesForwards = false;
         /** Time of the last pulse, or of the link's start. */
         absl::Time lastHeardAt = absl::InfinitePast();
         /** The sentAt of the last pulse received; returned to the peer as echo. */
@@ -181,10 +192,14 @@
         int openForwards = 0;
         /** All requests forwarded to the peer. */
         std::uint64_t forwards = 0;
-        /** Prompt tokens forwarded since the last pulse; the waits in rooms do not include them yet. */
+        /** Prompt tokens forwarded to the peer's region that the waits in rooms do not include yet. */
         absl::flat_hash_map<core::ServiceId, std::int64_t> unreportedTokens;
     };
 
+    /** Instances of this region, this one included: they have the same picture of the others, and get equal parts of its callers. */
+    int countSenders() const;
+    /** Adds the prompt tokens of a forwarded request to what the region's waits do not include yet. */
+    void noteForwardedTokens(const core::RegionId &region, const core::ServiceId &service, std::int64_t promptTokens);
     void setLostServices(Peer &peer, const std::vector<core::ServiceId> &services);
     bool shouldLink(const Member &member) const;
     /** Decides to which members this instance keeps links, if the announcements or the relays have changed since the last time. */
@@ -204,6 +219,10 @@
     Member m_self;
     core::TimerService &m_timers;
     std::map<core::InstanceId, Peer> m_peers;
+    /** For the choice between instances with equal estimates. */
+    mutable std::mt19937_64 m_random;
+    mutable int m_senders = 1;
+    mutable absl::Time m_sendersCountedAt = absl::InfinitePast();
     std::vector<core::InstanceId> m_relays;
     absl::Time m_summaryReceivedAt = absl::InfinitePast();
     /** Derived from the announcements and the relays on demand: each costs a hash for each pair of members. */
--- a/include/snipeferry/gateway/gateway.h
+++ b/include/snipeferry/gateway/gateway.h
@@ -132,6 +132,12 @@
 
     /** @brief Whether this instance accepts callers: it has a recently confirmed deployment, has read the backend servers, and is not draining. */
     bool isReady() const;
+    /**
+     * @brief Whether the instance runs requests that others forward to it: it has a deployment, has read the backend servers and is not draining.
+     *
+     * The deployment need not be confirmed: the origin has admitted the request under its own confirmation.
+     */
+    bool takesForwards() const;
 
     /** @brief Starts the shutdown: the instance reports itself as not ready, and open requests have the given time to complete. */
     void drain(absl::Duration timeLeft);
--- a/include/snipeferry/gateway/requestflow.h
+++ b/include/snipeferry/gateway/requestflow.h
@@ -17,6 +17,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <array>
 #include <memory>
 #include <random>
 #include <string>
@@ -233,6 +234,10 @@
     core::Expected<void> place(OpenRequest &open);
     /** Selects another instance of the region for a request that cannot reach the backend servers from here, though one of them could take it. */
     core::Expected<RemoteChoice> chooseNeighbour(const OpenRequest &open, const core::Expected<ServerChoice> &localChoice) const;
+    /** Records that a request arrived whose regions are restricted and that may run in this region. */
+    void noteBoundRequest(const OpenRequest &open);
+    /** Whether requests that are bound to some regions arrived lately for the service, and wait here for long or would behind this request. */
+    bool shouldMakeRoom(const OpenRequest &open, absl::Duration localWait);
     void startLocally(OpenRequest &open, const ServerChoice &choice);
     void startForwarded(OpenRequest &open, const RemoteChoice &choice, const VersionChoice &versions);
     /** Forgets the current run and updates the statistics of its backend server and rollout. */
@@ -285,6 +290,17 @@
     static std::string stageOf(const OpenRequest &open);
     core::LogEvent makeLogEvent(const std::string &name, const OpenRequest &open) const;
 
+    /** Requests of one service whose regions are restricted. */
+    struct BoundRequests
+    {
+        /** When the last one of each urgency level arrived, and the shortest objective of those. */
+        std::array<absl::Time, URGENCY_LEVELS> seenAt;
+        std::array<absl::Duration, URGENCY_LEVELS> objectives;
+        /** Result of the last comparison with the waits in this region. */
+        bool doWaitLong = false;
+        absl::Time comparedAt = absl::InfinitePast();
+    };
+
     FlowSettings m_settings;
     FlowDependencies m_dependencies;
     std::shared_ptr<const RouteTable> m_routes;
@@ -297,6 +313,7 @@
     AnswerMemory m_answerMemory;
     absl::flat_hash_map<Number, OpenRequestPointer> m_openRequests;
     absl::flat_hash_map<Number, Number> m_requestByRun;
+    absl::flat_hash_map<core::ServiceId, BoundRequests> m_boundRequests;
     Number m_lastNumber = 0;
     std::mt19937_64 m_random;
     core::Subscription m_sweepTimer;
--- a/source/gateway/backendtable.cpp
+++ b/source/gateway/backendtable.cpp
@@ -21,6 +21,8 @@
 /** Weights of a new sample in the moving averages of a backend server and of a service. */
 constexpr double SERVER_SMOOTHING = 0.1;
 constexpr double SERVICE_SMOOTHING = 0.02;
+/** Prompt tokens that an engine is taken to read in a millisecond while its own rate is not known. */
+constexpr double DEFAULT_TOKENS_PER_MS = 45.0;
 
 } // namespace
 
@@ -365,6 +367,15 @@
     return least;
 }
 
+std::vector<double> BackendTable::readRates(const core::ServiceId &service)
+{
+    const std::size_t servers = acceptingServers(service).size();
+    if (servers == 0) {
+        return {};
+    }
+    return {DEFAULT_TOKENS_PER_MS, DEFAULT_TOKENS_PER_MS * static_cast<double>(servers)};
+}
+
 void BackendTable::started(const core::BackendServerId &id, int priority, std::int64_t unreadTokens, const std::vector<PromptPart> &parts)
 {
     refreshPeerWork();
--- a/source/gateway/fleetview.cpp
+++ b/source/gateway/fleetview.cpp
@@ -5,6 +5,8 @@
 #include "snipeferry/gateway/routetable.h"
 
 #include <algorithm>
+#include <cmath>
+#include <cstdint>
 
 namespace snipeferry::gateway {
 
@@ -16,20 +18,33 @@
 constexpr absl::Duration LINK_GRACE = absl::Seconds(3);
 /** Time for which it is kept that an instance was cut off from backend servers. */
 constexpr absl::Duration CUT_OFF_MEMORY = absl::Seconds(5);
-/** Network round trip to another region, including the connection setup there. */
-constexpr absl::Duration REGION_ROUND_TRIP = absl::Milliseconds(125);
-/** Prompt tokens that one backend server reads in a millisecond. BackendTable measures the speed of local ones, see ServiceState::tokensPerMs. */
+/** Prompt tokens that one backend server reads in a millisecond, where the region does not state it. */
 constexpr double SERVER_TOKENS_PER_MS = 45.0;
-/** Prompt tokens that all backend servers of a region read in a millisecond. Used for forwarded prompts that the region has not reported yet. */
+/** Prompt tokens that all backend servers of a region read in a millisecond, where the region does not state it. */
 constexpr double REGION_TOKENS_PER_MS = 120.0;
+/** Estimates that differ by less are equal: the pulses that they come from are up to a second old. */
+constexpr absl::Duration EQUAL_ESTIMATE_MARGIN = absl::Milliseconds(5);
+/** Period of the count of the region's instances, which costs a look at each member. */
+constexpr absl::Duration SENDER_COUNT_PERIOD = absl::Milliseconds(100);
+/** Bounds of a stated read rate; engines read 30 to 300 tokens in a millisecond, and a region has up to 2,000 of them. */
+constexpr double MIN_TOKENS_PER_MS = 1.0;
+constexpr double MAX_TOKENS_PER_MS = 1e6;
 /** Limit of the addresses that callers receive. */
 constexpr std::size_t MAX_CALLER_ADDRESSES = 64;
 
+/** The read rate at an index of a room, or the given one if the room states none that can be used. */
+double readRate(const ServiceRoom &room, std::size_t index, double missing)
+{
+    const double rate = index < room.readRates.size() ? room.readRates[index] : 0.0;
+    return rate >= MIN_TOKENS_PER_MS && rate <= MAX_TOKENS_PER_MS ? rate : missing;
+}
+
 } // namespace
 
 FleetView::FleetView(Member self, core::TimerService &timers)
     : m_self(std::move(self)),
-      m_timers(timers)
+      m_timers(timers),
+      m_random(static_cast<std::uint64_t>(std::ldexp(rendezvousWeight("forwards", m_self.id.value()), 63)))
 {
 }
 
@@ -91,6 +106,7 @@
     it->second.isLinked = false;
     it->second.linkedProcess = ProcessId();
     it->second.isReady = false;
+    it->second.takesForwards = false;
     it->second.rooms.clear();
     it->second.lostServices.clear();
     if (!it->second.isAnnounced) {
@@ -113,6 +129,7 @@
     Peer &peer = it->second;
     peer.lastHeardAt = m_timers.now();
     peer.isReady = pulse.isReady;
+    peer.takesForwards = pulse.isReady || pulse.takesForwards;
     peer.rooms = pulse.rooms;
     setLostServices(peer, pulse.lostServices);
     peer.unreportedTokens.clear();
@@ -305,14 +322,34 @@
     return best;
 }
 
+int FleetView::countSenders() const
+{
+    const absl::Time now = m_timers.now();
+    if (now - m_sendersCountedAt >= SENDER_COUNT_PERIOD) {
+        m_sendersCountedAt = now;
+        m_senders = 1;
+        for (const auto &entry : m_peers) {
+            m_senders += entry.second.member.region == m_self.region && isAlive(entry.second) ? 1 : 0;
+        }
+    }
+    return m_senders;
+}
+
 core::Expected<RemoteChoice> FleetView::choose(const RemoteQuery &query) const
 {
-    RemoteChoice best;
-    int bestOpenForwards = 0;
+    struct Candidate
+    {
+        const Peer *peer = nullptr;
+        absl::Duration estimate;
+        absl::Duration wait;
+    };
     const std::size_t level = static_cast<std::size_t>(urgencyOf(query.priority));
+    const int senders = countSenders();
+    std::vector<Candidate> candidates;
+    absl::Duration least = absl::InfiniteDuration();
     for (const auto &entry : m_peers) {
         const Peer &peer = entry.second;
-        if (peer.member.region == m_self.region || !peer.isReady || !hasRecentPulse(peer) || !isHomeRegion(query.permittedRegions, peer.member.region)) {
+        if (peer.member.region == m_self.region || !peer.takesForwards || !hasRecentPulse(peer) || !isHomeRegion(query.permittedRegions, peer.member.region)) {
             continue;
         }
         if (std::find(query.excluded.begin(), query.excluded.end(), entry.first) != query.excluded.end()) {
@@ -324,20 +361,30 @@
             continue;
         }
         const auto tokens = peer.unreportedTokens.find(query.service);
-        const double unreported = tokens == peer.unreportedTokens.end() ? 0.0 : static_cast<double>(tokens->second);
-        const absl::Duration wait = roomOfService->waits[level] + REGION_ROUND_TRIP + absl::Milliseconds(unreported / REGION_TOKENS_PER_MS);
-        const absl::Duration estimate = wait + absl::Milliseconds(static_cast<double>(query.promptTokens) / SERVER_TOKENS_PER_MS);
-        const bool isBetter = best.instance.isEmpty() || estimate < best.estimate || (estimate == best.estimate && peer.openForwards < bestOpenForwards);
-        if (isBetter) {
-            best = RemoteChoice{entry.first, peer.member.region, estimate, wait};
-            bestOpenForwards = peer.openForwards;
+        const double unreported = tokens == peer.unreportedTokens.end() ? 0.0 : static_cast<double>(tokens->second) * senders;
+        const absl::Duration wait
+            = roomOfService->waits[level] + REGION_ROUND_TRIP + absl::Milliseconds(unreported / readRate(*roomOfService, 1, REGION_TOKENS_PER_MS));
+        const absl::Duration estimate = wait + absl::Milliseconds(static_cast<double>(query.promptTokens) / readRate(*roomOfService, 0, SERVER_TOKENS_PER_MS));
+        least = std::min(least, estimate);
+        candidates.push_back({&peer, estimate, wait});
+    }
+    const Candidate *best = nullptr;
+    int equals = 0;
+    for (const Candidate &candidate : candidates) {
+        const int openForwards = candidate.peer->openForwards;
+        if (candidate.estimate > least + EQUAL_ESTIMATE_MARGIN || (best != nullptr && openForwards > best->peer->openForwards)) {
+            continue;
+        }
+        equals = best != nullptr && openForwards == best->peer->openForwards ? equals + 1 : 1;
+        if (std::uniform_int_distribution<int>(1, equals)(m_random) == 1) {
+            best = &candidate;
         }
     }
-    if (best.instance.isEmpty()) {
+    if (best == nullptr) {
         return tl::make_unexpected(
             core::makeError(core::ErrorKind::PeerUnavailable, "No instance of another permitted region can take the request.", absl::Seconds(1)));
     }
-    return best;
+    return RemoteChoice{best->peer->member.id, best->peer->member.region, best->estimate, best->wait};
 }
 
 core::Expected<RemoteChoice> FleetView::chooseNeighbour(const core::ServiceId &service, const std::vector<core::InstanceId> &excluded) const
@@ -350,7 +397,7 @@
     };
     for (const auto &entry : m_peers) {
         const Peer &peer = entry.second;
-        const bool isUsable = peer.member.region == m_self.region && peer.isReady && hasRecentPulse(peer);
+        const bool isUsable = peer.member.region == m_self.region && peer.takesForwards && hasRecentPulse(peer);
         const bool isExcluded = std::find(excluded.begin(), excluded.end(), entry.first) != excluded.end();
         const bool reachesServers = std::find(peer.lostServices.begin(), peer.lostServices.end(), service) == peer.lostServices.end();
         if (isUsable && !isExcluded && reachesServers && (best == nullptr || isBetter(peer))) {
@@ -369,7 +416,20 @@
     if (it != m_peers.end()) {
         ++it->second.openForwards;
         ++it->second.forwards;
-        it->second.unreportedTokens[service] += promptTokens;
+        noteForwardedTokens(it->second.member.region, service, promptTokens);
+    }
+}
+
+void FleetView::noteForwardedTokens(const core::RegionId &region, const core::ServiceId &service, std::int64_t promptTokens)
+{
+    if (region == m_self.region) {
+        return;
+    }
+    // The instances of a region state the waits at the same backend servers.
+    for (auto &entry : m_peers) {
+        if (entry.second.member.region == region && entry.second.isLinked) {
+            entry.second.unreportedTokens[service] += promptTokens;
+        }
     }
 }
 
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -274,6 +274,12 @@
     return m_routes != nullptr && knowsServers && isConfirmed && !m_isDraining;
 }
 
+bool Gateway::takesForwards() const
+{
+    const bool knowsServers = mirror(Topic::BackendServers).isLoaded() && !isUnconfirmed(Topic::BackendServers);
+    return m_routes != nullptr && knowsServers && !m_isDraining;
+}
+
 void Gateway::drain(absl::Duration timeLeft)
 {
     m_isDraining = true;
--- a/source/gateway/gatewayfleet.cpp
+++ b/source/gateway/gatewayfleet.cpp
@@ -74,6 +74,7 @@
     Pulse pulse;
     const absl::Time now = m_ports.timers.now();
     pulse.isReady = isReady();
+    pulse.takesForwards = !pulse.isReady && takesForwards();
     for (int index = 0; index < TOPIC_COUNT; ++index) {
         const RecordMirror &mirror = m_mirrors[index];
         if (mirror.isLoaded()) {
@@ -87,7 +88,7 @@
         for (const core::ServiceId &service : m_backends.services()) {
             const std::vector<absl::Duration> waits = m_backends.leastWaits(service);
             if (!waits.empty() && !m_paths.isCutOff(service)) {
-                pulse.rooms.push_back({service, waits});
+                pulse.rooms.push_back({service, waits, m_backends.readRates(service)});
             }
         }
     }
--- a/source/gateway/requestplacement.cpp
+++ b/source/gateway/requestplacement.cpp
@@ -7,6 +7,17 @@
 
 namespace snipeferry::gateway {
 
+namespace {
+
+/** Time for which a request that is bound to some regions counts as one that may come again. */
+constexpr absl::Duration BOUND_REQUEST_MEMORY = absl::Seconds(1);
+/** Period of the comparison of bound requests with the waits in the region, which costs an estimate for each server and urgency level. */
+constexpr absl::Duration BOUND_COMPARISON_PERIOD = absl::Milliseconds(100);
+/** Part of an objective above which a wait is long: what is left is needed for a rising peak until requests have moved. */
+constexpr double LONG_WAIT_SHARE = 0.5;
+
+} // namespace
+
 std::vector<core::RegionId> RequestFlow::permittedRegions(const OpenRequest &open) const
 {
     if (open.route.homeRegions.empty()) {
@@ -74,12 +85,62 @@
     }
 }
 
+void RequestFlow::noteBoundRequest(const OpenRequest &open)
+{
+    const bool isBound = !open.route.homeRegions.empty() || !open.customerHomeRegions.empty();
+    if (!isBound || !mayRunHere(open)) {
+        return;
+    }
+    const absl::Time now = m_dependencies.timers.now();
+    const auto added = m_boundRequests.try_emplace(open.service);
+    BoundRequests &bound = added.first->second;
+    if (added.second) {
+        bound.seenAt.fill(absl::InfinitePast());
+    }
+    const std::size_t level = static_cast<std::size_t>(urgencyOf(open.priority));
+    const bool isFirst = now - bound.seenAt[level] > BOUND_REQUEST_MEMORY;
+    bound.objectives[level] = isFirst ? open.route.latencyObjective : std::min(bound.objectives[level], open.route.latencyObjective);
+    bound.seenAt[level] = now;
+}
+
+bool RequestFlow::shouldMakeRoom(const OpenRequest &open, absl::Duration localWait)
+{
+    const auto it = m_boundRequests.find(open.service);
+    const bool isBoundItself = !open.route.homeRegions.empty() || !open.customerHomeRegions.empty();
+    if (it == m_boundRequests.end() || isBoundItself) {
+        return false;
+    }
+    const absl::Time now = m_dependencies.timers.now();
+    BoundRequests &bound = it->second;
+    const auto isPresent = [&bound, now](std::size_t level) {
+        return now - bound.seenAt[level] <= BOUND_REQUEST_MEMORY;
+    };
+    bool hasBound = false;
+    for (std::size_t level = 0; level < bound.seenAt.size(); ++level) {
+        hasBound = hasBound || isPresent(level);
+    }
+    if (!hasBound || localWait > open.route.latencyObjective * LONG_WAIT_SHARE) {
+        return hasBound;
+    }
+    if (now - bound.comparedAt >= BOUND_COMPARISON_PERIOD) {
+        const std::vector<absl::Duration> waits = m_dependencies.backends.leastWaits(open.service);
+        bound.doWaitLong = false;
+        for (std::size_t level = 0; level < bound.seenAt.size(); ++level) {
+            const absl::Duration wait = level < waits.size() ? waits[level] : absl::InfiniteDuration();
+            bound.doWaitLong = bound.doWaitLong || (isPresent(level) && wait > bound.objectives[level] * LONG_WAIT_SHARE);
+        }
+        bound.comparedAt = now;
+    }
+    return bound.doWaitLong;
+}
+
 core::Expected<void> RequestFlow::place(OpenRequest &open)
 {
     core::Expected<void> quarantineCheck = checkQuarantine(open);
     if (!quarantineCheck) {
         return quarantineCheck;
     }
+    noteBoundRequest(open);
     ServerQuery query;
     query.service = open.service;
     query.priority = open.priority;
@@ -149,7 +210,19 @@
         const absl::Duration wait = std::max(SHORT_RETRY_DELAY, bestWait - objective);
         return tl::make_unexpected(core::makeError(core::ErrorKind::Overloaded, "All permitted regions are overloaded.", wait));
     }
-    if (remoteEstimate < localEstimate) {
+    // A request that may run in any region leaves the servers here to those that may not.
+    const bool canMove
+        = remoteChoice && remoteEstimate >= localEstimate && remoteEstimate + elapsed <= objective && remoteEstimate <= localEstimate + REGION_ROUND_TRIP;
+    const bool makesRoom = canMove && shouldMakeRoom(open, localChoice->wait);
+    if (makesRoom) {
+        m_dependencies.journal.count("requests_moved_for_bound_total", open.service.value(), 1);
+        m_dependencies.journal.log(makeLogEvent("room_made", open)
+                                       .with("here_ms", absl::StrCat(absl::ToInt64Milliseconds(localEstimate)))
+                                       .with("there_ms", absl::StrCat(absl::ToInt64Milliseconds(remoteEstimate)))
+                                       .with("wait_ms", absl::StrCat(absl::ToInt64Milliseconds(localChoice->wait)))
+                                       .with("objective_ms", absl::StrCat(absl::ToInt64Milliseconds(objective))));
+    }
+    if (remoteEstimate < localEstimate || makesRoom) {
         startForwarded(open, *remoteChoice, versions);
     } else {
         startLocally(open, *localChoice);
