--- a/include/snipeferry/gateway/backendtable.h
+++ b/include/snipeferry/gateway/backendtable.h
@@ -216,6 +216,12 @@
     /** @brief Shortest expected wait of a request without prompt, by urgency level; empty if no backend server is usable. */
     std::vector<absl::Duration> leastWaits(const core::ServiceId &service);
 
+    /**
+     * @brief Prompt tokens that the service's backend servers read in a millisecond: the least loaded usable one, and all usable ones together.
+     * @return empty if no backend server is usable, or if the service is not a model engine's
+     */
+    std::vector<double> readRates(const core::ServiceId &service);
+
     /** @brief Prompt tokens per millisecond that the usable backend servers of a service read together; 0 without any, or if it is not a model engine's. */
     double readRate(const core::ServiceId &service) const;
 
--- a/source/gateway/backendtable.cpp
+++ b/source/gateway/backendtable.cpp
@@ -421,6 +421,15 @@
     return rate;
 }
 
+std::vector<double> BackendTable::readRates(const core::ServiceId &service)
+{
+    const double all = readRate(service);
+    if (all <= 0) {
+        return {};
+    }
+    return {leastLoadedReadRate(service), all};
+}
+
 serverload::RunStart BackendTable::started(
     const core::BackendServerId &id, int priority, std::int64_t unreadTokens, const std::vector<PromptPart> &parts, std::int64_t ownTokens)
 {
