Overload: the request flow uses shares, spread delays and, if asked for, late requests

Requests beyond their customer's even share are refused at a shorter wait, and Retry-After is spread. Late runs do not count for the speed of their server and version.

--- a/include/snipeferry/gateway/backendtable.h
+++ b/include/snipeferry/gateway/backendtable.h
@@ -69,6 +69,8 @@
     absl::Duration wait = absl::InfiniteDuration();
     /** Address of a backend server from which it can copy the KV cache of the prompt; empty for none. */
     std::string memorySource;
+    /** Runs of all instances there. */
+    int runs = 0;
 };
 
 /** How a run ended, for the health statistics of its backend server. */
--- a/include/snipeferry/gateway/gateway.h
+++ b/include/snipeferry/gateway/gateway.h
@@ -277,6 +277,7 @@
     BackendTable m_backends;
     FleetView m_fleet;
     RateLimiter m_allowances;
+    overload::CustomerShares m_shares;
     RepeatBudget m_repeats;
     RolloutGuard m_rollouts;
     PromptQuarantine m_quarantine;
--- a/include/snipeferry/gateway/requestflow.h
+++ b/include/snipeferry/gateway/requestflow.h
@@ -14,6 +14,9 @@
 #include "snipeferry/gateway/runnumbers.h"
 #include "snipeferry/gateway/serverpaths.h"
 #include "snipeferry/gateway/serverrestarts.h"
+#include "snipeferry/overload/customershares.h"
+#include "snipeferry/overload/laterequests.h"
+#include "snipeferry/overload/refusaldelay.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -35,6 +38,8 @@
     double spillShare = 0.35;
     /** Fraction of the latency objective. A request that would wait longer than this before its own prompt is read is refused. */
     double refuseShare = 1.0;
+    /** Whether requests that cannot meet their objective any more are sent behind all others, if their callers still wait for the answer. */
+    bool sendsLateRequests = false;
     AnswerLimits answers;
     std::uint64_t seed = 1;
 };
@@ -48,6 +53,7 @@
     ServerRestarts &restarts;
     FleetView &fleet;
     RateLimiter &allowances;
+    overload::CustomerShares &shares;
     RepeatBudget &repeats;
     RolloutGuard &rollouts;
     PromptQuarantine &quarantine;
@@ -144,6 +150,7 @@
         core::ServiceId service;
         core::CustomerId customer;
         std::vector<core::RegionId> customerHomeRegions;
+        /** The urgency level; overload::LATE_RANK for a request that is sent behind all others. */
         int priority = 5;
         /** What the request is charged to the customer, in tokens or requests. */
         double cost = 0;
@@ -233,6 +240,13 @@
     core::Expected<void> place(OpenRequest &open);
     /** Selects another instance of the region for a request that cannot reach the backend servers from here, though one of them could take it. */
     core::Expected<RemoteChoice> chooseNeighbour(const OpenRequest &open, const core::Expected<ServerChoice> &localChoice) const;
+    /** Refuses a request whose expected wait exceeds its bound, or starts it late. */
+    core::Expected<void> startLateOrRefuse(OpenRequest &open, const ServerQuery &query, const core::Expected<ServerChoice> &localChoice,
+        const core::Expected<RemoteChoice> &remoteChoice, double factor);
+    /** Sends a request behind all others if its caller still waits for the answer; returns whether it was sent. */
+    bool startLate(OpenRequest &open, const ServerQuery &query, const ServerChoice &localChoice);
+    /** What a request asks of the backend servers, for the customers' shares. */
+    static double workOf(const OpenRequest &open);
     void startLocally(OpenRequest &open, const ServerChoice &choice);
     void startForwarded(OpenRequest &open, const RemoteChoice &choice, const VersionChoice &versions);
     /** Forgets the current run and updates the statistics of its backend server and rollout. */
@@ -299,6 +313,8 @@
     absl::flat_hash_map<Number, Number> m_requestByRun;
     Number m_lastNumber = 0;
     std::mt19937_64 m_random;
+    overload::RefusalDelay m_refusalDelay;
+    overload::LateRequests m_lateRequests;
     core::Subscription m_sweepTimer;
 };
 
--- a/include/snipeferry/gateway/routetable.h
+++ b/include/snipeferry/gateway/routetable.h
@@ -26,6 +26,9 @@
     const Customer *findCustomer(const core::CustomerId &id) const;
     const Service *findService(const core::ServiceId &id) const;
 
+    /** @brief The smallest priority of the routes that lead to a service, which is the most urgent one; 0 for an unknown service. */
+    int mostUrgentPriority(const core::ServiceId &service) const;
+
     /** @brief Whether the deployment has customers. If not, no request needs a key. */
     bool hasCustomers() const;
 
@@ -36,6 +39,7 @@
     absl::flat_hash_map<std::string, const Customer *> m_customersByKey;
     absl::flat_hash_map<core::CustomerId, const Customer *> m_customers;
     absl::flat_hash_map<core::ServiceId, const Service *> m_services;
+    absl::flat_hash_map<core::ServiceId, int> m_mostUrgentPriorities;
 };
 
 /** @brief Whether a list of permitted regions contains a region. An empty list permits all. */
--- a/include/snipeferry/overload/customershares.h
+++ b/include/snipeferry/overload/customershares.h
@@ -74,8 +74,8 @@
     /**
      * @brief The factor of the wait's bound for one request.
      *
-     * Of a customer that asks for more than its even share, a random part as large as that share gets 1, so that the customer still has its even share
-     * while the wait is too long for the rest. The rest gets share(), at least MIN_FACTOR.
+     * Of a customer that asks for more than its even share, a random part nearly as large as that share gets 1, so that the customer still has it while
+     * the wait is too long for the rest. The rest gets share(), at least MIN_FACTOR.
      */
     double boundFactor(const core::ServiceId &service, int level, const core::CustomerId &customer);
 
--- a/source/gateway/backendchoice.cpp
+++ b/source/gateway/backendchoice.cpp
@@ -210,6 +210,7 @@
     nominal.failureShare = 0;
     scored.choice.nominalEstimate = estimate(nominal, service, level, scored.choice.unreadTokens) + absl::Milliseconds(cacheTransferMs);
     scored.choice.wait = estimate(state, service, level, 0);
+    scored.choice.runs = state.running + state.peerRunning;
 
     std::int64_t sharedTokens = 0;
     for (std::size_t index = 0; index + 1 < query.promptParts.size(); ++index) {
--- a/source/gateway/backendtable.cpp
+++ b/source/gateway/backendtable.cpp
@@ -375,7 +375,10 @@
     const absl::Time now = m_timers.now();
     const ServiceState &service = m_services[target->server.service];
     const int level = urgencyOf(priority);
-    target->lastEstimate = estimate(*target, service, level, unreadTokens);
+    const absl::Duration expected = estimate(*target, service, level, unreadTokens);
+    if (priority < URGENCY_LEVELS) {
+        target->lastEstimate = expected;
+    }
     ++target->running;
     m_limits.dispatched(id);
     target->ownUnread[level] += unreadTokens;
@@ -383,7 +386,7 @@
     if (coldUntil(*target) > now && configuration != m_serviceConfigurations.end() && configuration->second.coldRate > 0) {
         target->nextColdRunAt = now + m_coldPacing.interval(configuration->second.coldRate);
     }
-    m_promptCache.noteDispatched(id, parts, target->lastEstimate);
+    m_promptCache.noteDispatched(id, parts, expected);
 }
 
 PromptCacheIndex &BackendTable::promptCache()
@@ -400,6 +403,10 @@
     }
     std::int64_t &ownUnread = target->ownUnread[urgencyOf(priority)];
     ownUnread = std::max<std::int64_t>(0, ownUnread - unreadTokens);
+    if (priority >= URGENCY_LEVELS) {
+        // A late run waits behind all others, which says nothing about the backend server.
+        return;
+    }
     if (!isEngineService(target->server.service)) {
         double &runMs = m_services[target->server.service].runMs;
         runMs += SERVER_SMOOTHING * (absl::ToDoubleMilliseconds(latency) / runsPerSlot(*target) - runMs);
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -47,6 +47,7 @@
       m_backends(m_settings.self.id, ports.timers),
       m_fleet(m_settings.self, ports.timers),
       m_allowances(m_settings.allowances, ports.timers),
+      m_shares(ports.timers, m_settings.flow.seed + 4),
       m_repeats(m_settings.repeats, ports.timers),
       m_rollouts(m_settings.self.id, m_settings.flow.seed + 1, m_settings.rollouts, ports.timers),
       m_quarantine(m_settings.serverReportPeriod, ports.timers, ports.journal),
@@ -61,7 +62,7 @@
               return rendezvousRank(server.value(), m_settings.self.id, isAfterCut ? m_fleet.instancesLatelyCutOff() : m_fleet.regionInstances());
           }),
       m_requestFlow(m_settings.flow,
-          FlowDependencies{ports.timers, m_backends, m_paths, m_restarts, m_fleet, m_allowances, m_repeats, m_rollouts, m_quarantine, ports.headers,
+          FlowDependencies{ports.timers, m_backends, m_paths, m_restarts, m_fleet, m_allowances, m_shares, m_repeats, m_rollouts, m_quarantine, ports.headers,
               m_runNumbers, ports.runs, ports.links, ports.journal}),
       m_forwardReceiver(ports.timers, m_backends, m_paths, m_restarts, m_fleet, m_rollouts, m_quarantine, ports.headers, m_runNumbers, ports.runs, ports.links,
           ports.journal),
--- a/source/gateway/gatewayfleet.cpp
+++ b/source/gateway/gatewayfleet.cpp
@@ -209,6 +209,14 @@
     } else {
         m_rollouts.receiveRegion(m_fleet.regionOf(from), message.rollouts);
     }
+    if (!message.allowances.empty()) {
+        std::vector<overload::CustomerDemand> demands;
+        demands.reserve(message.allowances.size());
+        for (const AllowanceReport &report : message.allowances) {
+            demands.push_back({report.customer, report.demand});
+        }
+        m_shares.noteReport(from, demands);
+    }
     if (message.isReady) {
         const std::vector<AllowanceGrant> grants = m_allowances.grantsFor(from, message.allowances);
         if (!grants.empty()) {
--- a/source/gateway/gatewayrecords.cpp
+++ b/source/gateway/gatewayrecords.cpp
@@ -101,6 +101,11 @@
     m_routes = std::make_shared<const RouteTable>(deployment);
     m_backends.configure(m_routes->deployment().services);
     m_allowances.configure(m_routes->deployment().customers);
+    std::vector<overload::CustomerLimit> limits;
+    for (const Customer &customer : m_routes->deployment().customers) {
+        limits.push_back({customer.id, customer.ratePerSecond, customer.countsTokens});
+    }
+    m_shares.setLimits(limits);
     m_requestFlow.configure(m_routes);
     m_limitsChanged.emit(LimitsChanged{m_routes->deployment().limits});
     m_ports.journal.log(core::LogEvent{"deployment_in_force", {}}.with("version", absl::StrCat(deployment.version)).with("revision", absl::StrCat(revision)));
--- a/source/gateway/requestadmission.cpp
+++ b/source/gateway/requestadmission.cpp
@@ -119,6 +119,9 @@
         return reserved;
     }
     open.hasReservedTokens = true;
+    if (!open.customer.isEmpty()) {
+        m_dependencies.shares.noteRequest(open.service, open.priority, open.customer, workOf(open), open.cost);
+    }
     m_dependencies.repeats.noteRequest(open.service);
     return {};
 }
--- a/source/gateway/requestanswer.cpp
+++ b/source/gateway/requestanswer.cpp
@@ -280,6 +280,9 @@
                                    .with("sends", absl::StrCat(open.sendCount))
                                    .with("first_ms", absl::StrCat(absl::ToInt64Milliseconds(open.runStartedAt + open.timeToFirstData - open.arrivedAt)))
                                    .with("total_ms", absl::StrCat(absl::ToInt64Milliseconds(m_dependencies.timers.now() - open.arrivedAt))));
+    if (open.sendCount == 1) {
+        m_lateRequests.noteAnswer(open.route.name, m_dependencies.timers.now() - open.runStartedAt - open.timeToFirstData);
+    }
     m_dependencies.journal.count("requests_answered_total", open.route.name, 1);
     m_dependencies.journal.observe("request_seconds", open.route.name, m_dependencies.timers.now() - open.arrivedAt);
     close(open.number);
--- a/source/gateway/requestflow.cpp
+++ b/source/gateway/requestflow.cpp
@@ -35,6 +35,7 @@
       m_dependencies(dependencies),
       m_answerMemory(settings.answers),
       m_random(settings.seed),
+      m_refusalDelay(settings.seed + 1),
       m_sweepTimer(dependencies.timers.every(SWEEP_PERIOD, [this] { sweep(); }))
 {
 }
@@ -171,6 +172,9 @@
 
 absl::Duration RequestFlow::silenceLimit(const OpenRequest &open) const
 {
+    if (open.priority == overload::LATE_RANK && open.events.eventCount() == 0) {
+        return overload::LateRequests::patience(open.route.latencyObjective, open.route.pauseObjective);
+    }
     if (open.events.eventCount() == 0) {
         return std::max(MIN_SILENCE_TIMEOUT, open.route.latencyObjective * SILENCE_LATENCY_FACTOR);
     }
--- a/source/gateway/requestplacement.cpp
+++ b/source/gateway/requestplacement.cpp
@@ -137,17 +137,12 @@
     }
     // Only the wait counts: a request is not refused because its own prompt takes long to read.
     const absl::Duration bestWait = remoteEstimate < localEstimate ? remoteChoice->wait : localChoice->wait;
-    if (bestWait > objective * m_settings.refuseShare || bestEstimate > open.deadline - m_dependencies.timers.now()) {
-        m_dependencies.journal.log(
-            makeLogEvent("places_full", open)
-                .with("service", open.service.value())
-                .with("here_ms", localChoice ? absl::StrCat(absl::ToInt64Milliseconds(localEstimate)) : core::errorAnswer(localChoice.error().kind).name)
-                .with("there_ms", remoteChoice ? absl::StrCat(absl::ToInt64Milliseconds(remoteEstimate)) : core::errorAnswer(remoteChoice.error().kind).name)
-                .with("wait_ms", absl::StrCat(absl::ToInt64Milliseconds(bestWait)))
-                .with("objective_ms", absl::StrCat(absl::ToInt64Milliseconds(objective)))
-                .with("state", localChoice ? m_dependencies.backends.describe(localChoice->server) : std::string()));
-        const absl::Duration wait = std::max(SHORT_RETRY_DELAY, bestWait - objective);
-        return tl::make_unexpected(core::makeError(core::ErrorKind::Overloaded, "All permitted regions are overloaded.", wait));
+    const absl::Duration bound = objective * m_settings.refuseShare;
+    // Waits below the smallest bound are no shortage. A request that is sent again has passed the bound of its customer before.
+    const bool dependsOnShare = !open.customer.isEmpty() && open.sendCount == 0 && bestWait > bound * overload::CustomerShares::MIN_FACTOR && bestWait <= bound;
+    const double factor = dependsOnShare ? m_dependencies.shares.boundFactor(open.service, open.priority, open.customer) : 1.0;
+    if (bestWait > bound * factor || bestEstimate > open.deadline - m_dependencies.timers.now()) {
+        return startLateOrRefuse(open, query, localChoice, remoteChoice, factor);
     }
     if (remoteEstimate < localEstimate) {
         startForwarded(open, *remoteChoice, versions);
@@ -157,6 +152,90 @@
     return {};
 }
 
+core::Expected<void> RequestFlow::startLateOrRefuse(OpenRequest &open, const ServerQuery &query, const core::Expected<ServerChoice> &localChoice,
+    const core::Expected<RemoteChoice> &remoteChoice, double factor)
+{
+    const absl::Duration timeLeft = open.deadline - m_dependencies.timers.now();
+    const absl::Duration localEstimate = localChoice ? localChoice->estimate : absl::InfiniteDuration();
+    const absl::Duration remoteEstimate = remoteChoice ? remoteChoice->estimate : absl::InfiniteDuration();
+    const absl::Duration wait = remoteEstimate < localEstimate ? remoteChoice->wait : localChoice->wait;
+    const absl::Duration bound = open.route.latencyObjective * m_settings.refuseShare * factor;
+    const bool isWaitTooLong = wait > bound;
+    const bool isBeyondShare = isWaitTooLong && factor < 1.0;
+    const char *reason = !isWaitTooLong ? "time_limit" : isBeyondShare ? "share" : "wait";
+    if (isWaitTooLong && !open.customer.isEmpty()) {
+        // A late request finds no room in time either.
+        m_dependencies.shares.noteRefusal(open.service, open.priority, workOf(open));
+    }
+    if (m_settings.sendsLateRequests && !isBeyondShare && localChoice && startLate(open, query, *localChoice)) {
+        return {};
+    }
+    m_dependencies.journal.log(
+        makeLogEvent("places_full", open)
+            .with("service", open.service.value())
+            .with("urgency", absl::StrCat(open.priority))
+            .with("customer", open.customer.value())
+            .with("reason", reason)
+            .with("here_ms", localChoice ? absl::StrCat(absl::ToInt64Milliseconds(localEstimate)) : core::errorAnswer(localChoice.error().kind).name)
+            .with("there_ms", remoteChoice ? absl::StrCat(absl::ToInt64Milliseconds(remoteEstimate)) : core::errorAnswer(remoteChoice.error().kind).name)
+            .with("wait_ms", absl::StrCat(absl::ToInt64Milliseconds(wait)))
+            .with("bound_ms", absl::StrCat(absl::ToInt64Milliseconds(bound)))
+            .with("factor", absl::StrCat(factor))
+            .with("objective_ms", absl::StrCat(absl::ToInt64Milliseconds(open.route.latencyObjective)))
+            .with("state", localChoice ? m_dependencies.backends.describe(localChoice->server) : std::string()));
+    m_dependencies.journal.count("places_full_total", reason, 1);
+    const std::optional<absl::Duration> retryAfter = m_refusalDelay.choose(wait - bound, timeLeft);
+    return tl::make_unexpected(core::makeError(core::ErrorKind::Overloaded, "All permitted regions are overloaded.", retryAfter));
+}
+
+bool RequestFlow::startLate(OpenRequest &open, const ServerQuery &query, const ServerChoice &localChoice)
+{
+    const absl::Time now = m_dependencies.timers.now();
+    ServerQuery lateQuery = query;
+    lateQuery.priority = overload::LATE_RANK;
+    const core::Expected<ServerChoice> lateChoice = m_dependencies.backends.choose(lateQuery);
+    if (!lateChoice) {
+        return false;
+    }
+    overload::LateCase lateCase;
+    lateCase.route = open.route.name;
+    lateCase.elapsed = now - open.arrivedAt;
+    lateCase.timeLeft = open.deadline - now;
+    lateCase.objective = open.route.latencyObjective;
+    lateCase.pauseObjective = open.route.pauseObjective;
+    lateCase.estimate = localChoice.estimate;
+    lateCase.lateEstimate = lateChoice->estimate;
+    lateCase.routePriority = open.route.priority;
+    lateCase.mostUrgentPriority = m_routes->mostUrgentPriority(open.service);
+    lateCase.runs = lateChoice->runs;
+    lateCase.slots = m_dependencies.backends.find(lateChoice->server)->slots;
+    const overload::LateDecision decision = m_lateRequests.decide(lateCase);
+    m_dependencies.journal.count("late_decisions_total", overload::lateDecisionName(decision), 1);
+    if (decision != overload::LateDecision::Send) {
+        return false;
+    }
+    m_dependencies.journal.log(makeLogEvent("late_started", open)
+                                   .with("service", open.service.value())
+                                   .with("urgency", absl::StrCat(open.priority))
+                                   .with("customer", open.customer.value())
+                                   .with("server", lateChoice->server.value())
+                                   .with("here_ms", absl::StrCat(absl::ToInt64Milliseconds(localChoice.estimate)))
+                                   .with("late_ms", absl::StrCat(absl::ToInt64Milliseconds(lateChoice->estimate)))
+                                   .with("elapsed_ms", absl::StrCat(absl::ToInt64Milliseconds(lateCase.elapsed)))
+                                   .with("time_left_ms", absl::StrCat(absl::ToInt64Milliseconds(lateCase.timeLeft)))
+                                   .with("objective_ms", absl::StrCat(absl::ToInt64Milliseconds(lateCase.objective)))
+                                   .with("runs", absl::StrCat(lateCase.runs))
+                                   .with("slots", absl::StrCat(lateCase.slots)));
+    open.priority = overload::LATE_RANK;
+    startLocally(open, *lateChoice);
+    return true;
+}
+
+double RequestFlow::workOf(const OpenRequest &open)
+{
+    return open.request.hasTokenCounts ? std::max(1.0, static_cast<double>(open.request.promptTokens + open.request.outputTokens)) : 1.0;
+}
+
 core::Expected<RemoteChoice> RequestFlow::chooseNeighbour(const OpenRequest &open, const core::Expected<ServerChoice> &localChoice) const
 {
     // A backend server that could not be reached from here is not offered again, though another instance may reach it.
@@ -273,7 +352,9 @@
         }
         const absl::Duration duration = m_dependencies.timers.now() - open.runStartedAt;
         m_dependencies.backends.finished(open.server, open.priority, open.isAnswering ? 0 : open.unreadTokens, end, duration);
-        if (saysOfVersion(open, end)) {
+        // A late run waits behind all others, which says nothing about the time that its version takes.
+        const bool isLateSuccess = open.priority == overload::LATE_RANK && end == RunEnd::Success;
+        if (!isLateSuccess && saysOfVersion(open, end)) {
             const absl::Duration latency = open.isAnswering ? open.timeToFirstData : duration;
             m_dependencies.rollouts.observe(open.service, open.route.name, open.version, end != RunEnd::Success, latency);
         }
--- a/source/gateway/routetable.cpp
+++ b/source/gateway/routetable.cpp
@@ -12,6 +12,10 @@
 {
     for (const Route &route : m_deployment.routes) {
         m_routesByHost[absl::AsciiStrToLower(route.host)].push_back(&route);
+        for (const WeightedService &weightedService : route.services) {
+            const auto inserted = m_mostUrgentPriorities.emplace(weightedService.service, route.priority);
+            inserted.first->second = std::min(inserted.first->second, route.priority);
+        }
     }
     for (auto &entry : m_routesByHost) {
         std::stable_sort(
@@ -66,6 +70,12 @@
     return it == m_services.end() ? nullptr : it->second;
 }
 
+int RouteTable::mostUrgentPriority(const core::ServiceId &service) const
+{
+    const auto it = m_mostUrgentPriorities.find(service);
+    return it == m_mostUrgentPriorities.end() ? 0 : it->second;
+}
+
 bool RouteTable::hasCustomers() const
 {
     return !m_deployment.customers.empty();
--- a/source/net/gatewaysettings.cpp
+++ b/source/net/gatewaysettings.cpp
@@ -92,6 +92,10 @@
     settings.store.memberWait = store.duration("member_wait", MIN_STORE_WAIT, absl::Seconds(30), settings.store.memberWait);
     store.finish();
 
+    YamlMap overload = root.map("overload");
+    gateway.flow.sendsLateRequests = overload.flag("late_requests", gateway.flow.sendsLateRequests);
+    overload.finish();
+
     YamlMap log = root.map("log");
     settings.journal.linesPerSecond = static_cast<int>(log.integer("lines_per_second", 0, 100000, settings.journal.linesPerSecond));
     log.finish();
@@ -157,6 +161,7 @@
         {"promises.cold_excess", before.cold.excess == after.cold.excess},
         {"promises.cold_slack", before.cold.slack == after.cold.slack},
         {"promises.allowance_excess", before.allowances.excess == after.allowances.excess},
+        {"overload.late_requests", before.flow.sendsLateRequests == after.flow.sendsLateRequests},
     };
     SettingsChange change;
     for (const std::pair<const char *, bool> &setting : fixed) {
--- a/source/overload/customershares.cpp
+++ b/source/overload/customershares.cpp
@@ -14,7 +14,7 @@
 constexpr absl::Duration REFRESH_PERIOD = absl::Milliseconds(250);
 /** A report counts in full up to this age, and less and less until MAX_REPORT_AGE. An instance of 64 sends one every 1.3 s. */
 constexpr absl::Duration FULL_REPORT_AGE = absl::Seconds(2);
-/** A customer without a request for this long, and without a recent report, is forgotten. Its sums have decayed to less than 1% by then. */
+/** A customer without a request for this long, and without a recent report, is forgotten. Its sums have decayed to nothing by then. */
 constexpr absl::Duration IDLE_TIME = absl::Seconds(15);
 /**
  * Own requests that the mean of all customers counts as, when the tokens of a customer's requests are compared with what they are charged. A few requests
@@ -23,6 +23,11 @@
 constexpr double PRIOR_REQUESTS = 10.0;
 /** Less than this fraction of the demand was refused: there is no shortage. */
 constexpr double MIN_REFUSED_SHARE = 0.01;
+/**
+ * Fraction of the even share that a customer beyond it gets at the full bound. All even shares together are the whole room, with which a long wait would
+ * never get shorter. The rest of the room is used at shorter waits.
+ */
+constexpr double FULL_BOUND_PART = 0.9;
 /** Sums below this are zero. */
 constexpr double NEGLIGIBLE = 1e-3;
 
@@ -269,7 +274,7 @@
 double CustomerShares::boundFactor(const core::ServiceId &service, int level, const core::CustomerId &customer)
 {
     const double own = share(service, level, customer);
-    if (own >= 1.0 || std::uniform_real_distribution<double>(0.0, 1.0)(m_random) < own) {
+    if (own >= 1.0 || std::uniform_real_distribution<double>(0.0, 1.0)(m_random) < FULL_BOUND_PART * own) {
         return 1.0;
     }
     return std::max(MIN_FACTOR, own);
--- a/tests/gateway/fakecodecs.h
+++ b/tests/gateway/fakecodecs.h
@@ -46,6 +46,7 @@
         request.headers.push_back({"server", run.server.value()});
         request.headers.push_back({"customer", run.customer.value()});
         request.headers.push_back({"time-limit", absl::StrCat(absl::ToInt64Milliseconds(run.timeLimit))});
+        request.headers.push_back({"rank", absl::StrCat(run.priority)});
         request.headers.push_back({"resume", run.lastEventId});
         request.headers.push_back({"memory-source", run.memorySource});
     }
--- a/tests/gateway/fixture.h
+++ b/tests/gateway/fixture.h
@@ -21,8 +21,8 @@
 /** A gateway in region "north" with test doubles around it. */
 struct GatewayFixture
 {
-    GatewayFixture()
-        : gateway(settings(), gateway::GatewayPorts{timers, headers, records, runs, links, journal})
+    explicit GatewayFixture(const gateway::GatewaySettings &settings = GatewayFixture::settings())
+        : gateway(settings, gateway::GatewayPorts{timers, headers, records, runs, links, journal})
     {
         timers.advance(absl::Seconds(1));
     }
--- a/tests/net/gatewaysettingstest.cpp
+++ b/tests/net/gatewaysettingstest.cpp
@@ -52,3 +52,10 @@
         CHECK(settings.error().message.find(line) == settings.error().message.rfind(line));
     }
 }
+
+// Guards against late requests that are switched on by default, before their effect has been measured.
+TEST_CASE("requests are sent late only if the settings ask for it")
+{
+    CHECK_FALSE(parse("").gateway.flow.sendsLateRequests);
+    CHECK(parse("overload: {late_requests: true}\n").gateway.flow.sendsLateRequests);
+}
--- a/tests/overload/customersharestest.cpp
+++ b/tests/overload/customersharestest.cpp
@@ -222,6 +222,19 @@
     CHECK(play(load).refused == 0);
 }
 
+// The same for waits that grow for a moment, as with a burst, and refuse nobody.
+TEST_CASE("no customer is held back by a wait while nothing is refused")
+{
+    core::VirtualTimerService timers;
+    overload::CustomerShares shares(timers, 1);
+    for (int request = 0; request < 400; ++request) {
+        timers.advance(absl::Milliseconds(10));
+        const core::CustomerId customer = customerName(request % 7 == 0 ? 1 : 0);
+        shares.noteRequest(SERVICE, LEVEL, customer, MEAN_WORK, MEAN_WORK);
+        REQUIRE(shares.boundFactor(SERVICE, LEVEL, customer) == 1.0);
+    }
+}
+
 // Guards against instances that need the reports of the others: links may be down.
 TEST_CASE("shares hold with the own figures of each instance alone, and after an instance has died")
 {
