Overload: refusals at the full wait count more for the shares; tests of the request flow

At the start of a shortage the room was overestimated by what had filled the wait, so that a customer with an even share was refused 13 times of 100 in the first three seconds (trial). Refusals at the full bound of the wait now count three times.

--- a/include/snipeferry/overload/customershares.h
+++ b/include/snipeferry/overload/customershares.h
@@ -62,8 +62,11 @@
      */
     void noteRequest(const core::ServiceId &service, int level, const core::CustomerId &customer, double work, double charge);
 
-    /** @brief Records that a request of noteRequest() was refused for want of room. */
-    void noteRefusal(const core::ServiceId &service, int level, double work);
+    /**
+     * @brief Records that a request of noteRequest() was refused for want of room.
+     * @param factor what boundFactor() returned for it; 1 if it was not asked for
+     */
+    void noteRefusal(const core::ServiceId &service, int level, double work, double factor);
 
     /**
      * @brief The part of a customer's demand that is within its even share, relative to the customer that gets the largest part.
--- a/source/gateway/requestplacement.cpp
+++ b/source/gateway/requestplacement.cpp
@@ -165,7 +165,7 @@
     const char *reason = !isWaitTooLong ? "time_limit" : isBeyondShare ? "share" : "wait";
     if (isWaitTooLong && !open.customer.isEmpty()) {
         // A late request finds no room in time either.
-        m_dependencies.shares.noteRefusal(open.service, open.priority, workOf(open));
+        m_dependencies.shares.noteRefusal(open.service, open.priority, workOf(open), factor);
     }
     if (m_settings.sendsLateRequests && !isBeyondShare && localChoice && startLate(open, query, *localChoice)) {
         return {};
--- a/source/overload/customershares.cpp
+++ b/source/overload/customershares.cpp
@@ -28,6 +28,11 @@
  * never get shorter. The rest of the room is used at shorter waits.
  */
 constexpr double FULL_BOUND_PART = 0.9;
+/**
+ * Weight of refusals at the full bound of the wait. What fills the wait up to there was admitted without room for it, so that the room is less than what was
+ * admitted. Such refusals become rare once the shares are small enough.
+ */
+constexpr double FULL_WAIT_WEIGHT = 3.0;
 /** Sums below this are zero. */
 constexpr double NEGLIGIBLE = 1e-3;
 
@@ -127,9 +132,13 @@
     m_charged[state.unit].add(charge, now);
 }
 
-void CustomerShares::noteRefusal(const core::ServiceId &service, int level, double work)
+void CustomerShares::noteRefusal(const core::ServiceId &service, int level, double work, double factor)
 {
-    m_groups[{service, level}].refused.add(work, m_timers.now());
+    const absl::Time now = m_timers.now();
+    Group &group = m_groups[{service, level}];
+    const double weight = factor < 1.0 ? 1.0 : FULL_WAIT_WEIGHT;
+    group.asked.add((weight - 1.0) * work, now);
+    group.refused.add(weight * work, now);
 }
 
 void CustomerShares::refreshReports()
--- a/tests/overload/customersharestest.cpp
+++ b/tests/overload/customersharestest.cpp
@@ -102,10 +102,11 @@
                 shares.noteRequest(SERVICE, LEVEL, name, work, work);
                 asked[static_cast<std::size_t>(at)][customer] += work;
                 const double wait = queued / workPerMs;
-                const bool isAdmitted = wait <= OBJECTIVE_MS * shares.boundFactor(SERVICE, LEVEL, name);
+                const double factor = shares.boundFactor(SERVICE, LEVEL, name);
+                const bool isAdmitted = wait <= OBJECTIVE_MS * factor;
                 queued += isAdmitted ? work : 0;
                 if (!isAdmitted) {
-                    shares.noteRefusal(SERVICE, LEVEL, work);
+                    shares.noteRefusal(SERVICE, LEVEL, work, factor);
                     ++outcome.refused;
                 }
                 if (step >= WARM_UP_STEPS) {
@@ -198,6 +199,23 @@
     CHECK(total >= 0.9 * load.room / 16);
 }
 
+// Guards against a large customer that takes what little room there is: the load is five times the room.
+TEST_CASE("at five times the room a customer at six times its usual load is served like the others")
+{
+    Load load;
+    load.customers = customersWith(6);
+    load.room = 21.0 / 5;
+    load.seed = GENERATE(1U, 2U, 3U);
+    const Outcome outcome = play(load);
+    const double evenShare = load.room / 16;
+    for (int customer = 1; customer < 16; ++customer) {
+        CAPTURE(load.seed, customer);
+        CHECK(outcome.servedPart(customer) >= 0.7 * evenShare);
+    }
+    CHECK(outcome.servedPart(0) * 6 >= 0.7 * evenShare);
+    CHECK(outcome.servedPart(0) * 6 <= 2 * evenShare);
+}
+
 // Guards against large requests that are never admitted: every twentieth of a customer has 20 times the mean size.
 TEST_CASE("requests of twenty times the mean size are served at least half as often as the rest of their customer")
 {
@@ -258,7 +276,7 @@
     for (int request = 0; request < 200; ++request) {
         timers.advance(absl::Milliseconds(10));
         shares.noteRequest(SERVICE, LEVEL, customerName(0), MEAN_WORK, MEAN_WORK);
-        shares.noteRefusal(SERVICE, LEVEL, request % 2 == 0 ? MEAN_WORK : 0);
+        shares.noteRefusal(SERVICE, LEVEL, request % 2 == 0 ? MEAN_WORK : 0, 1.0);
         REQUIRE(shares.boundFactor(SERVICE, LEVEL, customerName(0)) == 1.0);
     }
 }
@@ -274,7 +292,7 @@
             timers.advance(absl::Milliseconds(25));
             for (int customer = 0; customer < 2; ++customer) {
                 shares.noteRequest(SERVICE, LEVEL, customerName(customer), MEAN_WORK, MEAN_WORK);
-                shares.noteRefusal(SERVICE, LEVEL, 0.98 * MEAN_WORK);
+                shares.noteRefusal(SERVICE, LEVEL, 0.98 * MEAN_WORK, 0.5);
             }
         }
         return shares.share(SERVICE, LEVEL, customerName(0));
