Overload: shares cost less with thousands of customers

They are now added up only for requests that wait, and less often with more than 1,000 customers.

Tests of the area (18 cases) and the overload, request flow and brittle server tests pass; whole decisions were not compared with those before.

--- a/source/overload/customershares.cpp
+++ b/source/overload/customershares.cpp
@@ -12,6 +12,10 @@
 constexpr absl::Duration AVERAGING_TIME = absl::Seconds(3);
 /** The shares are computed anew at most this often. They change with the reports of other instances, of which several arrive in a second. */
 constexpr absl::Duration REFRESH_PERIOD = absl::Milliseconds(250);
+/** With more customers than this the period grows in proportion, because each computation goes over all of them. */
+constexpr double CUSTOMERS_FOR_REFRESH_PERIOD = 1000.0;
+/** Without a request that needs shares, idle customers and old reports are removed at this interval. */
+constexpr absl::Duration CLEANUP_PERIOD = absl::Seconds(5);
 /** A report counts in full up to this age, and less and less until MAX_REPORT_AGE. An instance of 64 sends one every 1.3 s. */
 constexpr absl::Duration FULL_REPORT_AGE = absl::Seconds(2);
 /** A customer without a request for this long, and without a recent report, is forgotten. Its sums have decayed to nothing by then. */
@@ -36,6 +40,11 @@
 /** Sums below this are zero. */
 constexpr double NEGLIGIBLE = 1e-3;
 
+absl::Duration refreshPeriod(std::size_t customers)
+{
+    return REFRESH_PERIOD * std::max(1.0, static_cast<double>(customers) / CUSTOMERS_FOR_REFRESH_PERIOD);
+}
+
 } // namespace
 
 void CustomerShares::DecayingSum::add(double amount, absl::Time now)
@@ -100,7 +109,9 @@
 
 void CustomerShares::noteReport(const core::InstanceId &from, const std::vector<CustomerDemand> &demands)
 {
-    refreshReports();
+    if (m_timers.now() - m_reportsRefreshedAt >= CLEANUP_PERIOD) {
+        refreshReports();
+    }
     Report &report = m_reports[from];
     report.receivedAt = m_timers.now();
     report.demands.clear();
@@ -116,8 +127,10 @@
 
 void CustomerShares::noteRequest(const core::ServiceId &service, int level, const core::CustomerId &customer, double work, double charge)
 {
-    refreshReports();
     const absl::Time now = m_timers.now();
+    if (now - m_reportsRefreshedAt >= CLEANUP_PERIOD) {
+        refreshReports();
+    }
     Group &group = m_groups[{service, level}];
     group.asked.add(work, now);
     const Index index = indexOf(customer);
@@ -144,7 +157,7 @@
 void CustomerShares::refreshReports()
 {
     const absl::Time now = m_timers.now();
-    if (now - m_reportsRefreshedAt < REFRESH_PERIOD) {
+    if (now - m_reportsRefreshedAt < refreshPeriod(m_indices.size())) {
         return;
     }
     m_reportsRefreshedAt = now;
@@ -222,7 +235,7 @@
 void CustomerShares::refreshShares(Group &group)
 {
     const absl::Time now = m_timers.now();
-    if (now - group.computedAt < REFRESH_PERIOD) {
+    if (now - group.computedAt < refreshPeriod(m_indices.size())) {
         return;
     }
     group.computedAt = now;
