--- a/include/snipeferry/gateway/backendtable.h
+++ b/include/snipeferry/gateway/backendtable.h
@@ -81,6 +81,8 @@
     absl::Duration saved;
     /** How much longer the request is expected to wait there than at the backend server with the shortest wait of those compared. */
     absl::Duration waitCost;
+    /** Runs of all instances there. */
+    int runs = 0;
 };
 
 /** How a run ended, for the health statistics of its backend server. */
--- a/include/snipeferry/gateway/requestflow.h
+++ b/include/snipeferry/gateway/requestflow.h
@@ -15,6 +15,9 @@
 #include "snipeferry/gateway/runnumbers.h"
 #include "snipeferry/gateway/serverpaths.h"
 #include "snipeferry/gateway/serverrestarts.h"
+#include "snipeferry/overload/customershares.h"
+#include "snipeferry/overload/laterequests.h"
+#include "snipeferry/overload/refusaldelay.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -37,6 +40,8 @@
     double spillShare = 0.35;
     /** Fraction of the latency objective. A request that would wait longer than this before its own prompt is read is refused. */
     double refuseShare = 1.0;
+    /** Whether requests that cannot meet their objective any more are sent behind all others, if their callers still wait for the answer. */
+    bool sendsLateRequests = false;
     AnswerLimits answers;
     std::uint64_t seed = 1;
 };
@@ -50,6 +55,7 @@
     ServerRestarts &restarts;
     FleetView &fleet;
     RateLimiter &allowances;
+    overload::CustomerShares &shares;
     RepeatBudget &repeats;
     RolloutGuard &rollouts;
     PromptQuarantine &quarantine;
@@ -148,6 +154,7 @@
         core::ServiceId service;
         core::CustomerId customer;
         std::vector<core::RegionId> customerHomeRegions;
+        /** The urgency level; overload::LATE_RANK for a request that is sent behind all others. */
         int priority = 5;
         /** What the request is charged to the customer, in tokens or requests. */
         double cost = 0;
@@ -245,6 +252,13 @@
     void noteBoundRequest(const OpenRequest &open);
     /** Whether requests that are bound to some regions arrived lately for the service, and wait here for long or would behind this request. */
     bool shouldMakeRoom(const OpenRequest &open, absl::Duration localWait);
+    /** Refuses a request whose expected wait exceeds its bound, or starts it late. */
+    core::Expected<void> startLateOrRefuse(OpenRequest &open, const ServerQuery &query, const core::Expected<ServerChoice> &localChoice,
+        const core::Expected<RemoteChoice> &remoteChoice, double factor);
+    /** Sends a request behind all others if its caller still waits for the answer; returns whether it was sent. */
+    bool startLate(OpenRequest &open, const ServerQuery &query, const ServerChoice &localChoice);
+    /** What a request asks of the backend servers, for the customers' shares. */
+    static double workOf(const OpenRequest &open);
     void startLocally(OpenRequest &open, const ServerChoice &choice);
     void startForwarded(OpenRequest &open, const RemoteChoice &choice, const VersionChoice &versions);
     /** Forgets the current run and updates the statistics of its backend server and rollout. */
@@ -327,6 +341,8 @@
     absl::flat_hash_map<core::ServiceId, BoundRequests> m_boundRequests;
     Number m_lastNumber = 0;
     std::mt19937_64 m_random;
+    overload::RefusalDelay m_refusalDelay;
+    overload::LateRequests m_lateRequests;
     core::Subscription m_sweepTimer;
 };
 
--- a/source/gateway/backendchoice.cpp
+++ b/source/gateway/backendchoice.cpp
@@ -224,6 +224,7 @@
         scored.choice.wait += wait;
         scored.isFull = wait > absl::ZeroDuration() || state.running + state.peerRunning >= state.server.slots;
     }
+    scored.choice.runs = state.running + state.peerRunning;
 
     std::int64_t sharedTokens = 0;
     for (std::size_t index = 0; index + 1 < query.promptParts.size(); ++index) {
--- a/source/gateway/backendtable.cpp
+++ b/source/gateway/backendtable.cpp
@@ -441,10 +441,14 @@
     const absl::Time now = m_timers.now();
     ServiceState &service = m_services[target->server.service];
     const int level = urgencyOf(priority);
-    target->lastEstimate = estimate(*target, service, level, unreadTokens);
+    const absl::Duration expected = estimate(*target, service, level, unreadTokens);
+    const bool isLate = priority >= URGENCY_LEVELS;
+    if (!isLate) {
+        target->lastEstimate = expected;
+    }
     serverload::RunStart start;
-    // How a cold backend server answers says nothing about its usual speed.
-    if (isEngineService(target->server.service) && coldUntil(*target) <= now) {
+    // How a cold backend server answers says nothing about its usual speed, and neither does a run that waits behind all others.
+    if (isEngineService(target->server.service) && coldUntil(*target) <= now && !isLate) {
         start.ownTokens = unreadTokens;
         start.tokensToRead = unreadTokensAhead(*target, level) + unreadTokens;
         start.hasWaitedForSlot = target->running + target->peerRunning >= target->server.slots;
@@ -464,7 +468,7 @@
         service.tokensPerRun += service.tokensPerRun == 0 ? tokens : SERVICE_SMOOTHING * (tokens - service.tokensPerRun);
     }
     updateMemoryUse(*target);
-    m_promptCache.noteDispatched(id, parts, target->lastEstimate);
+    m_promptCache.noteDispatched(id, parts, expected);
     return start;
 }
 
@@ -482,6 +486,10 @@
     }
     std::int64_t &ownUnread = target->ownUnread[urgencyOf(priority)];
     ownUnread = std::max<std::int64_t>(0, ownUnread - unreadTokens);
+    if (priority >= URGENCY_LEVELS) {
+        // A late run waits behind all others, which says nothing about the backend server.
+        return;
+    }
     const absl::Time now = m_timers.now();
     ServiceState &service = m_services[target->server.service];
     double expected = std::max(5.0, absl::ToDoubleMilliseconds(target->lastEstimate) / std::max(0.5, target->slowness));
--- a/source/net/gatewaysettings.cpp
+++ b/source/net/gatewaysettings.cpp
@@ -118,6 +118,9 @@
         gateway.duties.duties = duties.texts("list");
         duties.finish();
     }
+    YamlMap overload = root.map("overload");
+    gateway.flow.sendsLateRequests = overload.flag("late_requests", gateway.flow.sendsLateRequests);
+    overload.finish();
 
     YamlMap log = root.map("log");
     settings.journal.linesPerSecond = static_cast<int>(log.integer("lines_per_second", 0, 100000, settings.journal.linesPerSecond));
@@ -186,6 +189,7 @@
         {"promises.cold_slack", before.cold.slack == after.cold.slack},
         {"prompt_cache.memory_aware", before.isPromptCacheMemoryAware == after.isPromptCacheMemoryAware},
         {"promises.allowance_excess", before.allowances.excess == after.allowances.excess},
+        {"overload.late_requests", before.flow.sendsLateRequests == after.flow.sendsLateRequests},
     };
     SettingsChange change;
     for (const std::pair<const char *, bool> &setting : fixed) {
