--- a/tests/gateway/overloadtest.cpp
+++ b/tests/gateway/overloadtest.cpp
@@ -204,6 +204,27 @@
     CHECK(bigRefused <= 800 - 200 * 0.4);
 }
 
+// Guards against a customer that spreads its load over other instances, so that it asks for no more than the others here.
+TEST_CASE("what other instances report of a customer counts for its share")
+{
+    OverloadFixture fixture;
+    fixture.gateway.linkUp(GatewayFixture::member("gw-2", "north"));
+    for (int step = 0; step < 200; ++step) {
+        if (step % 20 == 0) {
+            gateway::Pulse pulse;
+            pulse.sentAt = 1;
+            pulse.isReady = true;
+            pulse.allowances = {{core::CustomerId("big"), 0, 10 * 90000.0}, {core::CustomerId("small"), 0, 0}};
+            fixture.gateway.received(core::InstanceId("gw-2"), pulse);
+        }
+        fixture.askAs("big", "/questions/x", 4500);
+        fixture.askAs("small", "/questions/x", 4500);
+        fixture.readFor(absl::Milliseconds(50));
+    }
+    // Both together ask here for twice the room. In all, the large one asks for eleven times as much as the other.
+    CHECK(fixture.linesWith("customer=big reason=share") > fixture.linesWith("customer=small reason="));
+}
+
 // Guards against shares that hold a customer back while the engines have room.
 TEST_CASE("with room to spare no customer is refused, however much more than the others it asks for")
 {
