--- a/include/snipeferry/overload/customershares.h
+++ b/include/snipeferry/overload/customershares.h
@@ -90,8 +90,8 @@
     enum Unit {
         Requests,
         Tokens,
-        UNIT_COUNT,
     };
+    static constexpr int UNIT_COUNT = 2;
 
     /** Position in m_customers. */
     using Index = std::uint32_t;
