--- a/tests/duties/dutyholdertest.cpp
+++ b/tests/duties/dutyholdertest.cpp
@@ -116,7 +116,8 @@
     world.acting()->isCutOffFromStore = true;
     world.restore(absl::Minutes(2));
     world.run(absl::Seconds(20));
-    CHECK(world.violation() == "");
+    INFO(world.violation());
+    CHECK(world.violation().empty());
 }
 
 TEST_CASE("a report waits for a region that writes its sums late")
--- a/tests/gateway/overloadtest.cpp
+++ b/tests/gateway/overloadtest.cpp
@@ -62,7 +62,7 @@
     std::shared_ptr<Answer> askAs(const std::string &customer, const std::string &target, int tokens)
     {
         const std::size_t before = runs.sent.size();
-        const std::shared_ptr<Answer> answer = ask(target, {{"key", customer + "-key"}, {"tokens", absl::StrCat(tokens)}});
+        std::shared_ptr<Answer> answer = ask(target, {{"key", customer + "-key"}, {"tokens", absl::StrCat(tokens)}});
         if (runs.sent.size() > before) {
             waiting.push_back({lastRun(), static_cast<double>(tokens)});
         }
@@ -130,8 +130,10 @@
 TEST_CASE("a request that is refused for its wait is never run and gets a time to return")
 {
     OverloadFixture fixture;
+    constexpr int REQUESTS = 6;
     std::vector<std::shared_ptr<Answer>> answers;
-    for (int request = 0; request < 6; ++request) {
+    answers.reserve(REQUESTS);
+    for (int request = 0; request < REQUESTS; ++request) {
         answers.push_back(fixture.askAs("small", "/questions/x", 36000));
     }
     const std::size_t started = fixture.runs.sent.size();
