Log lines and hypotheses for two DRAIN faults around the store

The logs don't tell why a copy counts as current, nor why a missing backend server is kept. topic_confirmed names what confirmed a reading that may be old; server_gone says whether the store was taken for lost and how long its return is ago. No change of the logic.

--- a/include/snipeferry/gateway/gateway.h
+++ b/include/snipeferry/gateway/gateway.h
@@ -236,8 +236,15 @@
     /** Time from which a backend server whose announcement is still missing after a store outage counts as gone. */
     absl::Time lapsedServersRemovedAt() const;
     void removeLapsedServers();
+    /** What confirmed a copy: the store at a revision, or an instance with the revision of the newest change that it knows. */
+    struct ConfirmationSource
+    {
+        core::Revision revision = 0;
+        /** Empty for the store. */
+        core::InstanceId instance;
+    };
     /** Records a time at which the store confirmed that the copy of a topic was up to date. */
-    void confirm(Topic topic, absl::Time at);
+    void confirm(Topic topic, absl::Time at, const ConfirmationSource &source);
     /** Tells the others that this instance has lost or regained the backend servers of a service. */
     void pathsChanged(const core::ServiceId &service);
     /** Passes the known instances to the components that depend on them. */
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -189,7 +189,7 @@
     if (topic == Topic::BackendServers && confirmedAt == absl::InfinitePast()) {
         m_backends.setUnconfirmedUntil(m_ports.timers.now() + CONFIRMATION_TIMEOUT);
     }
-    confirm(topic, confirmedAt);
+    confirm(topic, confirmedAt, {revision, {}});
 }
 
 void Gateway::topicChanged(Topic topic, const std::vector<RecordChange> &changes, core::Revision revision, absl::Time confirmedAt)
@@ -198,7 +198,7 @@
     const core::Revision after = mirror(topic).changeRevision();
     const std::vector<RecordChange> newChanges = mirror(topic).apply(changes, revision);
     applyRecordChanges(topic, newChanges);
-    confirm(topic, confirmedAt);
+    confirm(topic, confirmedAt, {revision, {}});
     sendChangesToRegion(topic, after, revision, newChanges);
 }
 
@@ -207,9 +207,19 @@
     return mirror(topic).isLoaded() && mirror(topic).confirmedAt() == absl::InfinitePast();
 }
 
-void Gateway::confirm(Topic topic, absl::Time at)
+void Gateway::confirm(Topic topic, absl::Time at, const ConfirmationSource &source)
 {
+    const bool wasUnconfirmed = isUnconfirmed(topic);
     mirror(topic).confirm(at);
+    if (wasUnconfirmed && !isUnconfirmed(topic)) {
+        m_ports.journal.log(core::LogEvent{"topic_confirmed", {}}
+                                .with("topic", absl::StrCat(static_cast<int>(topic)))
+                                .with("from", source.instance.value())
+                                .with("told_revision", absl::StrCat(counterOf(source.revision)))
+                                .with("revision", absl::StrCat(counterOf(mirror(topic).revision())))
+                                .with("change_revision", absl::StrCat(counterOf(mirror(topic).changeRevision())))
+                                .with("age_ms", absl::StrCat(absl::ToInt64Milliseconds(m_ports.timers.now() - at))));
+    }
     if (m_isStoreLost && at > m_storeFailedAt) {
         m_isStoreLost = false;
         m_storeRegainedAt = m_ports.timers.now();
--- a/source/gateway/gatewayfleet.cpp
+++ b/source/gateway/gatewayfleet.cpp
@@ -199,7 +199,7 @@
         const RecordMirror &own = m_mirrors[index];
         if (own.isLoaded() && state.revision <= own.changeRevision()) {
             if (sentNoEarlierThan > absl::InfinitePast()) {
-                confirm(state.topic, sentNoEarlierThan - state.confirmedAgo);
+                confirm(state.topic, sentNoEarlierThan - state.confirmedAgo, {state.revision, from});
             }
         } else if (eraOf(state.revision) > eraOf(own.revision()) || m_ports.timers.now() - own.confirmedAt() > STALE_CONFIRMATION_AGE) {
             requestRecords(from, state.topic);
--- a/source/gateway/gatewayrecords.cpp
+++ b/source/gateway/gatewayrecords.cpp
@@ -207,7 +207,12 @@
             m_quarantine.addEndOfProcess(id);
             m_backends.remove(id);
         }
-        m_ports.journal.log(core::LogEvent{"server_gone", {}}.with("server", id.value()).with("is_held", mayHaveLapsed ? "true" : "false"));
+        m_ports.journal.log(core::LogEvent{"server_gone", {}}
+                                .with("server", id.value())
+                                .with("is_held", mayHaveLapsed ? "true" : "false")
+                                .with("revision", absl::StrCat(change.revision))
+                                .with("is_store_lost", m_isStoreLost ? "true" : "false")
+                                .with("since_regained_ms", absl::StrCat(absl::ToInt64Milliseconds(m_ports.timers.now() - m_storeRegainedAt))));
         return;
     }
     core::Expected<BackendServer> server = m_ports.records.decodeBackendServer(change.key, *change.value);
