--- a/include/snipeferry/core/value.h
+++ b/include/snipeferry/core/value.h
@@ -5,6 +5,7 @@
 #include <absl/time/time.h>
 #include <nlohmann/json.hpp>
 
+#include <limits>
 #include <optional>
 #include <string>
 #include <tuple>
@@ -101,7 +102,7 @@
     }
 };
 
-/** Converts durations to and from an integer number of nanoseconds. */
+/** Converts durations to and from an integer number of nanoseconds; its largest value stands for an infinite one. */
 template<>
 struct adl_serializer<absl::Duration>
 {
@@ -112,7 +113,8 @@
 
     static void from_json(const json &in, absl::Duration &duration)
     {
-        duration = absl::Nanoseconds(in.get<std::int64_t>());
+        const std::int64_t nanoseconds = in.get<std::int64_t>();
+        duration = nanoseconds == std::numeric_limits<std::int64_t>::max() ? absl::InfiniteDuration() : absl::Nanoseconds(nanoseconds);
     }
 };
 
--- a/include/snipeferry/gateway/fleetmessages.h
+++ b/include/snipeferry/gateway/fleetmessages.h
@@ -45,7 +45,7 @@
     Topic topic = Topic::Operator;
     /** Revision of the newest change in the sender's copy. */
     core::Revision revision = 0;
-    /** Time since the store last confirmed that the copy was up to date. */
+    /** Time since the store last confirmed that the copy was up to date; infinite if it never did. */
     absl::Duration confirmedAgo = absl::InfiniteDuration();
 
     SNIPEFERRY_VALUE(TopicState, topic, revision, confirmedAgo)
@@ -92,6 +92,7 @@
 struct RecordsRequest
 {
     Topic topic = Topic::Operator;
+    /** Revision up to which the sender's copy is complete. */
     core::Revision after = 0;
 
     SNIPEFERRY_VALUE(RecordsRequest, topic, after)
--- a/include/snipeferry/gateway/records.h
+++ b/include/snipeferry/gateway/records.h
@@ -50,7 +50,8 @@
 /**
  * Local copy of one topic, with the revision up to which it is complete.
  *
- * The copy never goes back: reads and changes older than its own revision are ignored.
+ * The copy never goes back: reads and changes older than its own revision are ignored. It may hold newer records than that, because the pages of a read may
+ * differ in age. Only revision() tells which changes it surely contains.
  */
 class RecordMirror
 {
@@ -74,10 +75,10 @@
 
     /** @brief Whether the topic has been read at least once. */
     bool isLoaded() const;
-    /** @brief Revision up to which the copy is complete. */
+    /** @brief Revision up to which the copy is complete: no change up to it is missing. */
     core::Revision revision() const;
 
-    /** @brief Revision of the newest change in the copy. */
+    /** @brief Revision of the newest change in the copy, which may be above revision(). */
     core::Revision changeRevision() const;
     /** @brief Time of the latest confirmation; InfinitePast if there was none. */
     absl::Time confirmedAt() const;
--- a/source/gateway/gatewayfleet.cpp
+++ b/source/gateway/gatewayfleet.cpp
@@ -190,14 +190,15 @@
     const absl::Time sentNoEarlierThan = m_fleet.receive(from, message);
     m_backends.promptCache().notePeerReports(message.readParts);
     notePartsAsRelay(message.readParts, m_fleet.isInOwnRegion(from));
-    // A confirmation that the peer got from the store is valid here too. Its time is computed from the earliest time at which the peer can have sent the pulse.
+    // A confirmation that the peer got from the store is valid for a copy that is complete up to the newest change that the peer knows. Its time is computed
+    // from the earliest time at which the peer can have sent the pulse.
     for (const TopicState &state : message.topics) {
         const std::size_t index = static_cast<std::size_t>(state.topic);
         if (index >= m_mirrors.size()) {
             continue;
         }
         const RecordMirror &own = m_mirrors[index];
-        if (own.isLoaded() && state.revision <= own.changeRevision()) {
+        if (own.isLoaded() && state.revision <= own.revision()) {
             if (sentNoEarlierThan > absl::InfinitePast()) {
                 confirm(state.topic, sentNoEarlierThan - state.confirmedAgo, {state.revision, from});
             }
@@ -273,9 +274,9 @@
     m_ports.journal.log(core::LogEvent{"topic_requested", {}}
                             .with("topic", absl::StrCat(static_cast<int>(topic)))
                             .with("from", peer.value())
-                            .with("revision", absl::StrCat(mirror(topic).changeRevision()))
+                            .with("revision", absl::StrCat(mirror(topic).revision()))
                             .with("confirmed_ms", absl::StrCat(absl::ToInt64Milliseconds(now - mirror(topic).confirmedAt()))));
-    m_ports.links.send(peer, RecordsRequest{topic, mirror(topic).changeRevision()});
+    m_ports.links.send(peer, RecordsRequest{topic, mirror(topic).revision()});
 }
 
 void Gateway::handle(const core::InstanceId &from, const RecordsRequest &message)
@@ -309,7 +310,7 @@
         return;
     }
     RecordMirror &own = m_mirrors[index];
-    if (!own.isLoaded() || std::max(own.revision(), own.changeRevision()) < message.after) {
+    if (!own.isLoaded() || own.revision() < message.after) {
         // Earlier changes are missing here, so request the whole topic.
         requestRecords(from, message.topic);
         return;
--- a/source/gateway/gatewayrecords.cpp
+++ b/source/gateway/gatewayrecords.cpp
@@ -207,8 +207,8 @@
             m_quarantine.addEndOfProcess(id);
             m_backends.remove(id);
         }
-        m_ports.journal.log(core::LogEvent{"server_gone", {}}
-                                .with("server", id.value())
+        m_ports.journal.log(core::LogEvent{
+            "server_gone", {}}.with("server", id.value())
                                 .with("is_held", mayHaveLapsed ? "true" : "false")
                                 .with("revision", absl::StrCat(change.revision))
                                 .with("is_store_lost", m_isStoreLost ? "true" : "false")
--- a/source/gateway/records.cpp
+++ b/source/gateway/records.cpp
@@ -37,7 +37,13 @@
         m_changeRevision = std::max(m_changeRevision, positionOf(eraOf(revision), 0));
     }
     for (const auto &entry : m_records) {
-        if (updatedRecords.count(entry.first) == 0) {
+        if (updatedRecords.count(entry.first) != 0) {
+            continue;
+        }
+        if (entry.second.revision > revision) {
+            // Written after the read.
+            updatedRecords.insert(entry);
+        } else {
             changes.push_back({entry.first, std::nullopt, revision});
         }
     }
--- a/source/net/storeclient.cpp
+++ b/source/net/storeclient.cpp
@@ -74,7 +74,7 @@
     void readAll()
     {
         m_records.clear();
-        m_revision = 0;
+        m_readPosition.reset();
         m_startedAt = m_loop.timers().now();
         readPage({});
     }
@@ -98,7 +98,7 @@
             return;
         }
         const core::Revision position = gateway::positionOf(m_era.current(), page->revision);
-        if (m_revision != 0 && gateway::eraOf(m_revision) != m_era.current()) {
+        if (m_readPosition.has_value() && gateway::eraOf(*m_readPosition) != m_era.current()) {
             // The store came back between two pages.
             m_pause = m_loop.timers().after(m_backoff.next(), [self = shared_from_this()] { self->readAll(); });
             return;
@@ -107,15 +107,15 @@
         for (const gateway::Record &record : page->records) {
             m_records.push_back({record.key, record.value, gateway::positionOf(m_era.current(), record.revision)});
         }
-        // Pages are no snapshot; changes since the first page are watched.
-        m_revision = m_revision == 0 ? position : std::min(m_revision, position);
+        // Pages are no snapshot; the changes since the oldest one are watched.
+        m_readPosition = std::min(m_readPosition.value_or(position), position);
         if (page->hasMore && !page->records.empty()) {
             readPage(page->records.back().key);
             return;
         }
         // A reading that may be old costs the store a tenth. Other instances or the first watch confirm it or bring what has changed since.
         const absl::Time oldest = m_topic == gateway::Topic::Members ? m_startedAt - FIRST_READING_AGE : absl::InfinitePast();
-        m_gateway.topicRead(m_topic, m_records, m_revision, m_mayBeOld ? oldest : m_startedAt);
+        m_gateway.topicRead(m_topic, m_records, *m_readPosition, m_mayBeOld ? oldest : m_startedAt);
         const bool isOld = std::exchange(m_mayBeOld, false);
         m_records.clear();
         m_records.shrink_to_fit();
@@ -250,7 +250,8 @@
     Backoff m_goneBackoff;
     std::mt19937_64 m_random;
     std::vector<gateway::Record> m_records;
-    core::Revision m_revision = 0;
+    /** Position of the oldest page that was read. */
+    std::optional<core::Revision> m_readPosition;
     /** Position after which the call in progress asks for changes. */
     core::Revision m_watched = 0;
     bool m_mayBeOld = false;
