--- a/include/snipeferry/core/value.h
+++ b/include/snipeferry/core/value.h
@@ -64,9 +64,12 @@
         nlohmann_json_t.added = nlohmann_json_j.value(#added, decltype(nlohmann_json_t.added)());                                                              \
     }
 
-/** As SNIPEFERRY_EXTENDED_VALUE, with a bool that earlier builds do not know either. It is left out where it is false, and false where it is missing. */
-#define SNIPEFERRY_EXTENDED_FLAG_VALUE(Type, added, flag, ...)                                                                                                 \
-    SNIPEFERRY_COMPARED_BY(Type, __VA_ARGS__, added, flag)                                                                                                     \
+/**
+ * As SNIPEFERRY_EXTENDED_VALUE, with a bool and a duration that earlier builds do not know either. They are left out where they are false and infinite, and
+ * have these values where they are missing.
+ */
+#define SNIPEFERRY_EXTENDED_STATE_VALUE(Type, added, flag, age, ...)                                                                                           \
+    SNIPEFERRY_COMPARED_BY(Type, __VA_ARGS__, added, flag, age)                                                                                                \
     template<typename BasicJson>                                                                                                                               \
     friend void to_json(BasicJson &nlohmann_json_j, const Type &nlohmann_json_t)                                                                               \
     {                                                                                                                                                          \
@@ -77,6 +80,9 @@
         if (nlohmann_json_t.flag) {                                                                                                                            \
             nlohmann_json_j[#flag] = true;                                                                                                                     \
         }                                                                                                                                                      \
+        if (nlohmann_json_t.age != absl::InfiniteDuration()) {                                                                                                 \
+            nlohmann_json_j[#age] = nlohmann_json_t.age;                                                                                                       \
+        }                                                                                                                                                      \
     }                                                                                                                                                          \
     template<typename BasicJson>                                                                                                                               \
     friend void from_json(const BasicJson &nlohmann_json_j, Type &nlohmann_json_t)                                                                             \
@@ -84,6 +90,7 @@
         NLOHMANN_JSON_EXPAND(NLOHMANN_JSON_PASTE(NLOHMANN_JSON_FROM, __VA_ARGS__))                                                                             \
         nlohmann_json_t.added = nlohmann_json_j.value(#added, decltype(nlohmann_json_t.added)());                                                              \
         nlohmann_json_t.flag = nlohmann_json_j.value(#flag, false);                                                                                            \
+        nlohmann_json_t.age = nlohmann_json_j.value(#age, absl::InfiniteDuration());                                                                           \
     }
 
 namespace nlohmann {
--- a/include/snipeferry/gateway/fleetmessages.h
+++ b/include/snipeferry/gateway/fleetmessages.h
@@ -76,8 +76,11 @@
      * checks keys. Earlier builds do not send it: they run forwarded requests only while they accept callers.
      */
     bool takesForwards = false;
+    /** Time since the sender itself got an answer of the store. Only sent within a region; earlier builds do not send it. */
+    absl::Duration storeAnsweredAgo = absl::InfiniteDuration();
 
-    SNIPEFERRY_EXTENDED_FLAG_VALUE(Pulse, lostServices, takesForwards, sentAt, echo, isReady, topics, rooms, work, readParts, allowances, rollouts)
+    SNIPEFERRY_EXTENDED_STATE_VALUE(
+        Pulse, lostServices, takesForwards, storeAnsweredAgo, sentAt, echo, isReady, topics, rooms, work, readParts, allowances, rollouts)
 };
 
 /** Transfers customers' tokens to the receiver. The sender has already debited them. */
@@ -98,14 +101,25 @@
     SNIPEFERRY_VALUE(RecordsRequest, topic, after)
 };
 
+/** A missing announcement of a backend server that may have lapsed in an outage of the store, and how long the sender goes on to use the backend server. */
+struct LapsedRecord
+{
+    std::string key;
+    absl::Duration timeLeft;
+
+    SNIPEFERRY_VALUE(LapsedRecord, key, timeLeft)
+};
+
 /** Full contents of a topic. */
 struct RecordsTransfer
 {
     Topic topic = Topic::Operator;
     core::Revision revision = 0;
     std::vector<Record> records;
+    /** Empty from earlier builds. */
+    std::vector<LapsedRecord> lapsed = {};
 
-    SNIPEFERRY_VALUE(RecordsTransfer, topic, revision, records)
+    SNIPEFERRY_EXTENDED_VALUE(RecordsTransfer, lapsed, topic, revision, records)
 };
 
 /** Changes that the sender has read from the store. They apply only to a copy that is complete up to "after". */
@@ -116,8 +130,10 @@
     core::Revision after = 0;
     core::Revision revision = 0;
     std::vector<RecordChange> changes;
+    /** Empty from earlier builds. */
+    std::vector<LapsedRecord> lapsed = {};
 
-    SNIPEFERRY_VALUE(RecordsUpdate, topic, after, revision, changes)
+    SNIPEFERRY_EXTENDED_VALUE(RecordsUpdate, lapsed, topic, after, revision, changes)
 };
 
 /** Forwards a caller's request to another instance, which sends it to a backend server of its region or refuses it. It is never forwarded again. */
--- a/include/snipeferry/gateway/gateway.h
+++ b/include/snipeferry/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "snipeferry/gateway/reading.h"
 #include "snipeferry/gateway/records.h"
 #include "snipeferry/gateway/requestflow.h"
+#include "snipeferry/gateway/storecontact.h"
 
 #include <array>
 #include <map>
@@ -114,6 +115,9 @@
     /** @brief Reports that the store did not answer or returned an error. */
     void storeFailed();
 
+    /** @brief Reports any answer of the store that is no error; a topic's reading and its changes count by themselves. */
+    void storeAnswered();
+
     /** @brief Number of instances that this one knows of, itself included. */
     int instanceCount() const;
 
@@ -202,19 +206,23 @@
     /** Component that started a run and receives its events. */
     RunEvents &ownerOf(Number run);
     /** Replaces the copy of a topic by a full read of the store, of this instance or of another one. Returns the number of changes. */
-    std::size_t replaceTopic(Topic topic, const std::vector<Record> &records, core::Revision revision);
+    std::size_t replaceTopic(Topic topic, const std::vector<Record> &records, core::Revision revision, const std::vector<LapsedRecord> &lapsed = {});
     enum class RecordOrigin {
         /** The record was written since. */
         Written,
         /** The record is one of a store that has come back from a copy, and may be older than what is known. */
         ReturnedStore,
     };
-    void applyRecordChanges(Topic topic, const std::vector<RecordChange> &changes, RecordOrigin origin = RecordOrigin::Written);
+    /** @param lapsed what an instance that told the changes says of missing announcements */
+    void applyRecordChanges(
+        Topic topic, const std::vector<RecordChange> &changes, RecordOrigin origin = RecordOrigin::Written, const std::vector<LapsedRecord> &lapsed = {});
     /** Applies the differences between the copy and a store that has come back from a copy. What is missing there is mostly written again. */
     void applyReturnedRecords(Topic topic, const std::vector<RecordChange> &changes);
     void applyOperatorRecord(const RecordChange &change);
     void applyDeployment(const Deployment &deployment, core::Revision revision);
     void applyBackendServerRecord(const RecordChange &change, RecordOrigin origin);
+    /** Handles a missing announcement: its backend server has left, or its announcement may have lapsed in an outage of the store. */
+    void applyMissingServer(const RecordChange &change, const std::vector<LapsedRecord> &lapsed);
     /** Whether a returned announcement is one of a backend server that is known to leave or to have left. */
     bool isKnownToLeave(const BackendServer &server) const;
     /** Drops what was held since the store's return and was not written again. */
@@ -233,9 +241,14 @@
     void sendLimitNews();
     /** Linked instances of this region, but for one. */
     std::vector<core::InstanceId> linkedRegionInstances(const core::InstanceId &excluded = {}) const;
-    /** Time from which a backend server whose announcement is still missing after a store outage counts as gone. */
-    absl::Time lapsedServersRemovedAt() const;
+    /** How long the store has to work after an outage until a backend server whose announcement is still missing counts as gone. */
+    absl::Duration reannounceTime() const;
+    /** Working time of the store at which an announcement that is found missing now counts as gone. */
+    absl::Duration lapsedUntil() const;
     void removeLapsedServers();
+    /** The missing records of a topic that still count, as other instances are told of them. */
+    std::vector<LapsedRecord> lapsedRecords(Topic topic) const;
+    void contactChanged(StoreContact::Change change);
     /** What confirmed a copy: the store at a revision, or an instance with the revision of the newest change that it knows. */
     struct ConfirmationSource
     {
@@ -354,12 +367,18 @@
     std::map<core::BackendServerId, LeftServer> m_leftServers;
     /** Records that the store lacks, or announces wrongly, since its return, and until when the state before counts. */
     std::map<std::pair<Topic, std::string>, absl::Time> m_heldRecords;
-    /** Backend servers whose announcements may have lapsed because of a store outage. They are in use until lapsedServersRemovedAt(). */
-    std::set<core::BackendServerId> m_lapsedServers;
-    absl::Time m_storeFailedAt = absl::InfinitePast();
-    absl::Time m_storeRegainedAt = absl::InfinitePast();
-    /** Whether the store failed and has not confirmed any topic since. */
-    bool m_isStoreLost = false;
+    /** A backend server whose announcement may have lapsed in an outage of the store. */
+    struct LapsedServer
+    {
+        std::string key;
+        /** The store's working time at which it counts as gone. */
+        absl::Duration goneAt;
+        /** Latest goneAt. The store may be lost once more before the announcement is renewed, but not again and again. */
+        absl::Duration limit;
+    };
+    /** They are in use until they count as gone or are announced again. */
+    std::map<core::BackendServerId, LapsedServer> m_lapsedServers;
+    StoreContact m_storeContact;
     bool m_isDraining = false;
     core::Signal<RecordToStore> m_recordToStore;
     core::Signal<MembersChanged> m_membersChanged;
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -39,9 +39,21 @@
 constexpr absl::Duration QUARANTINE_STORE_PERIOD = absl::Seconds(8);
 /** Interval at which the usage of this instance is told: an instance that dies takes at most the counts of one second with it, a fifth of a window. */
 constexpr absl::Duration USAGE_PERIOD = absl::Seconds(1);
+/** Missed reports after which the store drops the announcement of a backend server. */
+constexpr int REPORTS_TO_LAPSE = 3;
+/** Time after the store's return within which a living backend server that reaches it is announced again. */
+constexpr absl::Duration REPORT_AFTER_RETURN = absl::Seconds(2);
+/** Shorter troubles are single failed calls: the next call is answered in this time. */
+constexpr absl::Duration MIN_OUTAGE = absl::Milliseconds(400);
 /** Interval at which windows that are over are looked for. */
 constexpr absl::Duration USAGE_CLOSE_PERIOD = absl::Milliseconds(250);
 
+/** Shortest outage of the store in which an announcement may lapse: its last report is up to one period old before, the next one comes after the return. */
+absl::Duration minOutage(absl::Duration reportPeriod)
+{
+    return std::max(MIN_OUTAGE, (REPORTS_TO_LAPSE - 1) * reportPeriod - REPORT_AFTER_RETURN);
+}
+
 } // namespace
 
 Gateway::Gateway(GatewaySettings settings, GatewayPorts ports)
@@ -72,6 +84,7 @@
               m_runNumbers, ports.runs, ports.links, ports.journal, m_usage.get()}),
       m_forwardReceiver(ports.timers, m_backends, m_paths, m_restarts, m_fleet, m_rollouts, m_quarantine, ports.headers, m_runNumbers, ports.runs, ports.links,
           ports.journal),
+      m_storeContact(ports.timers, minOutage(m_settings.serverReportPeriod)),
       m_regionPulseTimer(ports.timers.every(m_settings.regionPulsePeriod, [this] { sendRegionPulses(); })),
       m_otherRegionsPulseTimer(ports.timers.every(m_settings.otherRegionsPulsePeriod, [this] { sendPulses(false); })),
       m_lapsedServerTimer(ports.timers.every(LAPSED_SERVER_CHECK_PERIOD, [this] { removeLapsedServers(); })),
@@ -150,7 +163,7 @@
     if (changes.empty()) {
         return;
     }
-    m_ports.links.sendToAll(linkedRegionInstances(), RecordsUpdate{topic, after, revision, changes});
+    m_ports.links.sendToAll(linkedRegionInstances(), RecordsUpdate{topic, after, revision, changes, lapsedRecords(topic)});
 }
 
 bool Gateway::hasRecord(Topic topic, const std::string &key) const
@@ -163,13 +176,13 @@
     return m_fleet.instanceCount();
 }
 
-std::size_t Gateway::replaceTopic(Topic topic, const std::vector<Record> &records, core::Revision revision)
+std::size_t Gateway::replaceTopic(Topic topic, const std::vector<Record> &records, core::Revision revision, const std::vector<LapsedRecord> &lapsed)
 {
     RecordMirror &own = mirror(topic);
     const bool isReturned = own.isLoaded() && eraOf(revision) > eraOf(own.revision());
     const std::vector<RecordChange> changes = own.replace(records, revision);
     if (!isReturned) {
-        applyRecordChanges(topic, changes);
+        applyRecordChanges(topic, changes, RecordOrigin::Written, lapsed);
         return changes.size();
     }
     applyReturnedRecords(topic, changes);
@@ -180,6 +193,7 @@
 
 void Gateway::topicRead(Topic topic, const std::vector<Record> &records, core::Revision revision, absl::Time confirmedAt)
 {
+    storeAnswered();
     const std::size_t changes = replaceTopic(topic, records, revision);
     m_ports.journal.log(core::LogEvent{
         "topic_read", {}}.with("topic", absl::StrCat(static_cast<int>(topic)))
@@ -194,6 +208,7 @@
 
 void Gateway::topicChanged(Topic topic, const std::vector<RecordChange> &changes, core::Revision revision, absl::Time confirmedAt)
 {
+    storeAnswered();
     // The copy's own revision also rises with each confirmation, of which the others are told no revision. They have the same changes.
     const core::Revision after = mirror(topic).changeRevision();
     const std::vector<RecordChange> newChanges = mirror(topic).apply(changes, revision);
@@ -220,11 +235,6 @@
                                 .with("change_revision", absl::StrCat(counterOf(mirror(topic).changeRevision())))
                                 .with("age_ms", absl::StrCat(absl::ToInt64Milliseconds(m_ports.timers.now() - at))));
     }
-    if (m_isStoreLost && at > m_storeFailedAt) {
-        m_isStoreLost = false;
-        m_storeRegainedAt = m_ports.timers.now();
-        m_ports.journal.log(core::LogEvent{"store_regained", {}}.with("topic", absl::StrCat(static_cast<int>(topic))));
-    }
     if (topic == Topic::BackendServers && !isUnconfirmed(topic)) {
         m_backends.setUnconfirmedUntil(absl::InfinitePast());
     }
@@ -239,10 +249,31 @@
 
 void Gateway::storeFailed()
 {
-    m_storeFailedAt = m_ports.timers.now();
-    if (!m_isStoreLost) {
-        m_isStoreLost = true;
+    contactChanged(m_storeContact.noteFailure());
+}
+
+void Gateway::storeAnswered()
+{
+    contactChanged(m_storeContact.noteAnswer());
+}
+
+void Gateway::contactChanged(StoreContact::Change change)
+{
+    switch (change) {
+    case StoreContact::Change::None:
+        return;
+    case StoreContact::Change::Lost:
         m_ports.journal.log(core::LogEvent{"store_lost", {}});
+        return;
+    case StoreContact::Change::Regained:
+        m_ports.journal.log(core::LogEvent{"store_regained", {}}.with("is_outage", "false"));
+        return;
+    case StoreContact::Change::RegainedAfterOutage:
+        m_ports.journal.log(core::LogEvent{"store_regained", {}}.with("is_outage", "true"));
+        for (auto &entry : m_lapsedServers) {
+            entry.second.goneAt = std::min(entry.second.limit, lapsedUntil());
+        }
+        return;
     }
 }
 
--- a/source/gateway/gatewayfleet.cpp
+++ b/source/gateway/gatewayfleet.cpp
@@ -84,6 +84,7 @@
     pulse.lostServices = m_paths.lostServices();
     if (isToOwnRegion) {
         pulse.work = m_backends.ownWork();
+        pulse.storeAnsweredAgo = now - m_storeContact.lastOwnAnswerAt();
     } else {
         for (const core::ServiceId &service : m_backends.services()) {
             const std::vector<absl::Duration> waits = m_backends.leastWaits(service);
@@ -207,6 +208,8 @@
         }
     }
     if (m_fleet.isInOwnRegion(from)) {
+        // Backend servers reach the store as the instances of their region do.
+        contactChanged(m_storeContact.notePeerAnswer(sentNoEarlierThan - message.storeAnsweredAgo));
         m_rollouts.receive(from, message.rollouts);
     } else {
         m_rollouts.receiveRegion(m_fleet.regionOf(from), message.rollouts);
@@ -285,7 +288,7 @@
     if (index >= m_mirrors.size() || !m_mirrors[index].isLoaded() || m_mirrors[index].changeRevision() <= message.after) {
         return;
     }
-    m_ports.links.send(from, RecordsTransfer{message.topic, m_mirrors[index].revision(), m_mirrors[index].records()});
+    m_ports.links.send(from, RecordsTransfer{message.topic, m_mirrors[index].revision(), m_mirrors[index].records(), lapsedRecords(message.topic)});
 }
 
 void Gateway::handle(const core::InstanceId &from, const RecordsTransfer &message)
@@ -294,7 +297,7 @@
     if (index >= m_mirrors.size()) {
         return;
     }
-    const std::size_t changes = replaceTopic(message.topic, message.records, message.revision);
+    const std::size_t changes = replaceTopic(message.topic, message.records, message.revision, message.lapsed);
     m_ports.journal.log(core::LogEvent{"topic_from_peer", {}}
                             .with("topic", absl::StrCat(index))
                             .with("from", from.value())
@@ -315,7 +318,7 @@
         requestRecords(from, message.topic);
         return;
     }
-    applyRecordChanges(message.topic, own.apply(message.changes, message.revision));
+    applyRecordChanges(message.topic, own.apply(message.changes, message.revision), RecordOrigin::Written, message.lapsed);
 }
 
 void Gateway::sendPromptNews()
--- a/source/gateway/gatewayreadings.cpp
+++ b/source/gateway/gatewayreadings.cpp
@@ -23,7 +23,7 @@
         {"ready", "", isReady() ? 1.0 : 0.0},
         {"draining", "", m_isDraining ? 1.0 : 0.0},
         {"open_requests", "", static_cast<double>(openCount())},
-        {"store_reachable", "", m_isStoreLost ? 0.0 : 1.0},
+        {"store_reachable", "", m_storeContact.isInTrouble() ? 0.0 : 1.0},
         {"deployment_version", "", m_routes == nullptr ? 0.0 : static_cast<double>(m_routes->deployment().version)},
         {"instances_known", "", static_cast<double>(m_fleet.instanceCount())},
         {"instances_linked", "", static_cast<double>(m_fleet.linkedInstances().size())},
--- a/source/gateway/gatewayrecords.cpp
+++ b/source/gateway/gatewayrecords.cpp
@@ -27,7 +27,7 @@
 
 } // namespace
 
-void Gateway::applyRecordChanges(Topic topic, const std::vector<RecordChange> &changes, RecordOrigin origin)
+void Gateway::applyRecordChanges(Topic topic, const std::vector<RecordChange> &changes, RecordOrigin origin, const std::vector<LapsedRecord> &lapsed)
 {
     for (const RecordChange &change : changes) {
         switch (topic) {
@@ -35,7 +35,7 @@
             applyOperatorRecord(change);
             break;
         case Topic::BackendServers:
-            applyBackendServerRecord(change, origin);
+            change.value.has_value() ? applyBackendServerRecord(change, origin) : applyMissingServer(change, lapsed);
             break;
         case Topic::Members:
             applyMemberRecord(change);
@@ -114,7 +114,7 @@
 void Gateway::applyReturnedRecords(Topic topic, const std::vector<RecordChange> &changes)
 {
     const absl::Time now = m_ports.timers.now();
-    m_storeRegainedAt = now;
+    m_storeContact.noteReturn();
     m_rollouts.storeReturned();
     std::vector<RecordChange> present;
     for (const RecordChange &change : changes) {
@@ -192,29 +192,38 @@
     }
 }
 
-void Gateway::applyBackendServerRecord(const RecordChange &change, RecordOrigin origin)
+void Gateway::applyMissingServer(const RecordChange &change, const std::vector<LapsedRecord> &lapsed)
 {
     const core::BackendServerId id = m_ports.records.backendServerOf(change.key);
-    if (!change.value.has_value()) {
-        const BackendServer *gone = m_backends.find(id);
-        if (gone != nullptr) {
-            m_leftServers[id] = {gone->startedAtMs, m_ports.timers.now()};
-        }
-        const bool mayHaveLapsed = m_isStoreLost || m_ports.timers.now() < lapsedServersRemovedAt();
-        if (mayHaveLapsed) {
-            m_lapsedServers.insert(id);
-        } else {
-            m_quarantine.addEndOfProcess(id);
-            m_backends.remove(id);
+    const BackendServer *gone = m_backends.find(id);
+    if (gone != nullptr) {
+        m_leftServers[id] = {gone->startedAtMs, m_ports.timers.now()};
+    }
+    const absl::Duration workingTime = m_storeContact.workingTime();
+    absl::Duration goneAt = lapsedUntil();
+    for (const LapsedRecord &told : lapsed) {
+        if (told.key == change.key) {
+            goneAt = std::max(goneAt, workingTime + std::min(told.timeLeft, reannounceTime()));
         }
-        m_ports.journal.log(core::LogEvent{
-            "server_gone", {}}.with("server", id.value())
-                                .with("is_held", mayHaveLapsed ? "true" : "false")
-                                .with("revision", absl::StrCat(change.revision))
-                                .with("is_store_lost", m_isStoreLost ? "true" : "false")
-                                .with("since_regained_ms", absl::StrCat(absl::ToInt64Milliseconds(m_ports.timers.now() - m_storeRegainedAt))));
-        return;
     }
+    const bool mayHaveLapsed = goneAt > workingTime;
+    if (mayHaveLapsed) {
+        m_lapsedServers.emplace(id, LapsedServer{change.key, goneAt, goneAt + reannounceTime()});
+    } else {
+        m_quarantine.addEndOfProcess(id);
+        m_backends.remove(id);
+    }
+    m_ports.journal.log(core::LogEvent{
+        "server_gone", {}}.with("server", id.value())
+                            .with("is_held", mayHaveLapsed ? "true" : "false")
+                            .with("revision", absl::StrCat(change.revision))
+                            .with("held_ms", absl::StrCat(absl::ToInt64Milliseconds(mayHaveLapsed ? goneAt - workingTime : absl::ZeroDuration())))
+                            .with("is_store_away", m_storeContact.isAway() ? "true" : "false"));
+}
+
+void Gateway::applyBackendServerRecord(const RecordChange &change, RecordOrigin origin)
+{
+    const core::BackendServerId id = m_ports.records.backendServerOf(change.key);
     core::Expected<BackendServer> server = m_ports.records.decodeBackendServer(change.key, *change.value);
     m_lapsedServers.erase(id);
     if (!server) {
@@ -259,19 +268,42 @@
                             .with("revision", absl::StrCat(change.revision)));
 }
 
-absl::Time Gateway::lapsedServersRemovedAt() const
+absl::Duration Gateway::reannounceTime() const
+{
+    return std::min(REANNOUNCE_TIMEOUT, m_settings.serverDrainTime * REANNOUNCE_DRAIN_FRACTION);
+}
+
+absl::Duration Gateway::lapsedUntil() const
 {
-    return m_storeRegainedAt + std::min(REANNOUNCE_TIMEOUT, m_settings.serverDrainTime * REANNOUNCE_DRAIN_FRACTION);
+    // No backend server can renew its announcement while the store is away.
+    const absl::Duration returnedAt = m_storeContact.isAway() ? m_storeContact.workingTime() : m_storeContact.workingTimeAtReturn();
+    return returnedAt + reannounceTime();
+}
+
+std::vector<LapsedRecord> Gateway::lapsedRecords(Topic topic) const
+{
+    std::vector<LapsedRecord> records;
+    if (topic != Topic::BackendServers) {
+        return records;
+    }
+    const absl::Duration workingTime = m_storeContact.workingTime();
+    for (const auto &entry : m_lapsedServers) {
+        records.push_back({entry.second.key, entry.second.goneAt - workingTime});
+    }
+    return records;
 }
 
 void Gateway::removeLapsedServers()
 {
-    // No backend server can renew its announcement before the store's return.
-    if (!m_isStoreLost && m_ports.timers.now() >= lapsedServersRemovedAt()) {
-        for (const core::BackendServerId &id : std::exchange(m_lapsedServers, {})) {
-            m_backends.remove(id);
-            m_ports.journal.log(core::LogEvent{"server_gone", {}}.with("server", id.value()).with("is_held", "false"));
+    const absl::Duration workingTime = m_storeContact.workingTime();
+    for (auto it = m_lapsedServers.begin(); it != m_lapsedServers.end();) {
+        if (workingTime < it->second.goneAt) {
+            ++it;
+            continue;
         }
+        m_backends.remove(it->first);
+        m_ports.journal.log(core::LogEvent{"server_gone", {}}.with("server", it->first.value()).with("is_held", "false"));
+        it = m_lapsedServers.erase(it);
     }
     removeHeldRecords();
     updateInstances();
--- a/source/net/announcer.h
+++ b/source/net/announcer.h
@@ -86,6 +86,7 @@
                 self->m_journal.observe("store_call_seconds", name, self->m_loop.timers().now() - startedAt);
                 if (answer && (answer->status == STATUS_OK || answer->status == STATUS_NOT_FOUND)) {
                     self->m_backoff.reset();
+                    self->m_gateway.storeAnswered();
                     done(*answer);
                     return;
                 }
--- a/source/net/storeclient.cpp
+++ b/source/net/storeclient.cpp
@@ -29,8 +29,8 @@
 constexpr absl::Duration GATHERING_TIME = absl::Milliseconds(500);
 /** Age of a first reading of the instances, of which old ones do no harm. */
 constexpr absl::Duration FIRST_READING_AGE = absl::Seconds(2);
-/** Wait of the call that follows a first reading, which may be old: it returns the changes since, or confirms that there are none. */
-constexpr absl::Duration FIRST_CONFIRMATION_WAIT = absl::Milliseconds(1);
+/** Wait of a call that returns the changes since, or confirms that there are none, without waiting for them. */
+constexpr absl::Duration SHORT_WAIT = absl::Milliseconds(1);
 /** Time for which other instances may confirm a first reading before the store is called for it. */
 constexpr absl::Duration PEER_CONFIRMATION_TIME = absl::Milliseconds(300);
 /** Time over which the reads after a store's return are spread, for each instance of the fleet. */
@@ -156,7 +156,9 @@
         m_journal.count("store_calls_total", "watch", 1);
         m_watched = position;
         m_startedAt = m_loop.timers().now();
-        m_currentWait = m_gateway.isUnconfirmed(m_topic) ? FIRST_CONFIRMATION_WAIT : m_wait;
+        // After a failed call the next answer has to show soon whether the store works.
+        const bool isHasty = m_gateway.isUnconfirmed(m_topic) || std::exchange(m_hasFailed, false);
+        m_currentWait = isHasty ? SHORT_WAIT : m_wait;
         m_caller->call(m_format.awaitChanges(m_topic, gateway::counterOf(position), m_currentWait), m_currentWait + m_answerTimeout,
             [self = shared_from_this()](const core::Expected<CallAnswer> &answer) { self->watched(answer); });
     }
@@ -174,6 +176,7 @@
             return;
         }
         if (answer && answer->status == HTTP_GONE) {
+            m_gateway.storeAnswered();
             m_journal.log(core::LogEvent{"store_history_gone", {}}.with("topic", absl::StrCat(static_cast<int>(m_topic))));
             m_pause = m_loop.timers().after(m_goneBackoff.next(), [self = shared_from_this()] { self->readAll(); });
             return;
@@ -224,6 +227,7 @@
         m_journal.count("store_failures_total", reason, 1);
         m_journal.log(core::LogEvent{"store_call_failed", {}}.with("topic", absl::StrCat(static_cast<int>(m_topic))).with("reason", reason));
         m_gateway.storeFailed();
+        m_hasFailed = true;
         m_pause = m_loop.timers().after(m_backoff.next(), std::move(again));
     }
 
@@ -255,6 +259,8 @@
     /** Position after which the call in progress asks for changes. */
     core::Revision m_watched = 0;
     bool m_mayBeOld = false;
+    /** Whether the last call failed. */
+    bool m_hasFailed = false;
     absl::Time m_startedAt;
     core::Subscription m_pause;
 };
--- a/tests/net/storeclienttest.cpp
+++ b/tests/net/storeclienttest.cpp
@@ -57,6 +57,10 @@
                 reply(socket, 410, "{}");
                 return;
             }
+            if (absl::StrContains(call, "prefix=op/&")) {
+                const std::size_t wait = call.find("waitMs=") + 7;
+                operatorWaits.push_back(call.substr(wait, call.find(' ', wait) - wait));
+            }
             watch(socket);
         } else if (absl::StrContains(call, "kv-lease")) {
             ++leases;
@@ -127,6 +131,8 @@
     int oldReads = 0;
     int oldOperatorReads = 0;
     int watches = 0;
+    /** Waits of the calls for changes of the operator's records, in milliseconds. */
+    std::vector<std::string> operatorWaits;
     int leases = 0;
     int renewals = 0;
     int writes = 0;
@@ -206,6 +212,19 @@
     CHECK(fixture.until([&] { return fixture.store.watches >= 7; }));
 }
 
+// Guards against an instance that does not learn soon whether the store works, and takes a call that was closed for an outage (DRAIN).
+TEST_CASE("after a failed call for changes the next one asks for an answer at once")
+{
+    const Fault fault = GENERATE(Fault::Silent, Fault::Reset, Fault::Busy, Fault::TooMany);
+    StoreFixture fixture;
+    fixture.store.fault = fault;
+    fixture.store.faultsLeft = 3;
+    fixture.start();
+    REQUIRE(fixture.until([&] { return fixture.store.operatorWaits.size() >= 2; }));
+    CHECK(fixture.store.operatorWaits[0] == "60");
+    CHECK(fixture.store.operatorWaits[1] == "1");
+}
+
 TEST_CASE("a store without history is read afresh")
 {
     StoreFixture fixture;
