A first reading that may be old is confirmed at once

Cause: the store was asked for the changes since a first reading only 0.3 s later, so that others could confirm it. Ruled out: living backend servers that are lost in the outage (none of those that were taken for gone was announced again). Change: it is asked at once, one more call for each start. The time constant is gone.

--- a/source/net/storeclient.cpp
+++ b/source/net/storeclient.cpp
@@ -31,8 +31,6 @@
 constexpr absl::Duration FIRST_READING_AGE = absl::Seconds(2);
 /** Wait of a call that returns the changes since, or confirms that there are none, without waiting for them. */
 constexpr absl::Duration SHORT_WAIT = absl::Milliseconds(1);
-/** Time for which other instances may confirm a first reading before the store is called for it. */
-constexpr absl::Duration PEER_CONFIRMATION_TIME = absl::Milliseconds(300);
 /** Time over which the reads after a store's return are spread, for each instance of the fleet. */
 constexpr absl::Duration RETURN_READ_SPREAD = absl::Milliseconds(4);
 constexpr int HTTP_OK = 200;
@@ -116,14 +114,10 @@
         // A reading that may be old costs the store a tenth. Other instances or the first watch confirm it or bring what has changed since.
         const absl::Time oldest = m_topic == gateway::Topic::Members ? m_startedAt - FIRST_READING_AGE : absl::InfinitePast();
         m_gateway.topicRead(m_topic, m_records, *m_readPosition, m_mayBeOld ? oldest : m_startedAt);
-        const bool isOld = std::exchange(m_mayBeOld, false);
+        m_mayBeOld = false;
         m_records.clear();
         m_records.shrink_to_fit();
-        if (isOld && m_topic == gateway::Topic::BackendServers) {
-            m_pause = m_loop.timers().after(PEER_CONFIRMATION_TIME, [self = shared_from_this()] { self->watch(); });
-        } else {
-            watch();
-        }
+        watch();
     }
 
     /** Reads a topic after the store came back, unless another instance tells it first. All instances learn of the return at about the same time. */
