Updates that wait for a link are merged without claiming changes between them (DRAIN, CONFIG)

A receiver could miss a removal or a withdrawn key for good: its copy's revision is beyond the change, so later updates of it are skipped and pulses confirm the copy. Cause: two waiting updates were merged into one that claims all from the start of the first to the end of the second. Between them the sender may have learned a change from another instance, which it doesn't tell again. Evidence: the new test; without the change the merged update applies to a copy complete up to 1 although the change 5 is in neither. Ruled out: the list of lapsed announcements is lost in the merge (each update names all that its sender keeps then; checked). Change: where the second update begins above the first one's revision, the merged one applies only to copies that are complete up to there; others ask for the topic. Updates that follow each other are merged as before. Before: the test fails (after 1, 5 wanted).

--- a/source/net/linkqueue.cpp
+++ b/source/net/linkqueue.cpp
@@ -27,7 +27,9 @@
 gateway::RecordsUpdate mergeChanges(const gateway::RecordsUpdate &waiting, const gateway::RecordsUpdate &added)
 {
     gateway::RecordsUpdate merged = added;
-    merged.after = std::min(waiting.after, added.after);
+    // The sender may know of changes between the two from elsewhere. Then only a copy that has them is complete after both.
+    const bool isContinuation = added.after <= waiting.revision;
+    merged.after = isContinuation ? std::min(waiting.after, added.after) : added.after;
     merged.revision = std::max(waiting.revision, added.revision);
     for (const gateway::RecordChange &change : waiting.changes) {
         const auto isSameRecord = [&change](const gateway::RecordChange &other) {
--- a/tests/net/linkqueuetest.cpp
+++ b/tests/net/linkqueuetest.cpp
@@ -88,6 +88,23 @@
     }
 }
 
+// Guards against a change that a receiver never learns of, because its copy counts as complete beyond it (DRAIN, CONFIG).
+TEST_CASE("merged changes of records claim no change that the sender knows from elsewhere")
+{
+    net::LinkQueue queue(true);
+    CHECK(queue.push(outgoing(gateway::RecordsUpdate{Topic::BackendServers, 1, 2, {{"s1", std::string("old"), 2}}, {{"s1", absl::Seconds(2)}}})));
+    // Another instance has told the sender of the change 5.
+    CHECK(queue.push(outgoing(gateway::RecordsUpdate{Topic::BackendServers, 5, 7, {{"s2", std::nullopt, 7}}, {{"s2", absl::Seconds(1)}}})));
+    const std::vector<FleetMessage> sent = drain(queue);
+    REQUIRE(sent.size() == 1);
+    const gateway::RecordsUpdate &merged = std::get<gateway::RecordsUpdate>(sent.front());
+    CHECK(merged.after == 5);
+    CHECK(merged.revision == 7);
+    CHECK(merged.changes.size() == 2);
+    // Each update names all that its sender keeps at that time.
+    CHECK(merged.lapsed == std::vector<gateway::LapsedRecord>{{"s2", absl::Seconds(1)}});
+}
+
 TEST_CASE("a long transfer leaves in pieces, and requests and pulses go between them")
 {
     net::LinkQueue queue(true);
