A first reading of the instances is confirmed like one of the backend servers

The first reading of the instances may be seconds old and counted as confirmed 2 s before the call, so shares of limits and of cold backend servers could rest on an older list. Evidence: the new test, in which the topic counts as confirmed and the first call for changes waits 60 ms. Change: such a reading confirms nothing, whatever its topic; the changes since are asked for at once. The time constant is gone. Cost: one more call for changes for each start.

--- a/source/net/storeclient.cpp
+++ b/source/net/storeclient.cpp
@@ -27,8 +27,6 @@
  * are left for a backend server that drains, and what requests show counts before that.
  */
 constexpr absl::Duration GATHERING_TIME = absl::Milliseconds(500);
-/** Age of a first reading of the instances, of which old ones do no harm. */
-constexpr absl::Duration FIRST_READING_AGE = absl::Seconds(2);
 /** Wait of a call that returns the changes since, or confirms that there are none, without waiting for them. */
 constexpr absl::Duration SHORT_WAIT = absl::Milliseconds(1);
 /** Time over which the reads after a store's return are spread, for each instance of the fleet. */
@@ -112,8 +110,7 @@
             return;
         }
         // A reading that may be old costs the store a tenth. Other instances or the first watch confirm it or bring what has changed since.
-        const absl::Time oldest = m_topic == gateway::Topic::Members ? m_startedAt - FIRST_READING_AGE : absl::InfinitePast();
-        m_gateway.topicRead(m_topic, m_records, *m_readPosition, m_mayBeOld ? oldest : m_startedAt);
+        m_gateway.topicRead(m_topic, m_records, *m_readPosition, m_mayBeOld ? absl::InfinitePast() : m_startedAt);
         m_mayBeOld = false;
         m_records.clear();
         m_records.shrink_to_fit();
--- a/tests/net/storeclienttest.cpp
+++ b/tests/net/storeclienttest.cpp
@@ -57,10 +57,9 @@
                 reply(socket, 410, "{}");
                 return;
             }
-            if (absl::StrContains(call, "prefix=op/&")) {
-                const std::size_t wait = call.find("waitMs=") + 7;
-                operatorWaits.push_back(call.substr(wait, call.find(' ', wait) - wait));
-            }
+            const std::size_t prefix = call.find("prefix=") + 7;
+            const std::size_t wait = call.find("waitMs=") + 7;
+            waits[call.substr(prefix, call.find('&', prefix) - prefix)].push_back(call.substr(wait, call.find(' ', wait) - wait));
             watch(socket);
         } else if (absl::StrContains(call, "kv-lease")) {
             ++leases;
@@ -131,8 +130,8 @@
     int oldReads = 0;
     int oldOperatorReads = 0;
     int watches = 0;
-    /** Waits of the calls for changes of the operator's records, in milliseconds. */
-    std::vector<std::string> operatorWaits;
+    /** Waits of the calls for changes by prefix, in milliseconds. */
+    std::map<std::string, std::vector<std::string>> waits;
     int leases = 0;
     int renewals = 0;
     int writes = 0;
@@ -220,9 +219,23 @@
     fixture.store.fault = fault;
     fixture.store.faultsLeft = 3;
     fixture.start();
-    REQUIRE(fixture.until([&] { return fixture.store.operatorWaits.size() >= 2; }));
-    CHECK(fixture.store.operatorWaits[0] == "60");
-    CHECK(fixture.store.operatorWaits[1] == "1");
+    REQUIRE(fixture.until([&] { return fixture.store.waits["op/"].size() >= 2; }));
+    CHECK(fixture.store.waits["op/"][0] == "60");
+    CHECK(fixture.store.waits["op/"][1] == "1");
+}
+
+// Guards against a first reading, which may be seconds old, that counts as a confirmed one (DRAIN, FAILBACK, LIMIT).
+TEST_CASE("the changes since a first reading that may be old are asked for at once")
+{
+    StoreFixture fixture;
+    fixture.start();
+    REQUIRE(fixture.until([&] { return fixture.store.waits.size() == 3; }));
+    for (const auto &topic : fixture.store.waits) {
+        INFO(topic.first);
+        CHECK(topic.second.front() == (topic.first == "op/" ? "60" : "1"));
+    }
+    CHECK(fixture.gateway.isUnconfirmed(gateway::Topic::BackendServers));
+    CHECK(fixture.gateway.isUnconfirmed(gateway::Topic::Members));
 }
 
 TEST_CASE("a store without history is read afresh")
