Stand-ins: the library constructs what it keeps before threads answer

Cause: libcpp-httplib.so constructs a string at its first chunked answer and is built without the thread sanitizer, which so reports a race when several threads of a stand-in give first answers. Change: a stand-in answers one request in chunks, into a buffer, before its first thread starts.

--- a/standins/support/threadedserver.cpp
+++ b/standins/support/threadedserver.cpp
@@ -162,6 +162,22 @@
         Delete(".*", withBody);
     }
 
+    /**
+     * Answers a request in chunks without a connection. The library keeps a string that its first such answer constructs; it is built without the thread
+     * sanitizer, which reports a race if the first answers are given by several threads.
+     */
+    void answerOffline()
+    {
+        httplib::detail::BufferStream stream;
+        const std::string request = "GET / HTTP/1.1\r\n\r\n";
+        stream.write(request.data(), request.size());
+        bool isClosed = false;
+        // A server without a listening socket counts as shutting down and leaves its answers unfinished.
+        svr_sock_ = 0;
+        process_request(stream, true, isClosed, nullptr);
+        svr_sock_ = INVALID_SOCKET;
+    }
+
     /** The library's queue of five drops opening packets of a burst, which come again after seconds. */
     bool widenAcceptQueue() const
     {
@@ -170,6 +186,24 @@
 
     std::thread accepting;
 
+    /** Lets the library construct what it keeps before several threads answer. */
+    static void prepareLibrary()
+    {
+        static const bool isPrepared = [] {
+            Impl([](const http::HttpRequest & /*request*/, const ClientProbe & /*isClientGone*/) {
+                StandinAnswer answer;
+                answer.status = 200;
+                answer.next = [isSent = false](std::string &piece) mutable {
+                    piece = "x";
+                    return std::exchange(isSent, true) ? Piece::End : Piece::More;
+                };
+                return answer;
+            }).answerOffline();
+            return true;
+        }();
+        static_cast<void>(isPrepared);
+    }
+
 private:
     bool process_and_close_socket(socket_t socket) override // NOLINT(readability-identifier-naming): name fixed by the library
     {
@@ -200,6 +234,7 @@
 
 core::Expected<std::string> ThreadedServer::start(std::uint16_t port)
 {
+    Impl::prepareLibrary();
     const int bound = port == 0 ? m_impl->bind_to_any_port(HOST) : (m_impl->bind_to_port(HOST, port) ? port : -1);
     if (bound <= 0 || !m_impl->widenAcceptQueue()) {
         return tl::make_unexpected(core::makeError(core::ErrorKind::Internal, "Cannot listen on port " + std::to_string(port) + "."));
