--- a/review/support-3/standins.h
+++ b/review/support-3/standins.h
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -288,17 +289,24 @@
     std::string m_address;
 };
 
+/** An address below the kernel's range for outgoing connections, so that a process that is started again finds its own free. */
 inline std::string freeAddress()
 {
-    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    ::bind(fd, reinterpret_cast<sockaddr *>(&address), sizeof address);
-    socklen_t size = sizeof address;
-    ::getsockname(fd, reinterpret_cast<sockaddr *>(&address), &size);
-    ::close(fd);
-    return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+    static std::set<int> given;
+    static unsigned seed = static_cast<unsigned>(::getpid()) * 7919U + static_cast<unsigned>(nowMs());
+    while (true) {
+        const int port = 10000 + static_cast<int>(::rand_r(&seed) % 20000U);
+        const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(static_cast<std::uint16_t>(port));
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        const bool isFree = ::bind(fd, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0;
+        ::close(fd);
+        if (isFree && given.insert(port).second) {
+            return "127.0.0.1:" + std::to_string(port);
+        }
+    }
 }
 
 inline int connectTo(const std::string &address)
@@ -978,6 +986,8 @@
     {
         m_pid = ::fork();
         if (m_pid == 0) {
+            // It ends with this program, also where that is killed.
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int log = ::open(m_log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
             ::dup2(log, 1);
             ::dup2(log, 2);
