--- a/include/snipeferry/gateway/forwardreceiver.h
+++ b/include/snipeferry/gateway/forwardreceiver.h
@@ -78,6 +78,7 @@
     struct EndedRun
     {
         Origin origin;
+        core::RequestId request;
         absl::Time endedAt;
         SentAnswer sent;
     };
@@ -135,6 +136,7 @@
     /** Sends a message to the process that forwarded a request; false without a link to it. */
     bool sendTo(const Origin &origin, const FleetMessage &message);
     void refuse(const Origin &origin, const core::RequestId &request, const std::string &reason);
+    void logResumed(const core::InstanceId &from, const core::RequestId &request, const ForwardResume &message, const SentAnswer &sent);
     /** Sends the part of an answer that the origin has not received. */
     void resend(const Origin &origin, const ForwardResume &request, const SentAnswer &sent);
     /** Ends a run for which nobody waits any more. */
--- a/source/gateway/forwardreceiver.cpp
+++ b/source/gateway/forwardreceiver.cpp
@@ -253,6 +253,7 @@
     if (run != 0) {
         ForwardedRun &forwardedRun = m_forwardedRuns.at(run);
         forwardedRun.linkLostAt = absl::InfiniteFuture();
+        logResumed(from, forwardedRun.request, message, forwardedRun.sent);
         if (forwardedRun.sent.isKept) {
             resend(origin, message, forwardedRun.sent);
         } else {
@@ -262,6 +263,7 @@
     }
     for (const EndedRun &ended : m_endedRuns) {
         if (ended.origin == origin) {
+            logResumed(from, ended.request, message, ended.sent);
             resend(origin, message, ended.sent);
             sendTo(origin, ForwardEnd{message.number, ended.sent.pieces.size()});
             return;
@@ -270,6 +272,16 @@
     sendTo(origin, ForwardFailed{message.number, true, "unknown_after_link_loss"});
 }
 
+void ForwardReceiver::logResumed(const core::InstanceId &from, const core::RequestId &request, const ForwardResume &message, const SentAnswer &sent)
+{
+    m_journal.log(core::LogEvent{"forward_resumed", {}}
+                      .with("request", request.value())
+                      .with("from", from.value())
+                      .with("is_kept", sent.isKept ? "true" : "false")
+                      .with("received", absl::StrCat(message.receivedPieces))
+                      .with("sent", absl::StrCat(sent.pieces.size())));
+}
+
 void ForwardReceiver::resend(const Origin &origin, const ForwardResume &request, const SentAnswer &sent)
 {
     if (sent.hasHead && !request.hasHead) {
@@ -446,7 +458,7 @@
     noteFirstData(it->second);
     sendTo(it->second.origin, ForwardEnd{it->second.origin.number, it->second.sentPieces});
     if (it->second.sent.isKept) {
-        m_endedRuns.push_back({it->second.origin, m_timers.now(), std::move(it->second.sent)});
+        m_endedRuns.push_back({it->second.origin, it->second.request, m_timers.now(), std::move(it->second.sent)});
     }
     end(run, it->second.status >= MIN_SERVER_ERROR_STATUS ? RunEnd::ServerError : RunEnd::Success);
 }
--- a/source/gateway/gatewayrecords.cpp
+++ b/source/gateway/gatewayrecords.cpp
@@ -320,6 +320,11 @@
         m_ports.journal.log(core::LogEvent{"rollout_notice_unreadable", {}}.with("key", change.key).with("error", notice.error().message));
         return;
     }
+    m_ports.journal.log(core::LogEvent{"rollout_notice_read", {}}
+                            .with("service", notice->service.value())
+                            .with("order", absl::StrCat(notice->order))
+                            .with("state", nlohmann::json(notice->state).get<std::string>())
+                            .with("revision", absl::StrCat(change.revision)));
     m_rollouts.decisionStored(notice->service, notice->order, notice->state);
 }
 
--- a/source/gateway/requestanswer.cpp
+++ b/source/gateway/requestanswer.cpp
@@ -444,6 +444,10 @@
             continue;
         }
         if (open.instanceProcess == process) {
+            m_dependencies.journal.log(makeLogEvent("forward_resume_sent", open)
+                                           .with("instance", peer.value())
+                                           .with("has_head", open.hasHead ? "true" : "false")
+                                           .with("pieces", absl::StrCat(open.receivedPieces)));
             m_dependencies.links.send(peer, ForwardResume{open.run, open.hasHead, open.receivedPieces});
         } else {
             lost.push_back(entry.first);
--- a/source/net/peerlinks.cpp
+++ b/source/net/peerlinks.cpp
@@ -111,6 +111,9 @@
     struct Link
     {
         LinkId id = 0;
+        /** The process at the other end. */
+        gateway::Member peer;
+        absl::Time since;
         absl::Time heardAt;
         LinkQueue queue;
         PieceJoiner joiner;
@@ -302,11 +305,15 @@
         const auto before = m_links.find(peer.id);
         if (before != m_links.end()) {
             // The newer link is the one that works.
+            m_journal.log(core::LogEvent{"link_replaced", {}}
+                              .with("instance", peer.id.value())
+                              .with("is_same_process", before->second.peer.bootId == peer.bootId ? "true" : "false")
+                              .with("age_ms", absl::StrCat(absl::ToInt64Milliseconds(m_loop.timers().now() - before->second.since))));
             terminate(before->second.id);
         }
         m_opening.erase(link);
         m_names[link] = peer.id;
-        m_links.emplace(peer.id, Link{link, m_loop.timers().now(), LinkQueue(peer.capacity > 0), PieceJoiner(), absl::InfiniteFuture()});
+        m_links.emplace(peer.id, Link{link, peer, m_loop.timers().now(), m_loop.timers().now(), LinkQueue(peer.capacity > 0), PieceJoiner(), absl::InfiniteFuture()});
         m_events.up(peer);
     }
 
