--- a/include/snipeferry/gateway/gateway.h
+++ b/include/snipeferry/gateway/gateway.h
@@ -167,7 +167,7 @@
     std::vector<Reading> readings();
 
     /** @brief Reports that the store contains a decision about a rollout, written by any instance. */
-    void rolloutStored(const core::ServiceId &service, core::Revision order, RolloutState state);
+    void rolloutStored(const RolloutNotice &notice);
 
     /** @brief Emitted for each rollout decision that this instance has to write to the store. */
     core::Signal<RolloutDecision> &rolloutDecided();
@@ -219,6 +219,8 @@
     /** Applies the differences between the copy and a store that has come back from a copy. What is missing there is mostly written again. */
     void applyReturnedRecords(Topic topic, const std::vector<RecordChange> &changes);
     void applyOperatorRecord(const RecordChange &change);
+    /** Tells the rollouts at which positions a returned store has their orders. */
+    void readOrdersAgain();
     void applyDeployment(const Deployment &deployment, core::Revision revision);
     void applyBackendServerRecord(const RecordChange &change, RecordOrigin origin);
     /** Handles a missing announcement: its backend server has left, or its announcement may have lapsed in an outage of the store. */
--- a/include/snipeferry/gateway/rolloutguard.h
+++ b/include/snipeferry/gateway/rolloutguard.h
@@ -104,11 +104,31 @@
 struct RolloutNotice
 {
     core::ServiceId service;
-    /** Revision of the operator's order. */
+    /** Position of the operator's order when the notice was written. A store that comes back from a copy gives the order another one. */
     core::Revision order = 0;
     RolloutState state = RolloutState::Trial;
+    /** Version that was ordered; empty in notices of earlier builds. */
+    core::VersionId target = {};
+
+    SNIPEFERRY_COMPARED_BY(RolloutNotice, service, order, state, target)
 
-    SNIPEFERRY_VALUE(RolloutNotice, service, order, state)
+    template<typename BasicJson>
+    friend void to_json(BasicJson &json, const RolloutNotice &notice)
+    {
+        json = BasicJson{{"service", notice.service}, {"order", notice.order}, {"state", notice.state}};
+        if (!notice.target.isEmpty()) {
+            json["target"] = notice.target;
+        }
+    }
+
+    template<typename BasicJson>
+    friend void from_json(const BasicJson &json, RolloutNotice &notice)
+    {
+        json.at("service").get_to(notice.service);
+        json.at("order").get_to(notice.order);
+        json.at("state").get_to(notice.state);
+        notice.target = json.value("target", core::VersionId());
+    }
 };
 
 /** A change of a rollout's state at this instance, with the evidence that it rests on. */
@@ -193,7 +213,9 @@
     void receiveFleet(const std::vector<RolloutReport> &reports);
 
     /** @brief Adopts a decision from the store, whichever instance has made it. It may come before the order. */
-    void decisionStored(const core::ServiceId &service, core::Revision revision, RolloutState state);
+    void decisionStored(const RolloutNotice &notice);
+    /** @brief The stored decisions have been read once. Before that, an order that seems to be new may be decided already, so nothing is told of it. */
+    void decisionsRead();
 
     /** @brief The store has come back from a copy: an order that is read again from now on is the same, and an earlier one is no new one. */
     void storeReturned();
@@ -255,7 +277,15 @@
     };
 
     /** Whether an order is one that is known already, read from a store that has come back from a copy. */
-    bool isReadAgain(ServiceRollouts &rollouts, const RolloutOrder &order, core::Revision revision) const;
+    bool isReadAgain(ServiceRollouts &rollouts, const RolloutOrder &order, core::Revision revision);
+    /** Whether a stored decision is on this order, although the store may have come back from a copy since it was written. */
+    static bool isDecisionOn(const RolloutProgress &progress, const RolloutNotice &notice);
+    /** Adopts the stored decision that is on this order, if there is one. */
+    void adoptStoredDecision(RolloutProgress &progress);
+    /** Stores the rollout's state again if this instance is to store it. */
+    void tellState(const RolloutProgress &progress);
+    /** Tells the operator that the order is being carried out, if this instance is to tell it. */
+    void tellOrdered(const RolloutProgress &progress);
     static Evidence regionEvidence(const RolloutProgress &progress);
     static Evidence allEvidence(const RolloutProgress &progress);
     /** Reports with the evidence that a function selects. */
@@ -291,7 +321,8 @@
     /** This instance's latest answers of services without an open rollout. */
     absl::flat_hash_map<core::ServiceId, Evidence> m_recentAnswers;
     /** The latest stored decision of each service. */
-    std::map<core::ServiceId, std::pair<core::Revision, RolloutState>> m_storedDecisions;
+    std::map<core::ServiceId, RolloutNotice> m_storedDecisions;
+    bool m_areDecisionsRead = false;
     absl::Time m_storeReturnedAt = absl::InfinitePast();
     core::Signal<RolloutDecision> m_decided;
     core::Signal<RolloutChange> m_changed;
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -183,6 +183,9 @@
     const std::vector<RecordChange> changes = own.replace(records, revision);
     if (!isReturned) {
         applyRecordChanges(topic, changes, RecordOrigin::Written, lapsed);
+        if (topic == Topic::Members) {
+            m_rollouts.decisionsRead();
+        }
         return changes.size();
     }
     applyReturnedRecords(topic, changes);
@@ -354,9 +357,9 @@
     return m_requestFlow.openCount() + m_forwardReceiver.openCount();
 }
 
-void Gateway::rolloutStored(const core::ServiceId &service, core::Revision order, RolloutState state)
+void Gateway::rolloutStored(const RolloutNotice &notice)
 {
-    m_rollouts.decisionStored(service, order, state);
+    m_rollouts.decisionStored(notice);
 }
 
 core::Signal<RolloutDecision> &Gateway::rolloutDecided()
--- a/source/gateway/gatewayrecords.cpp
+++ b/source/gateway/gatewayrecords.cpp
@@ -134,12 +134,26 @@
                             .with("changed", absl::StrCat(present.size()))
                             .with("missing", absl::StrCat(changes.size() - present.size())));
     applyRecordChanges(topic, present, RecordOrigin::ReturnedStore);
+    if (topic == Topic::Operator) {
+        readOrdersAgain();
+    }
     if (topic == Topic::Members) {
         storeMissingQuarantines();
         m_rollouts.tellAgain();
     }
 }
 
+void Gateway::readOrdersAgain()
+{
+    // An order that has not changed is no change of the topic, but instances that start later know it by its new position only.
+    for (const Record &record : mirror(Topic::Operator).records()) {
+        const core::Expected<OperatorRecord> decoded = m_ports.records.decodeOperator({record.key, record.value, record.revision});
+        if (decoded && decoded->rollout.has_value()) {
+            m_rollouts.order(*decoded->rollout, record.revision);
+        }
+    }
+}
+
 void Gateway::removeHeldRecords()
 {
     const absl::Time now = m_ports.timers.now();
@@ -325,7 +339,7 @@
                             .with("order", absl::StrCat(notice->order))
                             .with("state", nlohmann::json(notice->state).get<std::string>())
                             .with("revision", absl::StrCat(change.revision)));
-    m_rollouts.decisionStored(notice->service, notice->order, notice->state);
+    m_rollouts.decisionStored(*notice);
 }
 
 void Gateway::applyMemberRecord(const RecordChange &change)
--- a/source/gateway/rolloutguard.cpp
+++ b/source/gateway/rolloutguard.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace snipeferry::gateway {
 
@@ -102,24 +103,36 @@
     progress.revision = revision;
     progress.startedAt = m_timers.now();
     progress.own = evidenceBefore(m_recentAnswers[order.service]);
-    const auto stored = m_storedDecisions.find(order.service);
-    if (stored != m_storedDecisions.end() && stored->second.first == revision) {
-        progress.state = stored->second.second;
-        progress.isStored = true;
-        emitChange(progress, "stored", false);
+    adoptStoredDecision(progress);
+    if (m_areDecisionsRead) {
+        tellOrdered(progress);
+    }
+}
+
+void RolloutGuard::decisionsRead()
+{
+    if (std::exchange(m_areDecisionsRead, true)) {
         return;
     }
-    if (isReporter(progress)) {
-        m_decided.emit(RolloutDecision{order, revision, RolloutState::Trial, "ordered"});
+    for (const auto &item : m_rollouts) {
+        tellOrdered(item.second.current);
     }
 }
 
-bool RolloutGuard::isReadAgain(ServiceRollouts &rollouts, const RolloutOrder &order, core::Revision revision) const
+void RolloutGuard::tellOrdered(const RolloutProgress &progress)
+{
+    if (progress.state == RolloutState::Trial && !progress.isStored && isReporter(progress)) {
+        m_decided.emit(RolloutDecision{progress.order, progress.revision, RolloutState::Trial, "ordered"});
+    }
+}
+
+bool RolloutGuard::isReadAgain(ServiceRollouts &rollouts, const RolloutOrder &order, core::Revision revision)
 {
     const bool isNewEra = eraOf(revision) > eraOf(rollouts.current.revision);
     const bool isAfterReturn = m_timers.now() - m_storeReturnedAt < ORDER_REWRITE_TIME;
     if (order == rollouts.current.order && (isNewEra || isAfterReturn)) {
         rollouts.current.revision = revision;
+        tellState(rollouts.current);
         return true;
     }
     const std::vector<RolloutOrder> &earlier = rollouts.earlierOrders;
@@ -134,10 +147,14 @@
 void RolloutGuard::tellAgain()
 {
     for (const auto &item : m_rollouts) {
-        const RolloutProgress &progress = item.second.current;
-        if (progress.state != RolloutState::Takeover && isReporter(progress)) {
-            m_decided.emit(RolloutDecision{progress.order, progress.revision, progress.state, "told again"});
-        }
+        tellState(item.second.current);
+    }
+}
+
+void RolloutGuard::tellState(const RolloutProgress &progress)
+{
+    if (progress.state != RolloutState::Takeover && isReporter(progress)) {
+        m_decided.emit(RolloutDecision{progress.order, progress.revision, progress.state, "told again"});
     }
 }
 
@@ -337,20 +354,45 @@
     }
 }
 
-void RolloutGuard::decisionStored(const core::ServiceId &service, core::Revision revision, RolloutState state)
+bool RolloutGuard::isDecisionOn(const RolloutProgress &progress, const RolloutNotice &notice)
 {
-    std::pair<core::Revision, RolloutState> &stored = m_storedDecisions[service];
-    if (stored.first <= revision) {
-        stored = {revision, state};
+    if (eraOf(notice.order) == eraOf(progress.revision)) {
+        return notice.order == progress.revision;
     }
-    const auto it = m_rollouts.find(service);
-    if (it == m_rollouts.end() || it->second.current.revision != revision) {
+    // The copy has the order at its earlier revision, unless the operator has written it again. A completed version is in use, whichever of its orders the
+    // decision was on; a reverted one may be ordered anew.
+    const bool hasSameCounter = counterOf(notice.order) == counterOf(progress.revision);
+    if (notice.target.isEmpty()) {
+        return hasSameCounter;
+    }
+    return notice.target == progress.order.target && (hasSameCounter || notice.state == RolloutState::Completed);
+}
+
+void RolloutGuard::decisionStored(const RolloutNotice &notice)
+{
+    RolloutNotice &stored = m_storedDecisions[notice.service];
+    if (stored.order <= notice.order) {
+        stored = notice;
+    }
+    const auto it = m_rollouts.find(notice.service);
+    if (it != m_rollouts.end()) {
+        adoptStoredDecision(it->second.current);
+    }
+}
+
+void RolloutGuard::adoptStoredDecision(RolloutProgress &progress)
+{
+    const auto it = m_storedDecisions.find(progress.order.service);
+    if (it == m_storedDecisions.end() || !isDecisionOn(progress, it->second)) {
         return;
     }
-    RolloutProgress &progress = it->second.current;
+    const RolloutNotice &stored = it->second;
     progress.isStored = true;
-    if (progress.state != state && progress.state != RolloutState::Abandoned) {
-        changeState(progress, state, "stored");
+    if (progress.state != stored.state && progress.state != RolloutState::Abandoned) {
+        changeState(progress, stored.state, "stored");
+    }
+    if (stored.order < progress.revision) {
+        tellState(progress);
     }
 }
 
--- a/source/net/storewriter.cpp
+++ b/source/net/storewriter.cpp
@@ -83,7 +83,7 @@
     }
     std::vector<gateway::Record> records = {m_records.rolloutStatus(decision.order, decision.state)};
     if (decision.state != gateway::RolloutState::Trial) {
-        records.push_back(m_records.rolloutNotice({decision.order.service, decision.revision, decision.state}));
+        records.push_back(m_records.rolloutNotice({decision.order.service, decision.revision, decision.state, decision.order.target}));
     }
     call(m_format.writeRecords(records, guard), "rollout");
 }
@@ -119,7 +119,7 @@
     // Where another decision came first, or this one's answer was lost, what the store holds stands.
     const gateway::RolloutState state = isConflict ? storedState(answer.body, decision.state) : decision.state;
     if (isFinal(decision)) {
-        m_gateway.rolloutStored(decision.order.service, decision.revision, state);
+        m_gateway.rolloutStored({decision.order.service, decision.revision, state, decision.order.target});
     }
     m_journal.log(core::LogEvent{"rollout_told", {}}
                       .with("service", decision.order.service.value())
--- a/tests/gateway/fakecodecs.h
+++ b/tests/gateway/fakecodecs.h
@@ -114,6 +114,12 @@
             if (change.value.has_value()) {
                 record.deployment = nlohmann::json::parse(*change.value).get<gateway::Deployment>();
             }
+        } else if (absl::StartsWith(change.key, "order:")) {
+            record.kind = gateway::OperatorRecord::Kind::Rollout;
+            record.service = core::ServiceId(change.key.substr(change.key.find(':') + 1));
+            if (change.value.has_value()) {
+                record.rollout = nlohmann::json::parse(*change.value).get<gateway::RolloutOrder>();
+            }
         } else {
             record.kind = gateway::OperatorRecord::Kind::Evacuation;
             record.dataCentre = core::DataCentreId(change.key);
--- a/tests/gateway/rollouttest.cpp
+++ b/tests/gateway/rollouttest.cpp
@@ -92,7 +92,7 @@
 TEST_CASE("a decision in the store overrides an instance's own, and a newer order overrides an older one")
 {
     RolloutFleet fleet(1, 1);
-    fleet.guards[0]->decisionStored(SERVICE, 7, gateway::RolloutState::Reverted);
+    fleet.guards[0]->decisionStored({SERVICE, 7, gateway::RolloutState::Reverted, {}});
     CHECK(fleet.guards[0]->choose(SERVICE, everywhere).never == EXCLUDED);
     fleet.guards[0]->order({SERVICE, NEW_VERSION, absl::Seconds(12)}, 6);
     CHECK(fleet.guards[0]->choose(SERVICE, everywhere).never == EXCLUDED);
@@ -100,7 +100,7 @@
     // A withdrawn order puts no version in use that was taken back; only a new order does.
     CHECK(fleet.guards[0]->choose(SERVICE, everywhere).never == EXCLUDED);
     fleet.guards[0]->order({SERVICE, NEW_VERSION, absl::Seconds(12)}, 8);
-    fleet.guards[0]->decisionStored(SERVICE, 8, gateway::RolloutState::Completed);
+    fleet.guards[0]->decisionStored({SERVICE, 8, gateway::RolloutState::Completed, {}});
     CHECK(fleet.guards[0]->choose(SERVICE, everywhere).only == NEW_VERSION);
     CHECK(fleet.guards[0]->choose(SERVICE, everywhere).never.empty());
 }
@@ -176,7 +176,7 @@
     RolloutFleet fleet(1, 1);
     gateway::RolloutGuard &guard = *fleet.guards[0];
     const core::VersionId third("v3");
-    guard.decisionStored(SERVICE, 7, gateway::RolloutState::Reverted);
+    guard.decisionStored({SERVICE, 7, gateway::RolloutState::Reverted, {}});
     guard.order({SERVICE, third, absl::Seconds(12)}, 9);
     for (int request = 0; request < 100; ++request) {
         CHECK_FALSE(guard.choose(SERVICE, everywhere).permits(NEW_VERSION));
@@ -186,7 +186,7 @@
     CHECK_FALSE(guard.permitted(SERVICE, {}).permits(third));
     CHECK(guard.permitted(SERVICE, third).permits(third));
     guard.order({SERVICE, NEW_VERSION, absl::Seconds(12)}, 11);
-    guard.decisionStored(SERVICE, 11, gateway::RolloutState::Completed);
+    guard.decisionStored({SERVICE, 11, gateway::RolloutState::Completed, {}});
     CHECK(guard.choose(SERVICE, everywhere).permits(NEW_VERSION));
     CHECK_FALSE(guard.choose(SERVICE, everywhere).permits(third));
 }
@@ -196,7 +196,7 @@
 {
     RolloutFleet fleet(1, 1);
     gateway::RolloutGuard started(core::InstanceId("gw-9"), 1, {}, fleet.timers);
-    started.decisionStored(SERVICE, 7, gateway::RolloutState::Reverted);
+    started.decisionStored({SERVICE, 7, gateway::RolloutState::Reverted, {}});
     started.order({SERVICE, NEW_VERSION, absl::Seconds(12)}, 7);
     CHECK(started.choose(SERVICE, everywhere).never == EXCLUDED);
 }
@@ -207,7 +207,7 @@
     RolloutFleet fleet(1, 1);
     gateway::RolloutGuard &guard = *fleet.guards[0];
     observeAnswers(guard, 0, 40, 100);
-    guard.decisionStored(SERVICE, 7, gateway::RolloutState::Completed);
+    guard.decisionStored({SERVICE, 7, gateway::RolloutState::Completed, {}});
     observeAnswers(guard, 20, 200, 0);
     fleet.timers.advance(absl::Milliseconds(100));
     CHECK(guard.choose(SERVICE, everywhere).permits(NEW_VERSION));
--- a/tests/gateway/storereturntest.cpp
+++ b/tests/gateway/storereturntest.cpp
@@ -174,9 +174,9 @@
     RolloutFleet fleet(1, 1);
     gateway::RolloutGuard &guard = *fleet.guards[0];
     const core::VersionId third("v3");
-    guard.decisionStored(SERVICE, 7, gateway::RolloutState::Reverted);
+    guard.decisionStored({SERVICE, 7, gateway::RolloutState::Reverted, {}});
     guard.order({SERVICE, third, absl::Seconds(12)}, 90);
-    guard.decisionStored(SERVICE, 90, gateway::RolloutState::Reverted);
+    guard.decisionStored({SERVICE, 90, gateway::RolloutState::Reverted, {}});
     guard.storeReturned();
     // The copy still holds the earlier order; the latest one is written again, and once more.
     guard.order({SERVICE, NEW_VERSION, absl::Seconds(12)}, gateway::positionOf(NEXT_ERA, 7));
@@ -188,6 +188,6 @@
     // A new order of the next era has a lower counter than those before.
     const core::VersionId fourth("v4");
     guard.order({SERVICE, fourth, absl::Seconds(12)}, gateway::positionOf(NEXT_ERA, 33));
-    guard.decisionStored(SERVICE, gateway::positionOf(NEXT_ERA, 33), gateway::RolloutState::Completed);
+    guard.decisionStored({SERVICE, gateway::positionOf(NEXT_ERA, 33), gateway::RolloutState::Completed, {}});
     CHECK(guard.choose(SERVICE, everywhere).only == fourth);
 }
