After a lost link the origin waits for the part of an answer that it asked for (LOST)

Callers saw: a stream that was forwarded broke off although its backend server and both instances were well, after the link between them was replaced. Cause: the other end goes on with its answer over the new link before the question for the rest has arrived. The origin took the first of these pieces, after a gap, for proof of a lost one, cancelled the run and closed the caller's connection. Evidence: forward_link_lost, then run_failed reason=forward_piece_lost 0.13 s later, in less than a round trip of 0.2 s. Ruled out: an answer that was not kept (the run went on until the origin cancelled it), a request that was lost (forward_started). Change: from the question to the first piece that fits, pieces out of order and an early end are dropped; what comes twice is dropped always; the question says whether the head of the current run has come, not of an earlier one. Why it works: what was asked for comes after what was on its way, in order, and the rest after that.

--- a/include/snipeferry/gateway/requestflow.h
+++ b/include/snipeferry/gateway/requestflow.h
@@ -192,6 +192,8 @@
         absl::Duration timeToFirstData;
         /** Number of pieces of a forwarded answer that have arrived. */
         std::uint64_t receivedPieces = 0;
+        /** Whether the rest of the answer was asked for over a new link. What the other end sent on that link before it knows comes first, with a gap. */
+        bool isAwaitingResend = false;
         /** Number of runs started, including those that were certainly not executed. */
         int sendCount = 0;
         /** Number of ended runs that may have been executed. */
--- a/source/gateway/requestanswer.cpp
+++ b/source/gateway/requestanswer.cpp
@@ -362,7 +362,8 @@
 void RequestFlow::handle(const core::InstanceId &from, const ForwardHead &message)
 {
     OpenRequest *open = findForwarded(from, message.number);
-    if (open != nullptr) {
+    // After a lost link the head may come twice: with the new link, and as asked for.
+    if (open != nullptr && open->progress == AnswerProgress::NotBegun) {
         runHead(message.number, message.head);
     }
 }
@@ -373,11 +374,18 @@
     if (open == nullptr) {
         return;
     }
-    if (message.sequence != open->receivedPieces) {
-        sendCancel(*open);
-        retryOrFail(open->number, true, RunEnd::Unreachable, "forward_piece_lost");
+    if (message.sequence < open->receivedPieces) {
         return;
     }
+    const bool hasHead = open->progress != AnswerProgress::NotBegun;
+    if (message.sequence > open->receivedPieces || !hasHead) {
+        if (!open->isAwaitingResend) {
+            sendCancel(*open);
+            retryOrFail(open->number, true, RunEnd::Unreachable, "forward_piece_lost");
+        }
+        return;
+    }
+    open->isAwaitingResend = false;
     ++open->receivedPieces;
     runData(message.number, message.data);
 }
@@ -388,8 +396,11 @@
     if (open == nullptr) {
         return;
     }
-    if (message.pieces != open->receivedPieces || !open->hasHead) {
-        retryOrFail(open->number, true, RunEnd::Unreachable, "forward_piece_lost");
+    const bool hasHead = open->progress != AnswerProgress::NotBegun;
+    if (message.pieces != open->receivedPieces || !hasHead) {
+        if (!open->isAwaitingResend) {
+            retryOrFail(open->number, true, RunEnd::Unreachable, "forward_piece_lost");
+        }
         return;
     }
     // The instance that ran the request has checked how the answer ended.
@@ -439,16 +450,18 @@
     const ProcessId process = m_dependencies.fleet.linkedProcess(peer);
     std::vector<Number> lost;
     for (const auto &entry : m_openRequests) {
-        const OpenRequest &open = *entry.second;
+        OpenRequest &open = *entry.second;
         if (open.run == 0 || !open.server.isEmpty() || open.instance != peer) {
             continue;
         }
         if (open.instanceProcess == process) {
+            const bool hasHead = open.progress != AnswerProgress::NotBegun;
+            open.isAwaitingResend = true;
             m_dependencies.journal.log(makeLogEvent("forward_resume_sent", open)
                                            .with("instance", peer.value())
-                                           .with("has_head", open.hasHead ? "true" : "false")
+                                           .with("has_head", hasHead ? "true" : "false")
                                            .with("pieces", absl::StrCat(open.receivedPieces)));
-            m_dependencies.links.send(peer, ForwardResume{open.run, open.hasHead, open.receivedPieces});
+            m_dependencies.links.send(peer, ForwardResume{open.run, hasHead, open.receivedPieces});
         } else {
             lost.push_back(entry.first);
         }
--- a/source/gateway/requestplacement.cpp
+++ b/source/gateway/requestplacement.cpp
@@ -388,6 +388,7 @@
     open.isAnswering = false;
     open.progress = AnswerProgress::NotBegun;
     open.receivedPieces = 0;
+    open.isAwaitingResend = false;
     ++open.sendCount;
     m_requestByRun[open.run] = open.number;
 
--- a/tests/gateway/requestflowtest.cpp
+++ b/tests/gateway/requestflowtest.cpp
@@ -284,6 +284,60 @@
     }
 }
 
+// Failure (LOST): what the other instance sent on a new link before it was asked for the rest was taken for the rest, and the answer broken off for the gap.
+TEST_CASE("an answer that goes on over a new link is whole, whatever of it comes before the part that was asked for")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.linkRemote("gw-9", "south");
+    const std::shared_ptr<Answer> answer = fixture.ask("/south/x");
+    const core::InstanceId peer("gw-9");
+    const gateway::Number number = fixture.links.all<gateway::ForwardRequest>().front().number;
+    const gateway::ForwardHead head{number, {200, {{"receipt", "x"}}}};
+    const std::vector<std::string> pieces = {"one ", "two ", "three ", "four"};
+    const auto sendFrom = [&](std::size_t first) {
+        for (std::size_t piece = first; piece < pieces.size(); ++piece) {
+            fixture.gateway.received(peer, gateway::ForwardData{number, piece, pieces[piece]});
+        }
+    };
+    // What has arrived when the link is lost: nothing, the head, or pieces.
+    const int arrived = GENERATE(-1, 0, 1, 3);
+    if (arrived >= 0) {
+        fixture.gateway.received(peer, head);
+    }
+    for (int piece = 0; piece < arrived; ++piece) {
+        fixture.gateway.received(peer, gateway::ForwardData{number, static_cast<std::uint64_t>(piece), pieces[static_cast<std::size_t>(piece)]});
+    }
+    const int losses = GENERATE(1, 2);
+    for (int loss = 0; loss < losses; ++loss) {
+        fixture.gateway.linkDown(peer);
+        fixture.gateway.linkUp(GatewayFixture::member("gw-9", "south"));
+    }
+    const std::size_t received = static_cast<std::size_t>(std::max(arrived, 0));
+    CHECK(fixture.links.all<gateway::ForwardResume>().back() == gateway::ForwardResume{number, arrived >= 0, received});
+
+    // The other end goes on where it was, and may have ended, before it reads that something is missing here.
+    const std::size_t goesOnAt = GENERATE(0U, 1U, 2U, 3U, 4U);
+    const bool hasEnded = GENERATE(false, true);
+    if (goesOnAt == 0) {
+        fixture.gateway.received(peer, head);
+    }
+    sendFrom(std::max(goesOnAt, received));
+    if (hasEnded) {
+        fixture.gateway.received(peer, gateway::ForwardEnd{number, pieces.size()});
+    }
+    // The part that was asked for.
+    if (arrived < 0) {
+        fixture.gateway.received(peer, head);
+    }
+    sendFrom(received);
+    fixture.gateway.received(peer, gateway::ForwardEnd{number, pieces.size()});
+    CHECK(answer->status == 200);
+    CHECK(answer->body == "one two three four");
+    CHECK(answer->isComplete);
+    CHECK(answer->finalCount == 1);
+}
+
 TEST_CASE("a forwarded request runs here or is refused and is never forwarded again")
 {
     GatewayFixture fixture;
