Links: replacing a link does not take a spare into use in between

Cause: a link that was closed because another one takes its place took the spare for the instance into use, beside the one that was meant; with three links open the process ended at the next message. Change: closing a link that is replaced, or whose process has ended, is apart from losing one; only the loss takes the latest spare. Tests with a scripted other end: spare not needed, first link closed twice, silent, chosen by an earlier build; opened again later; an instance that does not choose.

--- a/source/net/peerlinks.cpp
+++ b/source/net/peerlinks.cpp
@@ -150,11 +150,20 @@
     }
 
     void closed(LinkId link)
+    {
+        const std::optional<core::InstanceId> peer = forget(link);
+        if (peer.has_value() && !m_isStopped) {
+            useSpare(*peer);
+        }
+    }
+
+    /** Removes a link. @return the instance to which it was in use */
+    std::optional<core::InstanceId> forget(LinkId link)
     {
         m_opening.erase(link);
         const auto name = m_names.find(link);
         if (name == m_names.end()) {
-            return;
+            return std::nullopt;
         }
         const core::InstanceId id = name->second;
         m_names.erase(name);
@@ -166,8 +175,8 @@
         dropHeldRequests(id);
         if (!m_isStopped) {
             m_events.down(id);
-            useSpare(id);
         }
+        return id;
     }
 
     void terminate(LinkId link)
@@ -176,6 +185,19 @@
         m_endpoint->terminate(link);
     }
 
+    /** Closes the link in use to an instance, if there is one, because another link takes its place or its process has ended. */
+    void replace(const core::InstanceId &peer, const std::string &reason)
+    {
+        const auto used = m_links.find(peer);
+        if (used == m_links.end()) {
+            return;
+        }
+        const LinkId link = used->second.id;
+        logReplaced(used->second, reason);
+        forget(link);
+        m_endpoint->terminate(link);
+    }
+
     void received(LinkId link, const std::string &bytes)
     {
         const core::Expected<gateway::FleetMessage> message = decodeFleetMessage(bytes);
@@ -321,15 +343,17 @@
 
     void greeted(LinkId link, const gateway::Member &peer)
     {
-        Opening &opening = m_opening.at(link);
-        opening.peer = peer;
-        const bool isIncoming = opening.dialled.isEmpty();
-        const absl::Time openedAt = std::exchange(opening.since, m_loop.timers().now());
         const auto known = m_links.find(peer.id);
         if (known != m_links.end() && known->second.peer.process() != peer.process()) {
-            logReplaced(known->second, "peer_restarted");
-            terminate(known->second.id);
+            replace(peer.id, "peer_restarted");
+        }
+        const auto opening = m_opening.find(link);
+        if (opening == m_opening.end()) {
+            return;
         }
+        opening->second.peer = peer;
+        const bool isIncoming = opening->second.dialled.isEmpty();
+        const absl::Time openedAt = std::exchange(opening->second.since, m_loop.timers().now());
         if (!choosesLinkTo(peer.id)) {
             return;
         }
@@ -346,13 +370,13 @@
     /** Uses a link whose other end is known, in place of any other one to that end. */
     void use(LinkId link, const std::string &reason)
     {
-        const gateway::Member peer = *m_opening.at(link).peer;
-        m_opening.erase(link);
-        const auto before = m_links.find(peer.id);
-        if (before != m_links.end()) {
-            logReplaced(before->second, reason);
-            terminate(before->second.id);
+        const auto opening = m_opening.find(link);
+        if (opening == m_opening.end() || !opening->second.peer.has_value()) {
+            return;
         }
+        const gateway::Member peer = *opening->second.peer;
+        m_opening.erase(opening);
+        replace(peer.id, reason);
         const absl::Time now = m_loop.timers().now();
         m_names[link] = peer.id;
         m_links.emplace(peer.id, Link{link, peer, now, now, LinkQueue(peer.capacity > 0), PieceJoiner(), absl::InfiniteFuture()});
@@ -363,17 +387,18 @@
         m_events.up(peer);
     }
 
-    /** Uses the other link that is open to an instance, where this instance chooses. */
+    /** Uses the latest other link that is open to an instance, where this instance chooses. */
     void useSpare(const core::InstanceId &peer)
     {
-        if (!choosesLinkTo(peer)) {
+        if (!choosesLinkTo(peer) || m_links.count(peer) != 0) {
             return;
         }
-        for (const auto &entry : m_opening) {
-            if (entry.second.peer.has_value() && entry.second.peer->id == peer) {
-                use(entry.first, "other_lost");
-                return;
-            }
+        const auto isSpare = [&peer](const auto &entry) {
+            return entry.second.peer.has_value() && entry.second.peer->id == peer;
+        };
+        const auto spare = std::find_if(m_opening.rbegin(), m_opening.rend(), isSpare);
+        if (spare != m_opening.rend()) {
+            use(spare->first, "other_lost");
         }
     }
 
--- a/tests/net/peerlinkstest.cpp
+++ b/tests/net/peerlinkstest.cpp
@@ -1,10 +1,15 @@
 #include "snipeferry/net/peerlinks.h"
 
+#include "snipeferry/net/fleetcodec.h"
+#include "snipeferry/net/linkendpoint.h"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 
+#include <map>
 #include <memory>
 #include <random>
+#include <set>
 
 using namespace snipeferry;
 
@@ -113,6 +118,62 @@
     std::unique_ptr<net::PeerLinks> links;
 };
 
+/** The other end of links to one instance, which opens as many as a test wants and says what the test says. */
+struct ScriptedPeer
+{
+    explicit ScriptedPeer(LinkedInstance &instance, const std::string &name)
+        : other(instance)
+    {
+        self.id = core::InstanceId(name);
+        self.incarnation = 1;
+        self.peerAddress = freeAddress();
+        self.capacity = 1;
+        net::LinkEndpointEvents events;
+        events.opened = [this](net::LinkId link, bool /*isDialled*/) {
+            endpoint->send(link, net::encodeFleetMessage(gateway::Greeting{self}));
+        };
+        events.received = [this](net::LinkId link, bool /*isBinary*/, const std::string &bytes) {
+            received[link].push_back(net::decodeFleetMessage(bytes).value());
+        };
+        events.heard = [](net::LinkId /*link*/) {
+        };
+        events.closed = [this](net::LinkId link) {
+            closed.insert(link);
+        };
+        endpoint = net::makePlainEndpoint(other.loop, net::LinkEndpointSettings(), std::move(events));
+    }
+
+    /** Opens a link and waits until both ends have said who they are. */
+    net::LinkId open()
+    {
+        const net::LinkId link = endpoint->dial(other.self.peerAddress).value();
+        for (int round = 0; round < 100 && received[link].empty(); ++round) {
+            other.turn(absl::Milliseconds(5));
+        }
+        other.turn(absl::Milliseconds(20));
+        REQUIRE_FALSE(received[link].empty());
+        return link;
+    }
+
+    void say(net::LinkId link, std::uint64_t number)
+    {
+        endpoint->send(link, net::encodeFleetMessage(gateway::ForwardEnd{number, 0}));
+        other.turn(absl::Milliseconds(20));
+    }
+
+    /** Whether the instance has said that it uses a link, or sent something on it. */
+    bool isUsed(net::LinkId link) const
+    {
+        return received.at(link).size() > 1;
+    }
+
+    LinkedInstance &other;
+    gateway::Member self;
+    std::map<net::LinkId, std::vector<gateway::FleetMessage>> received;
+    std::set<net::LinkId> closed;
+    std::unique_ptr<net::LinkEndpoint> endpoint;
+};
+
 gateway::ForwardRequest forwardedRequest(std::uint64_t number)
 {
     gateway::ForwardRequest forward;
@@ -240,3 +301,95 @@
     CHECK(staying.hasAllOf(*restarted));
     CHECK(restarted->hasAllOf(staying));
 }
+
+// Failure: a second link to the same process takes the place of one in use, or is not there when that one fails.
+TEST_CASE("a second link to the same process is used only if the first one fails")
+{
+    LinkedInstance chooser("a");
+    ScriptedPeer peer(chooser, "b");
+    const net::LinkId first = peer.open();
+    const net::LinkId second = peer.open();
+    const net::LinkId third = peer.open();
+    CHECK(peer.isUsed(first));
+    CHECK_FALSE(peer.isUsed(second));
+    CHECK_FALSE(peer.isUsed(third));
+    CHECK(chooser.lostLinks == 0);
+    SECTION("it is closed when it was not needed")
+    {
+        for (int turn = 0; turn < 24; ++turn) {
+            peer.say(first, 1);
+            chooser.turn(absl::Milliseconds(80));
+        }
+        CHECK(peer.closed == std::set<net::LinkId>{second, third});
+        CHECK(chooser.lostLinks == 0);
+        CHECK(chooser.received.size() == 24);
+    }
+    SECTION("the first one is closed")
+    {
+        peer.endpoint->terminate(first);
+        chooser.turn(absl::Milliseconds(50));
+        CHECK(peer.isUsed(third));
+        CHECK_FALSE(peer.isUsed(second));
+        CHECK(chooser.linkCount == 1);
+        peer.endpoint->terminate(third);
+        chooser.turn(absl::Milliseconds(50));
+        CHECK(peer.isUsed(second));
+        CHECK(chooser.linkCount == 1);
+        CHECK(chooser.lostLinks == 2);
+        peer.say(second, 1);
+        CHECK(chooser.received.size() == 1);
+    }
+    SECTION("nothing comes on the first one")
+    {
+        chooser.turn(absl::Milliseconds(2400));
+        CHECK(peer.isUsed(second) != peer.isUsed(third));
+        CHECK(chooser.linkCount == 1);
+        CHECK(peer.closed.count(first) == 1);
+    }
+    SECTION("an instance of an earlier build goes on with another one")
+    {
+        peer.say(second, 1);
+        CHECK(chooser.received.size() == 1);
+        CHECK(chooser.linkCount == 1);
+        CHECK(peer.closed == std::set<net::LinkId>{first});
+    }
+}
+
+// Failure: a link that the other end no longer has stays in use until it was silent for long.
+TEST_CASE("a link that is opened long after the one in use takes its place")
+{
+    LinkedInstance chooser("a");
+    ScriptedPeer peer(chooser, "b");
+    const net::LinkId first = peer.open();
+    for (int turn = 0; turn < 22; ++turn) {
+        peer.say(first, 1);
+        chooser.turn(absl::Milliseconds(80));
+    }
+    const net::LinkId second = peer.open();
+    CHECK(peer.isUsed(second));
+    CHECK(peer.closed == std::set<net::LinkId>{first});
+    CHECK(chooser.linkCount == 1);
+}
+
+// Failure: the end that does not choose sends requests on a link that is closed then.
+TEST_CASE("an instance sends nothing on a link that the choosing one does not use")
+{
+    LinkedInstance other("b");
+    ScriptedPeer chooser(other, "a");
+    const net::LinkId first = chooser.open();
+    const net::LinkId second = chooser.open();
+    CHECK(other.linkCount == 0);
+    CHECK_FALSE(other.links->send(chooser.self.id, gateway::ForwardEnd{1, 0}));
+    chooser.say(second, 1);
+    CHECK(other.linkCount == 1);
+    CHECK(other.received.size() == 1);
+    CHECK(other.links->send(chooser.self.id, gateway::ForwardEnd{2, 0}));
+    other.turn(absl::Milliseconds(20));
+    CHECK(chooser.received[first].size() == 1);
+    CHECK(chooser.received[second].size() == 2);
+    // The choosing one gives the second link up.
+    chooser.say(first, 2);
+    CHECK(other.linkCount == 1);
+    CHECK(other.received.size() == 2);
+    CHECK(chooser.closed == std::set<net::LinkId>{second});
+}
