A reverted version stays so whatever an equal order before it came to (EXPOSURE)

Cause: the decision of another era on an equal order counted for an order that was reverted here meanwhile. Found when the code was read again. Change: it counts only while nothing is decided here. Test: a version that was reverted stays so, whatever was decided on an equal order before the store's return.

--- a/source/gateway/rolloutguard.cpp
+++ b/source/gateway/rolloutguard.cpp
@@ -365,7 +365,8 @@
     if (notice.target.isEmpty()) {
         return hasSameCounter;
     }
-    return notice.target == progress.order.target && (hasSameCounter || notice.state == RolloutState::Completed);
+    const bool isInUse = notice.state == RolloutState::Completed && isOpen(progress.state);
+    return notice.target == progress.order.target && (hasSameCounter || isInUse);
 }
 
 void RolloutGuard::decisionStored(const RolloutNotice &notice)
--- a/tests/gateway/rolloutreturntest.cpp
+++ b/tests/gateway/rolloutreturntest.cpp
@@ -239,3 +239,22 @@
     Follower tried(again, OLD_VERSION);
     CHECK(again.statuses.back() == RolloutState::Trial);
 }
+
+// Guards against a reverted version that is put in use by the decision on an equal order before it (EXPOSURE).
+TEST_CASE("a version that was reverted stays so, whatever was decided on an equal order before the store's return")
+{
+    RolloutStore store = decidedStore(RolloutState::Completed);
+    Follower running(store, NEW_VERSION);
+    store.order(ORDER);
+    running.readAll();
+    store.write({ORDER, store.records[Topic::Operator][ORDER_KEY].revision, RolloutState::Reverted, "fails"});
+    running.readAll();
+    REQUIRE(running.served() == 0);
+    // The copy has the order, and the decision before it.
+    store.comeBack(Copy::NoDecision);
+    const gateway::RolloutNotice before{SERVICE, 101, RolloutState::Completed, NEW_VERSION};
+    store.records[Topic::Members][NOTICE_KEY] = {NOTICE_KEY, nlohmann::json(before).dump(), gateway::positionOf(store.era, 102)};
+    running.readAll();
+    CHECK(running.served() == 0);
+    CHECK(store.statuses.back() == RolloutState::Reverted);
+}
