--- a/tests/compatibility/compatibilitytest.cpp
+++ b/tests/compatibility/compatibilitytest.cpp
@@ -157,3 +157,18 @@
     CHECK(records.decodeDecision(decisions[2]) == gateway::RolloutState::Completed);
     CHECK(records.decodeDecision(decisions[3]) == gateway::RolloutState::Reverted);
 }
+
+// Failure: a fleet that was upgraded after a roll-out no longer reads what was decided on it.
+TEST_CASE("a roll-out notice of an earlier build is read, and a present one by an earlier build")
+{
+    const fleetplatform::RecordCodec records;
+    const std::string earlier = R"({"order":9,"service":"s","state":"completed"})";
+    const gateway::RolloutNotice notice{core::ServiceId("s"), 9, gateway::RolloutState::Completed, {}};
+    REQUIRE(records.decodeRolloutNotice(earlier));
+    CHECK(*records.decodeRolloutNotice(earlier) == notice);
+    CHECK(records.rolloutNotice(notice).value == earlier);
+    const gateway::RolloutNotice present{core::ServiceId("s"), 9, gateway::RolloutState::Completed, core::VersionId("v2")};
+    CHECK(records.decodeRolloutNotice(records.rolloutNotice(present).value) == present);
+    CHECK(records.rolloutNotice(present).value == R"({"order":9,"service":"s","state":"completed","target":"v2"})");
+    CHECK_FALSE(records.decodeRolloutNotice(R"({"order":9,"service":"s","state":"completed","target":7})"));
+}
